--- /dev/null
+++ b/Makefile
@@ -0,0 +1,50 @@
+# make demo and make test do all set-up on a fresh machine.
+MODULES := wire core entry sidecar operator load standin
+PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
+PROGRAMS := entry sidecar standin load
+GOBIN := $(shell go env GOPATH)/bin
+LINT := $(GOBIN)/golangci-lint
+LINT_VERSION := v2.15.0
+
+.PHONY: all build demo up test unit lint format model bench soak capacity generate tools clean
+
+all: build
+
+build:
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do go build -o bin/$$p ./$$p || exit 1; done
+	@go build -o bin/bamboohill ./operator
+
+demo: build
+	@demo/run
+
+up: build
+	@demo/up
+
+test: lint unit model
+	@.ci/red
+
+unit:
+	go test $(PACKAGES)
+
+lint: $(LINT)
+	@test -z "$$(gofmt -l $(MODULES))" || { gofmt -l $(MODULES); echo "run make format"; exit 1; }
+	$(LINT) run $(PACKAGES)
+
+format: $(LINT)
+	$(LINT) fmt $(PACKAGES)
+
+$(LINT):
+	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+model:
+	@model/run
+
+bench soak capacity: build
+	@bench/$@
+
+generate:
+	cd wire && protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. wire.proto
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/core/commander/commander.go
@@ -0,0 +1,96 @@
+// Package commander is the command line that the programs which run from a
+// settings file share.
+//
+// # Usage
+//
+//	commander.Main(commander.Config[settings.Settings]{Name: "entry", Run: run})
+//
+// "PROGRAM run FILE" runs until SIGTERM or an interrupt, "PROGRAM check FILE"
+// checks the settings. The exit status is 2 for bad settings and 1 for any
+// other failure.
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"bamboohill/core/checker"
+	"bamboohill/core/logger"
+
+	"github.com/phuslu/log"
+	"github.com/urfave/cli/v3"
+)
+
+// Config describes a program with settings of type S.
+type Config[S any] struct {
+	Name  string
+	Usage string
+	Level func(*S) string
+	Run   func(context.Context, *S, *log.Logger) error
+}
+
+// errFile is returned when the command line names no settings file.
+var errFile = errors.New("commander: want one settings file")
+
+// Main runs the program and exits.
+func Main[S any](config Config[S]) {
+	if err := command(config).Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(status(err))
+	}
+}
+
+func status(err error) int {
+	var bad *checker.Error
+	if errors.As(err, &bad) || errors.Is(err, errFile) {
+		return checker.ExitCode
+	}
+	return 1
+}
+
+func command[S any](config Config[S]) *cli.Command {
+	return &cli.Command{
+		Name:                  config.Name,
+		Usage:                 config.Usage,
+		EnableShellCompletion: true,
+		Commands: []*cli.Command{
+			{
+				Name: "run", Usage: "run with the settings in FILE", ArgsUsage: "FILE",
+				Action: func(ctx context.Context, c *cli.Command) error { return run(ctx, c, config) },
+			},
+			{
+				Name: "check", Usage: "check the settings in FILE", ArgsUsage: "FILE",
+				Action: func(_ context.Context, c *cli.Command) error {
+					_, err := load[S](c)
+					return err
+				},
+			},
+		},
+	}
+}
+
+func load[S any](c *cli.Command) (*S, error) {
+	if c.Args().Len() != 1 {
+		return nil, errFile
+	}
+	s := new(S)
+	return s, checker.Load(c.Args().First(), s)
+}
+
+func run[S any](ctx context.Context, c *cli.Command, config Config[S]) error {
+	s, err := load[S](c)
+	if err != nil {
+		return err
+	}
+	l, err := logger.New(logger.Config{Program: config.Name, Level: config.Level(s)})
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return config.Run(ctx, s, l)
+}
--- /dev/null
+++ b/core/framer/framer.go
@@ -0,0 +1,228 @@
+// Package framer reads and writes the frames of an attempt's answer and checks
+// that they belong to the attempt, that no position is repeated or skipped and
+// that the answer ends with its closing frame.
+//
+// # Usage
+//
+//	r := framer.NewReader(framer.ReaderConfig{Request: id, Attempt: try, Source: body})
+//	for {
+//		f, err := r.Next()
+//		...
+//	}
+//
+// A frame that fails a check is never handed on: Next returns a *BrokenError
+// and the caller resumes at Position elsewhere.
+package framer
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+
+	"bamboohill/core/ider"
+	"bamboohill/wire"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/encoding/protodelim"
+)
+
+// maxFrame is the largest frame that is read, in bytes.
+const maxFrame = 4 << 20
+
+// BrokenError says why an answer can't be trusted any further.
+type BrokenError struct {
+	Request  ider.Request
+	Attempt  ider.Attempt
+	Position int64 // next position that was due
+	Cause    string
+}
+
+// Error implements error.
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("framer: attempt %s broke at position %d: %s", e.Attempt, e.Position, e.Cause)
+}
+
+// Writer writes the frames of one attempt. It is not safe for concurrent use.
+type Writer struct {
+	request  string
+	attempt  string
+	sink     io.Writer
+	hash     *xxhash.Digest
+	position int64
+	flush    func()
+}
+
+// WriterConfig describes a Writer. Flush may be nil.
+type WriterConfig struct {
+	Request  string
+	Attempt  string
+	Sink     io.Writer
+	Position int64 // of the first token or byte
+	Flush    func()
+}
+
+// NewWriter returns a Writer.
+func NewWriter(config WriterConfig) *Writer {
+	if config.Flush == nil {
+		config.Flush = func() {}
+	}
+	return &Writer{
+		request:  config.Request,
+		attempt:  config.Attempt,
+		sink:     config.Sink,
+		hash:     xxhash.New(),
+		position: config.Position,
+		flush:    config.Flush,
+	}
+}
+
+// Position returns the next position to be written.
+func (w *Writer) Position() int64 { return w.position }
+
+// Accept writes the frame that says the gate took the proposal.
+func (w *Writer) Accept(report *wire.Report) error {
+	return w.write(&wire.Frame{Body: &wire.Frame_Accepted{Accepted: &wire.Accepted{Report: report}}})
+}
+
+// Tokens writes the texts of the next positions.
+func (w *Writer) Tokens(texts []string) error {
+	for _, t := range texts {
+		w.hash.WriteString(t)
+	}
+	body := &wire.Tokens{Position: w.position, Texts: texts}
+	w.position += int64(len(texts))
+	return w.write(&wire.Frame{Body: &wire.Frame_Tokens{Tokens: body}})
+}
+
+// Head writes the status of a plain service's answer.
+func (w *Writer) Head(head *wire.Head) error {
+	return w.write(&wire.Frame{Body: &wire.Frame_Head{Head: head}})
+}
+
+// Data writes the next bytes of a plain service's answer.
+func (w *Writer) Data(data []byte) error {
+	w.hash.Write(data)
+	body := &wire.Data{Position: w.position, Bytes: data}
+	w.position += int64(len(data))
+	return w.write(&wire.Frame{Body: &wire.Frame_Data{Data: body}})
+}
+
+// End writes the closing frame; it fills in Length and Hash.
+func (w *Writer) End(end *wire.End) error {
+	end.Length = w.position
+	end.Hash = w.hash.Sum64()
+	return w.write(&wire.Frame{Body: &wire.Frame_End{End: end}})
+}
+
+// Refuse writes the frame that ends an attempt without a whole answer.
+func (w *Writer) Refuse(refused *wire.Refused) error {
+	return w.write(&wire.Frame{Body: &wire.Frame_Refused{Refused: refused}})
+}
+
+func (w *Writer) write(f *wire.Frame) error {
+	f.Request = w.request
+	f.Attempt = w.attempt
+	if _, err := protodelim.MarshalTo(w.sink, f); err != nil {
+		return err
+	}
+	w.flush()
+	return nil
+}
+
+// Reader reads and checks the frames of one attempt.
+type Reader struct {
+	request  ider.Request
+	attempt  ider.Attempt
+	source   *bufio.Reader
+	hash     *xxhash.Digest
+	position int64
+	ended    bool
+}
+
+// ReaderConfig describes a Reader.
+type ReaderConfig struct {
+	Request  ider.Request
+	Attempt  ider.Attempt
+	Source   io.Reader
+	Position int64 // of the first token or byte due
+}
+
+// NewReader returns a Reader.
+func NewReader(config ReaderConfig) *Reader {
+	return &Reader{
+		request:  config.Request,
+		attempt:  config.Attempt,
+		source:   bufio.NewReader(config.Source),
+		hash:     xxhash.New(),
+		position: config.Position,
+	}
+}
+
+// Position returns the next position that is due.
+func (r *Reader) Position() int64 { return r.position }
+
+// Next returns the next frame. After the closing frame, or a refusal, it
+// returns io.EOF. Any other end, and any frame that fails a check, is a
+// *BrokenError.
+func (r *Reader) Next() (*wire.Frame, error) {
+	if r.ended {
+		return nil, io.EOF
+	}
+	f := &wire.Frame{}
+	options := protodelim.UnmarshalOptions{MaxSize: maxFrame}
+	if err := options.UnmarshalFrom(r.source, f); err != nil {
+		return nil, r.broken(cause(err))
+	}
+	if f.GetRequest() != string(r.request) || f.GetAttempt() != string(r.attempt) {
+		return nil, r.broken("frame of another attempt")
+	}
+	if err := r.check(f); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+func (r *Reader) check(f *wire.Frame) error {
+	switch b := f.GetBody().(type) {
+	case *wire.Frame_Tokens:
+		if b.Tokens.GetPosition() != r.position {
+			return r.broken(fmt.Sprintf("position %d", b.Tokens.GetPosition()))
+		}
+		for _, t := range b.Tokens.GetTexts() {
+			r.hash.WriteString(t)
+		}
+		r.position += int64(len(b.Tokens.GetTexts()))
+	case *wire.Frame_Data:
+		if b.Data.GetPosition() != r.position {
+			return r.broken(fmt.Sprintf("position %d", b.Data.GetPosition()))
+		}
+		r.hash.Write(b.Data.GetBytes())
+		r.position += int64(len(b.Data.GetBytes()))
+	case *wire.Frame_End:
+		if b.End.GetLength() != r.position {
+			return r.broken(fmt.Sprintf("end at length %d", b.End.GetLength()))
+		}
+		if b.End.GetHash() != r.hash.Sum64() {
+			return r.broken("hash differs")
+		}
+		r.ended = true
+	case *wire.Frame_Refused:
+		r.ended = true
+	case *wire.Frame_Accepted, *wire.Frame_Head:
+	default:
+		return r.broken("unknown frame")
+	}
+	return nil
+}
+
+func (r *Reader) broken(why string) error {
+	return &BrokenError{Request: r.request, Attempt: r.attempt, Position: r.position, Cause: why}
+}
+
+func cause(err error) string {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return "end without closing frame"
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/core/storer/object.go
@@ -0,0 +1,70 @@
+package storer
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+)
+
+// Objects is the object store.
+type Objects interface {
+	// Put stores an object whole under a name.
+	Put(ctx context.Context, name string, data []byte) error
+	// Get returns an object; one that is absent is a *MissingError.
+	Get(ctx context.Context, name string) ([]byte, error)
+}
+
+// MissingError says that there is no such object.
+type MissingError struct {
+	Name string
+}
+
+// Error implements error.
+func (e *MissingError) Error() string { return "storer: no object " + e.Name }
+
+// HTTPObjects is Objects over HTTP.
+type HTTPObjects struct {
+	address string
+	client  *http.Client
+}
+
+// NewObjects returns a client of the object store.
+func NewObjects(config Config) *HTTPObjects {
+	return &HTTPObjects{address: config.Address, client: config.client()}
+}
+
+// Put implements Objects.
+func (o *HTTPObjects) Put(ctx context.Context, name string, data []byte) error {
+	_, err := o.call(ctx, http.MethodPut, name, data)
+	return err
+}
+
+// Get implements Objects.
+func (o *HTTPObjects) Get(ctx context.Context, name string) ([]byte, error) {
+	return o.call(ctx, http.MethodGet, name, nil)
+}
+
+func (o *HTTPObjects) call(ctx context.Context, method, name string, data []byte) ([]byte, error) {
+	target := "http://" + o.address + "/objects/" + url.PathEscape(name)
+	q, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	r, err := o.client.Do(q)
+	if err != nil {
+		return nil, &DoubtError{Cause: err}
+	}
+	defer r.Body.Close()
+	switch r.StatusCode {
+	case http.StatusOK:
+		return io.ReadAll(r.Body)
+	case http.StatusNotFound:
+		return nil, &MissingError{Name: name}
+	case http.StatusServiceUnavailable:
+		return nil, &DownError{Retry: retryAfter(r)}
+	}
+	return nil, &DoubtError{Cause: fmt.Errorf("status %d", r.StatusCode)}
+}
--- /dev/null
+++ b/entry/internal/proposer/proposer.go
@@ -0,0 +1,100 @@
+// Package proposer carries one proposal to one sidecar and reads the frames
+// that come back.
+//
+// # Usage
+//
+//	p := proposer.New(proposer.Config{})
+//	a, err := p.Propose(ctx, address, proposal, payload)
+//	defer a.Close()
+//	f, err := a.Next()
+//
+// The payload waits for the gate: it is sent only once the sidecar asks for it.
+package proposer
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"bamboohill/core/framer"
+	"bamboohill/core/ider"
+	"bamboohill/wire"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// Bounds of the connections to sidecars.
+const (
+	idleLimit     = time.Minute
+	idlePerHost   = 256
+	continueLimit = 5 * time.Second
+)
+
+// expectAbove is the payload size in bytes from which the sidecar is asked
+// before the payload is sent.
+const expectAbove = 64 << 10
+
+// Config describes a Proposer. Client may be nil.
+type Config struct {
+	Client *http.Client
+}
+
+// Proposer sends proposals.
+type Proposer struct {
+	client *http.Client
+}
+
+// New returns a proposer.
+func New(config Config) *Proposer {
+	if config.Client == nil {
+		config.Client = &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleLimit, ExpectContinueTimeout: continueLimit, DisableCompression: true,
+		}}
+	}
+	return &Proposer{client: config.Client}
+}
+
+// Attempt is one proposal under way.
+type Attempt struct {
+	*framer.Reader
+	body io.Closer
+}
+
+// Close gives the attempt up: the sidecar cancels what still runs.
+func (a *Attempt) Close() error { return a.body.Close() }
+
+// Propose sends a proposal and its payload. An error means that nobody knows
+// whether the sidecar got it.
+func (p *Proposer) Propose(ctx context.Context, address string, proposal *wire.Proposal, payload []byte) (*Attempt, error) {
+	data, err := proto.Marshal(proposal)
+	if err != nil {
+		return nil, err
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/propose", bytes.NewReader(payload))
+	if err != nil {
+		return nil, err
+	}
+	q.Header.Set("Proposal", base64.StdEncoding.EncodeToString(data))
+	if len(payload) > expectAbove {
+		q.Header.Set("Expect", "100-continue")
+	}
+	// A proposal is never sent twice by the transport: it would run twice.
+	q.GetBody = nil
+	r, err := p.client.Do(q)
+	if err != nil {
+		return nil, err
+	}
+	if r.StatusCode != http.StatusOK {
+		r.Body.Close()
+		return nil, fmt.Errorf("proposer: status %d", r.StatusCode)
+	}
+	frames := framer.NewReader(framer.ReaderConfig{
+		Request: ider.Request(proposal.GetRequest()), Attempt: ider.Attempt(proposal.GetAttempt()),
+		Source: r.Body, Position: proposal.GetPosition(),
+	})
+	return &Attempt{Reader: frames, body: r.Body}, nil
+}
--- /dev/null
+++ b/entry/internal/receiver/receiver.go
@@ -0,0 +1,261 @@
+package receiver
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"bamboohill/core/ider"
+	"bamboohill/core/keeper"
+	"bamboohill/core/router"
+	"bamboohill/entry/internal/dispatcher"
+	"bamboohill/wire"
+
+	"github.com/phuslu/log"
+)
+
+// Config describes a Receiver.
+type Config struct {
+	Keeper     *keeper.Keeper
+	Dispatcher *dispatcher.Dispatcher
+	Log        *log.Logger
+	Body       int64         // largest body in bytes
+	Memory     int64         // bytes of all bodies at once
+	Timeout    time.Duration // when neither caller nor plan says
+}
+
+// Receiver serves callers.
+type Receiver struct {
+	config Config
+	bodies *budget
+}
+
+// New returns a receiver.
+func New(config Config) *Receiver {
+	return &Receiver{config: config, bodies: &budget{most: config.Memory}}
+}
+
+// Handler returns the HTTP interface.
+func (r *Receiver) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, q *http.Request) { r.complete(w, q, false) })
+	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, q *http.Request) { r.complete(w, q, true) })
+	mux.HandleFunc("GET /v1/models", r.models)
+	mux.HandleFunc("/services/{service}/{path...}", r.plain)
+	return mux
+}
+
+// open starts a request: its id, its caller and its deadline.
+func (r *Receiver) open(w http.ResponseWriter, q *http.Request) (*dispatcher.Request, *Failure) {
+	id := ider.New[ider.Request]()
+	w.Header().Set(RequestHeader, string(id))
+	account, plan, f := r.identify(q)
+	if f != nil {
+		return nil, f
+	}
+	timeout, f := r.timeout(q, plan)
+	if f != nil {
+		return nil, f
+	}
+	return &dispatcher.Request{ID: id, Account: account, Plan: plan, Deadline: time.Now().Add(timeout)}, nil
+}
+
+func (r *Receiver) identify(q *http.Request) (*wire.Account, *wire.Plan, *Failure) {
+	key, found := strings.CutPrefix(q.Header.Get("Authorization"), "Bearer ")
+	if !found {
+		return nil, nil, denied(http.StatusUnauthorized, "no_key", "want Authorization: Bearer KEY")
+	}
+	account, plan, err := r.config.Keeper.State().Identify(key)
+	if err != nil {
+		return nil, nil, denied(http.StatusUnauthorized, "bad_key", "key is not in force")
+	}
+	return account, plan, nil
+}
+
+// timeout returns how long a request may take: the caller's header in seconds,
+// else the plan's default, else the entry's.
+func (r *Receiver) timeout(q *http.Request, plan *wire.Plan) (time.Duration, *Failure) {
+	if text := q.Header.Get(TimeoutHeader); text != "" {
+		seconds, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(seconds > 0) || seconds > maxTimeout.Seconds() {
+			return 0, invalid("bad_timeout", TimeoutHeader+" must be seconds above 0, at most 3600")
+		}
+		return time.Duration(seconds * float64(time.Second)), nil
+	}
+	if plan.GetTimeoutMs() > 0 {
+		return time.Duration(plan.GetTimeoutMs()) * time.Millisecond, nil
+	}
+	return r.config.Timeout, nil
+}
+
+// maxTimeout is the longest timeout that a caller may ask for.
+const maxTimeout = time.Hour
+
+func (r *Receiver) complete(w http.ResponseWriter, q *http.Request, chat bool) {
+	request, f := r.open(w, q)
+	if f != nil {
+		f.write(w)
+		return
+	}
+	text, free, f := r.read(w, q)
+	if f != nil {
+		f.write(w)
+		return
+	}
+	defer free()
+	p, f := parse(text, chat)
+	if f != nil {
+		f.write(w)
+		return
+	}
+	if !keeper.Allows(request.Plan, p.model, p.version, p.adapter) {
+		denied(http.StatusForbidden, "model_not_allowed", "the plan does not allow this model").write(w)
+		return
+	}
+	request.Payload = p.prompt
+	request.Call = wire.Call_CALL_REPEATABLE
+	request.Job = router.Job{
+		Kind: wire.Kind_KIND_MODEL, Model: p.model, Version: p.version, Adapter: p.adapter,
+		Prompt: int64(len(p.prompt)+tokenBytes-1) / tokenBytes, Answer: p.answer,
+	}
+	sink := newModelSink(w, p, completion{ID: string(request.ID), Created: time.Now().Unix(), Model: p.model})
+	result := r.config.Dispatcher.Do(q.Context(), request, sink)
+	r.log(request, result)
+	if result.Outcome == wire.Outcome_OUTCOME_ANSWERED {
+		sink.finish(result)
+		return
+	}
+	sink.fail(explain(result))
+}
+
+func (r *Receiver) plain(w http.ResponseWriter, q *http.Request) {
+	request, f := r.open(w, q)
+	if f != nil {
+		f.write(w)
+		return
+	}
+	service := q.PathValue("service")
+	if !allowsService(request.Plan, service) {
+		denied(http.StatusForbidden, "service_not_allowed", "the plan does not allow this service").write(w)
+		return
+	}
+	body, free, f := r.read(w, q)
+	if f != nil {
+		f.write(w)
+		return
+	}
+	defer free()
+	hash := sha256.Sum256(body)
+	request.Payload = body
+	request.Hash = hash[:]
+	request.Method = q.Method
+	request.Path = "/" + q.PathValue("path")
+	request.Type = q.Header.Get("Content-Type")
+	request.Job = router.Job{Kind: wire.Kind_KIND_SERVICE, Service: service}
+	request.Call = call(q.Method)
+	request.Key = q.Header.Get(KeyHeader)
+	if request.Call == wire.Call_CALL_ONCE && request.Key == "" {
+		request.Key = string(request.ID)
+	}
+	if request.Key != "" {
+		w.Header().Set(KeyHeader, request.Key)
+	}
+	sink := &plainSink{w: w}
+	result := r.config.Dispatcher.Do(q.Context(), request, sink)
+	r.log(request, result)
+	if result.Outcome != wire.Outcome_OUTCOME_ANSWERED {
+		sink.fail(explain(result))
+	}
+}
+
+func allowsService(plan *wire.Plan, service string) bool {
+	for _, s := range plan.GetServices() {
+		if s == service || s == "*" {
+			return true
+		}
+	}
+	return false
+}
+
+// call says whether a method may be repeated.
+func call(method string) wire.Call {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return wire.Call_CALL_REPEATABLE
+	}
+	return wire.Call_CALL_ONCE
+}
+
+func explain(result dispatcher.Result) *Failure {
+	if result.Outcome == wire.Outcome_OUTCOME_NOT_RUN {
+		return busy("not_run", "the request was not run; send it again after Retry-After", result.Retry)
+	}
+	return &Failure{
+		Status: http.StatusBadGateway, Type: "server_error", Code: "unknown",
+		Message: "the request failed and may have run", Outcome: Unknown,
+	}
+}
+
+// read takes a body into memory within the entry's bounds. The caller frees
+// what it holds.
+func (r *Receiver) read(w http.ResponseWriter, q *http.Request) ([]byte, func(), *Failure) {
+	if q.ContentLength > r.config.Body {
+		return nil, nil, tooLarge()
+	}
+	held := q.ContentLength
+	if held < 0 {
+		held = r.config.Body
+	}
+	if !r.bodies.take(held) {
+		return nil, nil, busy("entry_memory", "this entry holds as many bodies as it may", time.Second)
+	}
+	free := func() { r.bodies.give(held) }
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, r.config.Body))
+	if err == nil {
+		return body, free, nil
+	}
+	free()
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, nil, tooLarge()
+	}
+	return nil, nil, invalid("broken_body", "the body stopped half way")
+}
+
+func tooLarge() *Failure {
+	f := invalid("body_too_large", "the body is larger than this entry takes")
+	f.Status = http.StatusRequestEntityTooLarge
+	return f
+}
+
+func (r *Receiver) models(w http.ResponseWriter, q *http.Request) {
+	request, f := r.open(w, q)
+	if f != nil {
+		f.write(w)
+		return
+	}
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	list := []model{}
+	for _, o := range request.Plan.GetOffers() {
+		list = append(list, model{ID: o.GetModel(), Object: "model"})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{"list", list})
+}
+
+func (r *Receiver) log(q *dispatcher.Request, result dispatcher.Result) {
+	r.config.Log.Info().Str("event", "request").Str("request", string(q.ID)).Str("account", q.Account.GetName()).
+		Str("outcome", result.Outcome.String()).Str("reason", result.Reason.String()).Int("attempts", result.Attempts).
+		Int64("position", result.Position).Msg("")
+}
--- /dev/null
+++ b/entry/internal/receiver/sink.go
@@ -0,0 +1,181 @@
+package receiver
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"bamboohill/entry/internal/dispatcher"
+	"bamboohill/wire"
+)
+
+// usage counts the tokens of one request.
+type usage struct {
+	Prompt     int64 `json:"prompt_tokens"`
+	Completion int64 `json:"completion_tokens"`
+	Total      int64 `json:"total_tokens"`
+}
+
+type delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type choice struct {
+	Index   int     `json:"index"`
+	Text    *string `json:"text,omitempty"`
+	Message *delta  `json:"message,omitempty"`
+	Delta   *delta  `json:"delta,omitempty"`
+	Finish  *string `json:"finish_reason"`
+}
+
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+// modelSink writes the answer to a prompt, as events or in one piece.
+type modelSink struct {
+	w       http.ResponseWriter
+	p       *parsed
+	base    completion
+	text    strings.Builder
+	started bool
+}
+
+func newModelSink(w http.ResponseWriter, p *parsed, base completion) *modelSink {
+	s := &modelSink{w: w, p: p, base: base}
+	s.base.Object = "text_completion"
+	if p.chat {
+		s.base.Object = "chat.completion"
+	}
+	return s
+}
+
+// Tokens implements dispatcher.Sink.
+func (s *modelSink) Tokens(texts []string) error {
+	if !s.p.stream {
+		for _, t := range texts {
+			s.text.WriteString(t)
+		}
+		return nil
+	}
+	return s.event(s.choice(strings.Join(texts, ""), nil), nil)
+}
+
+// Head implements dispatcher.Sink.
+func (s *modelSink) Head(*wire.Head) error { return nil }
+
+// Data implements dispatcher.Sink.
+func (s *modelSink) Data([]byte) error { return nil }
+
+func (s *modelSink) choice(text string, finish *string) choice {
+	c := choice{Finish: finish}
+	switch {
+	case s.p.chat && s.p.stream:
+		c.Delta = &delta{Content: text}
+	case s.p.chat:
+		c.Message = &delta{Role: "assistant", Content: text}
+	default:
+		c.Text = &text
+	}
+	return c
+}
+
+func (s *modelSink) event(c choice, u *usage) error {
+	piece := s.base
+	if s.p.chat {
+		piece.Object = "chat.completion.chunk"
+	}
+	piece.Choices = []choice{c}
+	piece.Usage = u
+	data, err := json.Marshal(piece)
+	if err != nil {
+		return err
+	}
+	return s.send(string(data))
+}
+
+func (s *modelSink) send(data string) error {
+	if !s.started {
+		s.started = true
+		s.w.Header().Set("Content-Type", "text/event-stream")
+		s.w.Header().Set("Cache-Control", "no-store")
+		s.w.WriteHeader(http.StatusOK)
+	}
+	if _, err := io.WriteString(s.w, "data: "+data+"\n\n"); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.w).Flush()
+}
+
+// finish closes a whole answer.
+func (s *modelSink) finish(r dispatcher.Result) {
+	finish := r.End.GetFinish()
+	u := &usage{Prompt: r.End.GetPrompt(), Completion: r.End.GetLength(), Total: r.End.GetPrompt() + r.End.GetLength()}
+	if s.p.stream {
+		s.event(s.choice("", &finish), u)
+		s.send("[DONE]")
+		return
+	}
+	s.base.Choices = []choice{s.choice(s.text.String(), &finish)}
+	s.base.Usage = u
+	s.w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(s.w).Encode(s.base)
+}
+
+// fail ends an answer visibly: with a status if nothing was sent, else with an
+// error event and without the closing [DONE].
+func (s *modelSink) fail(f *Failure) {
+	if !s.started {
+		f.write(s.w)
+		return
+	}
+	data, err := json.Marshal(envelope{Error: f})
+	if err == nil {
+		s.send(string(data))
+	}
+}
+
+// plainSink writes a plain service's answer.
+type plainSink struct {
+	w       http.ResponseWriter
+	started bool
+}
+
+// Tokens implements dispatcher.Sink.
+func (s *plainSink) Tokens([]string) error { return nil }
+
+// Head implements dispatcher.Sink.
+func (s *plainSink) Head(head *wire.Head) error {
+	s.started = true
+	if head.GetType() != "" {
+		s.w.Header().Set("Content-Type", head.GetType())
+	}
+	if head.GetReplayed() {
+		s.w.Header().Set("Idempotent-Replayed", "true")
+	}
+	s.w.WriteHeader(int(head.GetStatus()))
+	return nil
+}
+
+// Data implements dispatcher.Sink.
+func (s *plainSink) Data(data []byte) error {
+	_, err := s.w.Write(data)
+	return err
+}
+
+// fail ends an answer visibly: with a status if nothing was sent, else by
+// breaking the connection off.
+func (s *plainSink) fail(f *Failure) {
+	if !s.started {
+		f.write(s.w)
+		return
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/entry/internal/settings/settings.go
@@ -0,0 +1,127 @@
+// Package settings holds the settings of the program entry.
+//
+// # Usage
+//
+//	var s settings.Settings
+//	err := checker.Load(path, &s)
+package settings
+
+import (
+	"net/netip"
+	"slices"
+
+	"bamboohill/core/checker"
+	"bamboohill/core/logger"
+)
+
+// Settings is what one entry needs to know.
+type Settings struct {
+	Level     string     `toml:"level"`   // of the log
+	Address   string     `toml:"address"` // for callers and operators, IP:PORT
+	Inner     string     `toml:"inner"`   // for entries and sidecars, IP:PORT
+	VM        string     `toml:"vm"`      // name of this VM
+	Domain    string     `toml:"domain"`  // failure domain
+	Entries   []string   `toml:"entries"` // inner addresses of some other entries
+	Platform  Platform   `toml:"platform"`
+	Bounds    Bounds     `toml:"bounds"`
+	Operators []Operator `toml:"operator"`
+	Poll      int        `toml:"poll"` // milliseconds between reads of the configuration's head
+	Trace     Trace      `toml:"trace"`
+}
+
+// Platform names the platform's services.
+type Platform struct {
+	Table   string `toml:"table"`
+	Objects string `toml:"objects"`
+	List    string `toml:"list"`
+}
+
+// Bounds limits what callers may send.
+type Bounds struct {
+	Body    int64 `toml:"body"`    // bytes of one request
+	Memory  int64 `toml:"memory"`  // bytes of all requests' bodies at once
+	Timeout int   `toml:"timeout"` // milliseconds, when neither caller nor plan says
+}
+
+// Operator is a key of the administration API.
+type Operator struct {
+	Name string `toml:"name"`
+	Hash string `toml:"hash"` // SHA-256 of the key in hexadecimal
+	Role string `toml:"role"` // read or write
+}
+
+// Trace says where spans go.
+type Trace struct {
+	Exporter string `toml:"exporter"` // none, stdout or otlp
+	Endpoint string `toml:"endpoint"` // for otlp
+}
+
+// Roles of operators.
+const (
+	Read  = "read"
+	Write = "write"
+)
+
+// Defaults of Settings.
+const (
+	defaultBody    = 16 << 20
+	defaultMemory  = 512 << 20
+	defaultTimeout = 60_000
+	defaultPoll    = 1000
+)
+
+// hashDigits is the length of an operator's key hash.
+const hashDigits = 64
+
+// Check implements checker.Checked; it fills in the defaults first.
+func (s *Settings) Check() []checker.Problem {
+	s.defaults()
+	var bad []checker.Problem
+	add := func(ok bool, key, allowed string) {
+		if !ok {
+			bad = append(bad, checker.Problem{Key: key, Allowed: allowed})
+		}
+	}
+	add(slices.Contains(logger.Levels, s.Level), "level", "must be debug, info, warn or error")
+	add(isAddress(s.Address), "address", "must be IP:PORT")
+	add(isAddress(s.Inner), "inner", "must be IP:PORT")
+	add(s.VM != "", "vm", "must name this VM")
+	add(s.Domain != "", "domain", "must name the failure domain")
+	for _, e := range s.Entries {
+		add(isAddress(e), "entries", "must hold IP:PORT")
+	}
+	add(isAddress(s.Platform.Table), "platform.table", "must be IP:PORT")
+	add(s.Bounds.Body > 0, "bounds.body", "must be a number of bytes above 0")
+	add(s.Bounds.Memory >= s.Bounds.Body, "bounds.memory", "must be at least bounds.body")
+	add(s.Bounds.Timeout > 0, "bounds.timeout", "must be above 0 milliseconds")
+	add(s.Poll >= 10, "poll", "must be at least 10 milliseconds")
+	for _, o := range s.Operators {
+		add(o.Name != "", "operator.name", "must name the operator")
+		add(len(o.Hash) == hashDigits, "operator.hash", "must be a SHA-256 of 64 hexadecimal digits")
+		add(o.Role == Read || o.Role == Write, "operator.role", "must be read or write")
+	}
+	return bad
+}
+
+func (s *Settings) defaults() {
+	if s.Level == "" {
+		s.Level = "info"
+	}
+	if s.Bounds.Body == 0 {
+		s.Bounds.Body = defaultBody
+	}
+	if s.Bounds.Memory == 0 {
+		s.Bounds.Memory = defaultMemory
+	}
+	if s.Bounds.Timeout == 0 {
+		s.Bounds.Timeout = defaultTimeout
+	}
+	if s.Poll == 0 {
+		s.Poll = defaultPoll
+	}
+}
+
+func isAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
--- /dev/null
+++ b/load/main.go
@@ -0,0 +1,4 @@
+// Command load sends open-loop load and checks every answer.
+package main
+
+func main() {}
--- /dev/null
+++ b/operator/main.go
@@ -0,0 +1,4 @@
+// Command bamboohill drives the administration API.
+package main
+
+func main() {}
--- /dev/null
+++ b/sidecar/main.go
@@ -0,0 +1,29 @@
+// Command sidecar runs beside one backend server and decides, as the last
+// gate, what reaches it.
+//
+// # Usage
+//
+//	sidecar run sidecar.toml
+//	sidecar check sidecar.toml
+package main
+
+import (
+	"context"
+
+	"bamboohill/core/commander"
+	"bamboohill/sidecar/internal/server"
+	"bamboohill/sidecar/internal/settings"
+
+	"github.com/phuslu/log"
+)
+
+func main() {
+	commander.Main(commander.Config[settings.Settings]{
+		Name:  "sidecar",
+		Usage: "the last gate before one backend server",
+		Level: func(s *settings.Settings) string { return s.Level },
+		Run: func(ctx context.Context, s *settings.Settings, l *log.Logger) error {
+			return server.New(server.Config{Settings: *s, Log: l}).Run(ctx)
+		},
+	})
+}
--- /dev/null
+++ b/standin/answerer/config.go
@@ -0,0 +1,87 @@
+package answerer
+
+import (
+	"time"
+
+	"bamboohill/core/generator"
+)
+
+// Marker in a prompt makes the engine crash when its prefill ends.
+const Marker = "<<crash>>"
+
+// TokenBytes is the length of a prompt token in bytes.
+const TokenBytes = 4
+
+// blockTokens is the length of a prefix cache block in tokens.
+const blockTokens = 512
+
+// Names of the faults that engines have besides the common ones.
+const (
+	Cold     = "cold"
+	Crash    = "crash"
+	Orphan   = "orphan"
+	Lag      = "lag"
+	Gap      = "gap"
+	Truncate = "truncate"
+	Swap     = "swap"
+	Creep    = "creep"
+)
+
+// Defaults of Config.
+const (
+	defaultMemory   = 400_000
+	defaultPrefill  = 50_000.0
+	defaultDecode   = 200.0
+	defaultStep     = 2 * time.Millisecond
+	defaultWarmup   = 40
+	defaultColdBear = 2
+	defaultWarmBear = 64
+	defaultRestart  = 500 * time.Millisecond
+)
+
+// Config describes an engine. Zero values mean the defaults.
+type Config struct {
+	Memory   int64             // tokens of KV cache
+	Prefill  float64           // tokens a second, shared by all jobs
+	Decode   float64           // tokens a second of each stream
+	Step     time.Duration     // scheduler step
+	Models   []generator.Model // loaded at the start
+	Fencing  bool              // refuse orders with an old number
+	ColdBear int               // jobs at once that a cold engine bears
+	WarmBear int               // jobs at once that a warm engine bears
+	Warmup   int               // finished jobs until it is warm
+	Warm     bool              // start warm
+	Restart  time.Duration     // how long a crashed engine is away
+	Weights  string            // address of the weight store, none if empty
+}
+
+func (c Config) withDefaults() Config {
+	if c.Memory <= 0 {
+		c.Memory = defaultMemory
+	}
+	if c.Prefill <= 0 {
+		c.Prefill = defaultPrefill
+	}
+	if c.Decode <= 0 {
+		c.Decode = defaultDecode
+	}
+	if c.Step <= 0 {
+		c.Step = defaultStep
+	}
+	if c.ColdBear <= 0 {
+		c.ColdBear = defaultColdBear
+	}
+	if c.WarmBear <= 0 {
+		c.WarmBear = defaultWarmBear
+	}
+	if c.Warmup <= 0 {
+		c.Warmup = defaultWarmup
+	}
+	if c.Restart <= 0 {
+		c.Restart = defaultRestart
+	}
+	if len(c.Models) == 0 {
+		c.Models = []generator.Model{{Name: "base", Version: "1"}}
+	}
+	return c
+}
--- /dev/null
+++ b/standin/answerer/engine.go
@@ -0,0 +1,349 @@
+package answerer
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"bamboohill/core/generator"
+	"bamboohill/core/texter"
+	"bamboohill/standin/faulter"
+)
+
+// job is one piece of work in the engine.
+type job struct {
+	generator.Job
+	seed    uint64
+	chain   []uint64
+	held    int64 // tokens of memory
+	prompt  int64 // prompt tokens
+	cached  int64
+	left    float64 // prefill tokens to do
+	due     float64 // decode tokens owed
+	next    int64   // next position
+	arrived int64   // order of arrival
+	crash   bool
+	ready   bool // prefill is done
+	chunks  chan generator.Chunk
+	done    bool
+}
+
+// export is a stored cache.
+type export struct {
+	tokens int64 // of memory, freed when it is dropped or imported
+	prompt int64 // tokens that need no prefill
+}
+
+// Engine is a model engine.
+type Engine struct {
+	Faults *faulter.Faults
+
+	config  Config
+	mu      sync.Mutex
+	boot    uint64
+	away    time.Time // crashed until then
+	warm    bool
+	ended   int // finished jobs since the cold start
+	jobs    map[string]*job
+	exports map[string]export
+	cache   *cache
+	models  []generator.Model
+	role    string
+	fence   uint64
+	arrived int64
+	crashes int
+	worst   float64 // most jobs offered against what it bore
+	orders  int
+	stop    chan struct{}
+	stopped chan struct{}
+}
+
+// New starts an engine.
+func New(config Config) *Engine {
+	config = config.withDefaults()
+	e := &Engine{
+		Faults:  faulter.New(),
+		config:  config,
+		boot:    1,
+		warm:    config.Warm,
+		jobs:    map[string]*job{},
+		exports: map[string]export{},
+		cache:   newCache(),
+		models:  config.Models,
+		stop:    make(chan struct{}),
+		stopped: make(chan struct{}),
+	}
+	e.Faults.On(Crash, func(v int) {
+		if v != 0 {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.crash()
+		}
+	})
+	e.Faults.On(Cold, func(v int) {
+		if v != 0 {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.turnCold()
+		}
+	})
+	go e.run()
+	return e
+}
+
+// Close stops the engine.
+func (e *Engine) Close() {
+	close(e.stop)
+	<-e.stopped
+}
+
+func (e *Engine) turnCold() {
+	e.warm = false
+	e.ended = 0
+	e.cache.shrink(0)
+}
+
+// crash drops everything, as a process that dies and starts again.
+func (e *Engine) crash() {
+	for _, j := range e.jobs {
+		e.drop(j)
+	}
+	e.exports = map[string]export{}
+	e.cache = newCache()
+	e.boot++
+	e.crashes++
+	e.fence = 0
+	e.models = e.config.Models
+	e.turnCold()
+	e.away = time.Now().Add(e.config.Restart)
+}
+
+// drop ends a job's stream without an end.
+func (e *Engine) drop(j *job) {
+	if j.done {
+		return
+	}
+	j.done = true
+	close(j.chunks)
+	delete(e.jobs, j.ID)
+}
+
+func (e *Engine) bear() int {
+	if e.warm {
+		return e.config.WarmBear
+	}
+	return e.config.ColdBear
+}
+
+func (e *Engine) used() int64 {
+	var n int64
+	for _, j := range e.jobs {
+		n += j.held
+	}
+	for _, x := range e.exports {
+		n += x.tokens
+	}
+	return n
+}
+
+func (e *Engine) isAway() bool { return time.Now().Before(e.away) }
+
+var (
+	errAway   = &generator.StatusError{Code: http.StatusBadGateway, Text: "away"}
+	errMemory = &generator.StatusError{Code: http.StatusInsufficientStorage, Text: "no memory"}
+	errModel  = &generator.StatusError{Code: http.StatusNotFound, Text: "model not loaded"}
+	errTwice  = &generator.StatusError{Code: http.StatusConflict, Text: "job exists"}
+	errFence  = &generator.StatusError{Code: http.StatusPreconditionFailed, Text: "old number"}
+	errBurst  = errors.New("answerer: crashed under load")
+)
+
+// start takes a job, or crashes if it is more than the engine bears.
+func (e *Engine) start(spec generator.Job, prompt []byte) (*job, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isAway() {
+		return nil, errAway
+	}
+	if !e.has(spec) {
+		return nil, errModel
+	}
+	if _, found := e.jobs[spec.ID]; found {
+		return nil, errTwice
+	}
+	j := e.newJob(spec, prompt)
+	if e.used()+j.held > e.config.Memory {
+		return nil, errMemory
+	}
+	e.jobs[j.ID] = j
+	e.worst = max(e.worst, float64(len(e.jobs))/float64(e.bear()))
+	if len(e.jobs) > e.bear() {
+		e.crash()
+		return nil, errBurst
+	}
+	e.cache.shrink(e.config.Memory - e.used())
+	return j, nil
+}
+
+func (e *Engine) newJob(spec generator.Job, prompt []byte) *job {
+	e.arrived++
+	j := &job{
+		Job:     spec,
+		seed:    texter.Seed(prompt),
+		chain:   Chain(prompt),
+		prompt:  (int64(len(prompt)) + TokenBytes - 1) / TokenBytes,
+		next:    spec.Position,
+		arrived: e.arrived,
+		crash:   bytes.Contains(prompt, []byte(Marker)),
+		chunks:  make(chan generator.Chunk, spec.Answer+2),
+	}
+	spans := max(1, int64(spec.Spans))
+	j.held = j.prompt/spans + spec.Answer
+	j.cached = e.cache.hit(j.chain)
+	x, imported := e.exports[spec.Import]
+	if imported {
+		j.cached = max(j.cached, x.prompt)
+		delete(e.exports, spec.Import)
+	}
+	j.left = float64(max(0, j.prompt-j.cached) / spans)
+	if e.Faults.Get(Swap) != 0 {
+		j.seed++
+	}
+	return j
+}
+
+func (e *Engine) has(spec generator.Job) bool {
+	return slices.ContainsFunc(e.models, func(m generator.Model) bool {
+		if m.Name != spec.Model || (spec.Version != "" && m.Version != spec.Version) {
+			return false
+		}
+		return spec.Adapter == "" || slices.Contains(m.Adapters, spec.Adapter)
+	})
+}
+
+func (e *Engine) run() {
+	defer close(e.stopped)
+	t := time.NewTicker(e.config.Step)
+	defer t.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-e.stop:
+			return
+		case now := <-t.C:
+			e.advance(now.Sub(last).Seconds())
+			last = now
+		}
+	}
+}
+
+// advance does the work of one step of the given length in seconds.
+func (e *Engine) advance(seconds float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isAway() || e.Faults.Get(faulter.Freeze) != 0 {
+		return
+	}
+	if creep := e.Faults.Get(Creep); creep > 1 {
+		seconds /= float64(creep)
+	}
+	e.prefill(e.config.Prefill * seconds)
+	for _, j := range e.jobs {
+		if j.ready {
+			e.decode(j, e.config.Decode*seconds)
+		}
+	}
+}
+
+func (e *Engine) prefill(budget float64) {
+	for _, j := range e.waiting() {
+		n := min(budget, j.left)
+		j.left -= n
+		budget -= n
+		if j.left > 0 {
+			return
+		}
+		e.cache.add(j.chain, e.config.Memory-e.used())
+		if j.crash {
+			e.crash()
+			return
+		}
+		j.due = 1
+		j.ready = true
+	}
+}
+
+// waiting returns the jobs with prefill to do, in the order they are served.
+func (e *Engine) waiting() []*job {
+	var jobs []*job
+	for _, j := range e.jobs {
+		if !j.ready {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.arrived, b.arrived))
+	})
+	return jobs
+}
+
+func (e *Engine) decode(j *job, tokens float64) {
+	if j.Span > 0 {
+		return
+	}
+	j.due += tokens
+	var texts []string
+	position := j.next
+	for j.due >= 1 && j.next < j.Answer {
+		texts = append(texts, texter.Token(j.seed, j.next))
+		j.next++
+		j.due--
+		if n := e.Faults.Get(Truncate); n > 0 && j.next-j.Position >= int64(n) {
+			j.chunks <- generator.Chunk{Position: position, Texts: texts}
+			e.drop(j)
+			return
+		}
+	}
+	if len(texts) > 0 {
+		j.chunks <- generator.Chunk{Position: position, Texts: texts}
+	}
+	if j.next >= j.Answer {
+		e.finish(j)
+	}
+}
+
+func (e *Engine) finish(j *job) {
+	j.chunks <- generator.Chunk{End: true, Position: j.next, Prompt: j.prompt, Cached: j.cached, Finish: "length"}
+	e.drop(j)
+	e.ended++
+	if e.ended >= e.config.Warmup {
+		e.warm = true
+	}
+}
+
+func (e *Engine) cancel(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if j, found := e.jobs[id]; found {
+		e.drop(j)
+	}
+}
+
+func (e *Engine) export(id string) (string, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	j, found := e.jobs[id]
+	if !found {
+		return "", &generator.StatusError{Code: http.StatusNotFound, Text: "no job " + id}
+	}
+	done := j.prompt - int64(j.left)
+	handle := fmt.Sprintf("%s-%d", id, e.boot)
+	e.exports[handle] = export{tokens: done, prompt: done}
+	j.chunks <- generator.Chunk{Position: j.next, Moved: true}
+	e.drop(j)
+	return handle, nil
+}
--- /dev/null
+++ b/standin/faulter/faulter.go
@@ -0,0 +1,145 @@
+// Package faulter switches the faults of a stand-in over HTTP.
+//
+// # Usage
+//
+//	f := faulter.New()
+//	http.ListenAndServe(address, f.Wrap(handler))
+//
+// "POST /fault?name=down&value=1" turns a fault on, value=0 turns it off, and
+// "GET /fault" lists what is on. The faults that every stand-in has are slow
+// (value in milliseconds before each call), down (each call is refused
+// unrun), lose (each call that writes takes effect and its answer is lost) and
+// freeze (calls hang until it is turned off).
+package faulter
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Names of the faults that every stand-in has.
+const (
+	Slow   = "slow"
+	Down   = "down"
+	Lose   = "lose"
+	Freeze = "freeze"
+)
+
+// retryAfter is what a stand-in that is down tells its callers, in seconds.
+const retryAfter = "1"
+
+// frozenPoll is how often a frozen call looks whether it may go on.
+const frozenPoll = 10 * time.Millisecond
+
+// Faults holds the faults of one stand-in.
+type Faults struct {
+	mu     sync.Mutex
+	values map[string]int
+	hooks  map[string]func(int)
+}
+
+// New returns faults that are all off.
+func New() *Faults {
+	return &Faults{values: map[string]int{}, hooks: map[string]func(int){}}
+}
+
+// On calls hook whenever the named fault is set.
+func (f *Faults) On(name string, hook func(value int)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hooks[name] = hook
+}
+
+// Set sets a fault; value 0 turns it off.
+func (f *Faults) Set(name string, value int) {
+	f.mu.Lock()
+	f.values[name] = value
+	hook := f.hooks[name]
+	f.mu.Unlock()
+	if hook != nil {
+		hook(value)
+	}
+}
+
+// Get returns a fault's value, 0 when it is off.
+func (f *Faults) Get(name string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.values[name]
+}
+
+func (f *Faults) list() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	on := map[string]int{}
+	for name, value := range f.values {
+		if value != 0 {
+			on[name] = value
+		}
+	}
+	return on
+}
+
+// Wrap serves /fault and puts the common faults before every other path.
+func (f *Faults) Wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Path == "/fault" {
+			f.serve(w, q)
+			return
+		}
+		if !f.hold(q) {
+			return
+		}
+		if f.Get(Down) != 0 {
+			w.Header().Set("Retry-After", retryAfter)
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		if f.Get(Lose) != 0 && q.Method != http.MethodGet {
+			next.ServeHTTP(httptest.NewRecorder(), q)
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, q)
+	})
+}
+
+// hold waits as long as slow and freeze demand and reports whether the caller
+// is still there.
+func (f *Faults) hold(q *http.Request) bool {
+	if n := f.Get(Slow); n > 0 && !wait(q, time.Duration(n)*time.Millisecond) {
+		return false
+	}
+	for f.Get(Freeze) != 0 {
+		if !wait(q, frozenPoll) {
+			return false
+		}
+	}
+	return true
+}
+
+func wait(q *http.Request, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-q.Context().Done():
+		return false
+	}
+}
+
+func (f *Faults) serve(w http.ResponseWriter, q *http.Request) {
+	if q.Method == http.MethodPost {
+		value, err := strconv.Atoi(q.FormValue("value"))
+		if err != nil || q.FormValue("name") == "" {
+			http.Error(w, "want name and a whole value", http.StatusBadRequest)
+			return
+		}
+		f.Set(q.FormValue("name"), value)
+	}
+	json.NewEncoder(w).Encode(f.list())
+}
--- /dev/null
+++ b/standin/lister/lister.go
@@ -0,0 +1,70 @@
+// Package lister is the stand-in of the platform's list of live and leaving
+// VMs, which shows each change only after a lag.
+//
+// # Usage
+//
+//	l := lister.New(lister.Config{Lag: time.Second, VMs: vms})
+//	http.ListenAndServe(address, l.Faults.Wrap(l.Handler()))
+//
+// "PUT /vms" replaces the list; readers see the new one after the lag.
+package lister
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"bamboohill/core/storer"
+	"bamboohill/standin/faulter"
+)
+
+// Config describes a list.
+type Config struct {
+	Lag time.Duration
+	VMs []storer.VM
+}
+
+// List is the platform's list.
+type List struct {
+	Faults *faulter.Faults
+
+	lag   time.Duration
+	mu    sync.Mutex
+	shown []storer.VM
+}
+
+// New returns a list.
+func New(config Config) *List {
+	if config.VMs == nil {
+		config.VMs = []storer.VM{}
+	}
+	return &List{Faults: faulter.New(), lag: config.Lag, shown: config.VMs}
+}
+
+// Handler returns the HTTP interface.
+func (l *List) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /vms", l.get)
+	mux.HandleFunc("PUT /vms", l.put)
+	return mux
+}
+
+func (l *List) get(w http.ResponseWriter, _ *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	json.NewEncoder(w).Encode(l.shown)
+}
+
+func (l *List) put(w http.ResponseWriter, q *http.Request) {
+	var next []storer.VM
+	if err := json.NewDecoder(q.Body).Decode(&next); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	time.AfterFunc(l.lag, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.shown = next
+	})
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,98 @@
+// Command standin runs small stand-ins of the systems that bamboohill serves
+// and rests on: model engines, plain services, the table service, the object
+// store, the list of VMs and the weight store.
+//
+// # Usage
+//
+//	standin run standin.toml
+//	standin check standin.toml
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"bamboohill/core/commander"
+	"bamboohill/standin/answerer"
+	"bamboohill/standin/archiver"
+	"bamboohill/standin/booker"
+	"bamboohill/standin/lister"
+	"bamboohill/standin/loader"
+	"bamboohill/standin/settings"
+	"bamboohill/standin/transactor"
+
+	"github.com/phuslu/log"
+)
+
+func main() {
+	commander.Main(commander.Config[settings.Settings]{
+		Name:  "standin",
+		Usage: "small stand-ins of engines, services and the platform",
+		Level: func(s *settings.Settings) string { return s.Level },
+		Run:   run,
+	})
+}
+
+func run(ctx context.Context, s *settings.Settings, l *log.Logger) error {
+	for address, handler := range systems(ctx, *s) {
+		if err := serve(ctx, address, handler, l); err != nil {
+			return err
+		}
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// systems returns the handlers by address.
+func systems(ctx context.Context, s settings.Settings) map[string]http.Handler {
+	all := map[string]http.Handler{}
+	if s.Table.Address != "" {
+		t := transactor.New()
+		all[s.Table.Address] = t.Faults.Wrap(t.Handler())
+	}
+	if s.Objects.Address != "" {
+		o := archiver.New()
+		all[s.Objects.Address] = o.Faults.Wrap(o.Handler())
+	}
+	if s.List.Address != "" {
+		v := lister.New(lister.Config{Lag: time.Duration(s.List.Lag) * time.Millisecond, VMs: s.List.Rows()})
+		all[s.List.Address] = v.Faults.Wrap(v.Handler())
+	}
+	if s.Weights.Address != "" {
+		w := loader.New(loader.Config{Rate: s.Weights.Rate, Burst: s.Weights.Burst})
+		all[s.Weights.Address] = w.Faults.Wrap(w.Handler())
+	}
+	for _, e := range s.Engines {
+		all[e.Address] = engine(ctx, e, s.Weights.Address)
+	}
+	for _, v := range s.Services {
+		b := booker.New(booker.Config{Work: time.Duration(v.Work) * time.Millisecond})
+		all[v.Address] = b.Faults.Wrap(b.Handler())
+	}
+	return all
+}
+
+func engine(ctx context.Context, e settings.Engine, weights string) http.Handler {
+	if !e.Weights {
+		weights = ""
+	}
+	engine := answerer.New(answerer.Config{
+		Memory: e.Memory, Prefill: e.Prefill, Decode: e.Decode, Warm: e.Warm, ColdBear: e.Bear, Warmup: e.Warmup,
+		Fencing: e.Fencing, Models: e.Loaded(), Restart: time.Duration(e.Restart) * time.Millisecond, Weights: weights,
+	})
+	context.AfterFunc(ctx, engine.Close)
+	return engine.Faults.Wrap(engine.Handler())
+}
+
+func serve(ctx context.Context, address string, handler http.Handler, l *log.Logger) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	l.Info().Str("event", "listening").Str("address", listener.Addr().String()).Msg("")
+	server := &http.Server{Handler: handler, MaxHeaderBytes: 1 << 20, ErrorLog: l.Std("", 0)}
+	go server.Serve(listener)
+	return nil
+}
--- /dev/null
+++ b/standin/settings/settings.go
@@ -0,0 +1,131 @@
+// Package settings holds the settings of the program standin.
+//
+// # Usage
+//
+//	var s settings.Settings
+//	err := checker.Load(path, &s)
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+
+	"bamboohill/core/checker"
+	"bamboohill/core/generator"
+	"bamboohill/core/storer"
+)
+
+// Settings names the systems that one process stands in for.
+type Settings struct {
+	Level    string    `toml:"level"` // of the log
+	Table    Place     `toml:"table"`
+	Objects  Place     `toml:"objects"`
+	List     List      `toml:"list"`
+	Weights  Weights   `toml:"weights"`
+	Engines  []Engine  `toml:"engine"`
+	Services []Service `toml:"service"`
+}
+
+// Place is a system that needs an address alone; an empty one is not started.
+type Place struct {
+	Address string `toml:"address"`
+}
+
+// List is the platform's list of VMs.
+type List struct {
+	Address string `toml:"address"`
+	Lag     int    `toml:"lag"` // milliseconds
+	VMs     []VM   `toml:"vm"`
+}
+
+// VM is one line of the list at the start.
+type VM struct {
+	Name    string `toml:"name"`
+	Domain  string `toml:"domain"`
+	Address string `toml:"address"`
+	Role    string `toml:"role"`
+}
+
+// Weights is the weight store.
+type Weights struct {
+	Address string  `toml:"address"`
+	Rate    float64 `toml:"rate"` // loads a second
+	Burst   int     `toml:"burst"`
+}
+
+// Engine is a model engine; zero values mean answerer's defaults.
+type Engine struct {
+	Address string   `toml:"address"`
+	Memory  int64    `toml:"memory"`  // tokens
+	Prefill float64  `toml:"prefill"` // tokens a second
+	Decode  float64  `toml:"decode"`  // tokens a second
+	Warm    bool     `toml:"warm"`
+	Bear    int      `toml:"bear"`   // jobs at once when cold
+	Warmup  int      `toml:"warmup"` // finished jobs
+	Fencing bool     `toml:"fencing"`
+	Models  []string `toml:"models"`  // NAME or NAME@VERSION
+	Restart int      `toml:"restart"` // milliseconds
+	Weights bool     `toml:"weights"` // loads go through the weight store
+}
+
+// Service is a plain service.
+type Service struct {
+	Address string `toml:"address"`
+	Work    int    `toml:"work"` // milliseconds a call
+}
+
+// Check implements checker.Checked.
+func (s *Settings) Check() []checker.Problem {
+	var bad []checker.Problem
+	address := func(key, value string, needed bool) {
+		if value == "" && !needed {
+			return
+		}
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			bad = append(bad, checker.Problem{Key: key, Allowed: "must be IP:PORT"})
+		}
+	}
+	address("table.address", s.Table.Address, false)
+	address("objects.address", s.Objects.Address, false)
+	address("list.address", s.List.Address, false)
+	address("weights.address", s.Weights.Address, false)
+	for _, e := range s.Engines {
+		address("engine.address", e.Address, true)
+	}
+	for _, v := range s.Services {
+		address("service.address", v.Address, true)
+	}
+	if s.Table.Address+s.Objects.Address+s.List.Address+s.Weights.Address == "" && len(s.Engines)+len(s.Services) == 0 {
+		bad = append(bad, checker.Problem{Key: "table", Allowed: "at least one system must be set"})
+	}
+	return bad
+}
+
+// Rows returns the list's lines.
+func (l List) Rows() []storer.VM {
+	rows := []storer.VM{}
+	for _, v := range l.VMs {
+		rows = append(rows, storer.VM{Name: v.Name, Domain: v.Domain, Address: v.Address, Role: v.Role})
+	}
+	return rows
+}
+
+// Loaded returns the engine's models; one without a version has version 1.
+func (e Engine) Loaded() []generator.Model {
+	var models []generator.Model
+	for _, text := range e.Models {
+		m := generator.Model{Name: text, Version: "1"}
+		for i := range text {
+			if text[i] == '@' {
+				m = generator.Model{Name: text[:i], Version: text[i+1:]}
+			}
+		}
+		models = append(models, m)
+	}
+	return models
+}
+
+// String names what the settings start.
+func (s *Settings) String() string {
+	return fmt.Sprintf("%d engines, %d services", len(s.Engines), len(s.Services))
+}
--- /dev/null
+++ b/standin/transactor/transactor.go
@@ -0,0 +1,132 @@
+// Package transactor is the stand-in of the platform's transactional table
+// service.
+//
+// # Usage
+//
+//	t := transactor.New()
+//	http.ListenAndServe(address, t.Faults.Wrap(t.Handler()))
+//
+// It serves the format that bamboohill/core/storer reads, counts its reads and
+// writes at /table/counts and keeps its rows in memory.
+package transactor
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"bamboohill/core/storer"
+	"bamboohill/standin/faulter"
+)
+
+// Counts is how many calls the service has run since its start.
+type Counts struct {
+	Reads  int64 `json:"reads"`
+	Writes int64 `json:"writes"`
+}
+
+// Table is the service.
+type Table struct {
+	Faults *faulter.Faults
+
+	mu     sync.Mutex
+	rows   map[string]storer.Row
+	counts Counts
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{Faults: faulter.New(), rows: map[string]storer.Row{}}
+}
+
+// Handler returns the HTTP interface.
+func (t *Table) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /table/row", t.row)
+	mux.HandleFunc("GET /table/scan", t.scan)
+	mux.HandleFunc("POST /table/commit", t.commit)
+	mux.HandleFunc("GET /table/counts", t.count)
+	return mux
+}
+
+func (t *Table) row(w http.ResponseWriter, q *http.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Reads++
+	key := q.FormValue("key")
+	row, found := t.rows[key]
+	if !found {
+		row.Key = key
+	}
+	json.NewEncoder(w).Encode(row)
+}
+
+func (t *Table) scan(w http.ResponseWriter, q *http.Request) {
+	limit, err := strconv.Atoi(q.FormValue("limit"))
+	if err != nil {
+		http.Error(w, "bad limit", http.StatusBadRequest)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Reads++
+	json.NewEncoder(w).Encode(t.match(q.FormValue("prefix"), q.FormValue("after"), limit))
+}
+
+func (t *Table) match(prefix, after string, limit int) []storer.Row {
+	rows := []storer.Row{}
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b storer.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows[:min(limit, len(rows))]
+}
+
+func (t *Table) commit(w http.ResponseWriter, q *http.Request) {
+	var txn storer.Txn
+	if err := json.NewDecoder(q.Body).Decode(&txn); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if conflict := t.Commit(txn); conflict != nil {
+		w.WriteHeader(http.StatusConflict)
+		json.NewEncoder(w).Encode(conflict)
+	}
+}
+
+// Commit applies a transaction, or returns the rows that differ from its
+// checks.
+func (t *Table) Commit(txn storer.Txn) *storer.ConflictError {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Writes++
+	conflict := &storer.ConflictError{}
+	for _, c := range txn.Checks {
+		row := t.rows[c.Key]
+		if row.Version != c.Version {
+			row.Key = c.Key
+			conflict.Rows = append(conflict.Rows, row)
+		}
+	}
+	if len(conflict.Rows) > 0 {
+		return conflict
+	}
+	for _, p := range txn.Puts {
+		t.rows[p.Key] = storer.Row{Key: p.Key, Value: p.Value, Version: t.rows[p.Key].Version + 1}
+	}
+	for _, key := range txn.Deletes {
+		delete(t.rows, key)
+	}
+	return nil
+}
+
+func (t *Table) count(w http.ResponseWriter, _ *http.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	json.NewEncoder(w).Encode(t.counts)
+}
