load: open-loop load that checks every answer

There was no way to put load on the path and learn what became of it. load run sends a seeded mix of prompts and bookings at a rate, whatever became of earlier ones, compares every answer with the one that is due and reads the booking services' runs at the end. load probe sends one prompt. It exits 1 when an answer is wrong or short, a booking ran twice, or one ran that its caller was told had not.

--- /dev/null
+++ b/load/internal/settings/settings.go
@@ -0,0 +1,123 @@
+// Package settings holds what one run of load sends.
+//
+// # Usage
+//
+//	var s settings.Settings
+//	err := checker.Load(path, &s)
+package settings
+
+import (
+	"net/netip"
+
+	"bamboohill/core/checker"
+)
+
+// Settings describes one run. Check fills in the defaults of zero values.
+type Settings struct {
+	Entries  []string  `toml:"entries"`  // callers' addresses of entries, IP:PORT
+	Accounts []Account `toml:"account"`  // client accounts
+	Model    string    `toml:"model"`    // MODEL[@VERSION][:ADAPTER]
+	Service  string    `toml:"service"`  // plain service that takes bookings
+	Runs     []string  `toml:"runs"`     // booking services whose /runs is read at the end, IP:PORT
+	Rate     float64   `toml:"rate"`     // requests a second
+	Seconds  float64   `toml:"seconds"`  // length of the arrivals
+	Seed     uint64    `toml:"seed"`     // of arrivals, lengths and texts
+	Shortest int64     `toml:"shortest"` // tokens of the shortest prompt
+	Longest  int64     `toml:"longest"`  // tokens of the longest prompt
+	Long     float64   `toml:"long"`     // share of prompts above Border tokens
+	Answer   int64     `toml:"answer"`   // tokens of an answer
+	Whole    float64   `toml:"whole"`    // share of answers asked for in one piece
+	Chat     float64   `toml:"chat"`     // share of prompts sent as chat
+	Shared   float64   `toml:"shared"`   // share of prompts that start like others of their account
+	Bookings float64   `toml:"bookings"` // share of requests that are bookings
+	Resend   float64   `toml:"resend"`   // share of bookings sent twice under one key
+	Retries  int       `toml:"retries"`  // tries again after not-run, by Retry-After
+	Timeout  int       `toml:"timeout"`  // milliseconds a request may take
+	Out      string    `toml:"out"`      // directory for the CSV and the plot, none if empty
+}
+
+// Account is a client account.
+type Account struct {
+	Name   string  `toml:"name"`
+	Key    string  `toml:"key"`
+	Weight float64 `toml:"weight"` // share of the requests, 0 counts as 1
+}
+
+// Border is the length in tokens above which a prompt is long.
+const Border = 100_000
+
+// Defaults of Settings.
+const (
+	defaultModel    = "base"
+	defaultService  = "bookings"
+	defaultRate     = 20
+	defaultSeconds  = 10
+	defaultShortest = 1000
+	defaultLongest  = 1_000_000
+	defaultLong     = 0.02
+	defaultAnswer   = 16
+	defaultTimeout  = 30_000
+)
+
+// Check implements checker.Checked; it fills in the defaults first.
+func (s *Settings) Check() []checker.Problem {
+	s.defaults()
+	var bad []checker.Problem
+	add := func(ok bool, key, allowed string) {
+		if !ok {
+			bad = append(bad, checker.Problem{Key: key, Allowed: allowed})
+		}
+	}
+	add(len(s.Entries) > 0 && allAddresses(s.Entries), "entries", "must hold at least one IP:PORT")
+	add(allAddresses(s.Runs), "runs", "must hold IP:PORT")
+	add(len(s.Accounts) > 0, "account", "at least one client account must be set")
+	for _, a := range s.Accounts {
+		add(a.Key != "", "account.key", "must be a caller's key")
+		add(a.Weight >= 0, "account.weight", "must not be negative")
+	}
+	add(s.Rate > 0, "rate", "must be above 0 requests a second")
+	add(s.Seconds > 0, "seconds", "must be above 0")
+	add(s.Shortest >= minTokens, "shortest", "must be at least 32 tokens")
+	add(s.Longest >= s.Shortest, "longest", "must be at least shortest")
+	add(s.Answer > 0, "answer", "must be at least 1 token")
+	shares := map[string]float64{
+		"long": s.Long, "whole": s.Whole, "chat": s.Chat, "shared": s.Shared, "bookings": s.Bookings, "resend": s.Resend,
+	}
+	for key, share := range shares {
+		add(share >= 0 && share <= 1, key, "must be a share from 0 to 1")
+	}
+	add(s.Retries >= 0, "retries", "must not be negative")
+	add(s.Timeout > 0, "timeout", "must be above 0 milliseconds")
+	return bad
+}
+
+// minTokens leaves room for the part of a prompt that makes it unique.
+const minTokens = 32
+
+func (s *Settings) defaults() {
+	set(&s.Model, defaultModel)
+	set(&s.Service, defaultService)
+	set(&s.Rate, defaultRate)
+	set(&s.Seconds, defaultSeconds)
+	set(&s.Shortest, defaultShortest)
+	set(&s.Longest, max(defaultLongest, s.Shortest))
+	set(&s.Long, defaultLong)
+	set(&s.Answer, defaultAnswer)
+	set(&s.Timeout, defaultTimeout)
+}
+
+func set[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func allAddresses(list []string) bool {
+	for _, a := range list {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return false
+		}
+	}
+	return true
+}
--- a/load/main.go
+++ b/load/main.go
@@ -1,4 +1,53 @@
-// Command load sends open-loop load and checks every answer.
+// Command load sends open-loop load as client accounts would, and checks every
+// answer against what was asked.
+//
+// # Usage
+//
+//	load run --config load.toml --rate 50
+//	load run --entry 127.0.0.1:21010 --key KEY --seconds 10
+//	load probe --entry 127.0.0.1:21010 --key KEY --tokens 100000
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"bamboohill/core/checker"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := &cli.Command{
+		Name:                  "load",
+		Usage:                 "sends open-loop load and checks every answer",
+		EnableShellCompletion: true,
+		Commands:              commands(),
+	}
+	if err := root.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(status(err))
+	}
+}
+
+func commands() []*cli.Command {
+	return []*cli.Command{
+		runCommand(),
+		probeCommand(),
+	}
+}
+
+// status returns the exit status of a failed command.
+func status(err error) int {
+	var bad *checker.Error
+	if errors.As(err, &bad) {
+		return checker.ExitCode
+	}
+	return 1
+}
