Scripted scenarios over the real programs

Change: the module prover: a scenario language on testscript (stack, signal, fault, ask, book, join, runs, until), each scenario on a loopback address of its own, answers always checked against the prompt.

Ruled out: registering the programs' main functions in the test binary: their packages are internal to their modules; the test builds them instead.

Conclusion: scenarios can be added one file each; they wait for states, not for times.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # make demo and make test do all set-up on a fresh machine.
-MODULES := wire core entry sidecar operator load standin
+MODULES := wire core entry sidecar operator load standin prover
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 PROGRAMS := entry sidecar standin load
 GOBIN := $(shell go env GOPATH)/bin
--- /dev/null
+++ b/prover/commands.go
@@ -0,0 +1,270 @@
+package prover
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+
+	"bamboohill/prover/internal/stager"
+)
+
+// Script is the state of one scenario.
+type Script struct {
+	Stage *stager.Stage
+
+	services int
+	mu       sync.Mutex
+	calls    map[string]chan error
+}
+
+// NewScript returns a scenario on a stage.
+func NewScript(stage *stager.Stage) *Script {
+	return &Script{Stage: stage, calls: map[string]chan error{}}
+}
+
+// errUsage is returned for a command with the wrong words.
+var errUsage = errors.New("prover: wrong words for this command")
+
+// Run runs one command of the scenario language and returns what it prints.
+func (s *Script) Run(name string, words []string) (string, error) {
+	commands := map[string]struct {
+		least int
+		run   func([]string) (string, error)
+	}{
+		"stack":  {0, s.stack},
+		"signal": {2, s.signal},
+		"start":  {1, func(w []string) (string, error) { return "", s.Stage.Start(w[0]) }},
+		"exited": {2, s.exited},
+		"fault":  {3, func(w []string) (string, error) { return "", s.Stage.SetFault(w[0], w[1], w[2]) }},
+		"put":    {3, s.put},
+		"admin":  {3, s.admin},
+		"ask":    {4, s.ask},
+		"book":   {4, s.book},
+		"join":   {1, s.join},
+		"runs":   {2, s.runs},
+		"counts": {2, func(w []string) (string, error) { return s.Stage.Counts(w[0], w[1]) }},
+	}
+	if name == "until" && len(words) > 0 {
+		return s.until(words)
+	}
+	c, found := commands[name]
+	if !found || len(words) < c.least {
+		return "", fmt.Errorf("%w: %s %s", errUsage, name, strings.Join(words, " "))
+	}
+	return c.run(words)
+}
+
+func (s *Script) until(words []string) (string, error) {
+	var out string
+	err := s.Stage.Until(func() error {
+		var err error
+		out, err = s.Run(words[0], words[1:])
+		return err
+	})
+	return out, err
+}
+
+func (s *Script) stack(words []string) (string, error) {
+	var h stager.Shape
+	numbers := map[string]*int{
+		"entries": &h.Entries, "engines": &h.Engines, "services": &h.Services, "memory": &h.Memory, "warmup": &h.Warmup,
+		"work": &h.Work, "beat": &h.Beat, "poll": &h.Poll, "drain": &h.Drain, "restart": &h.Restart,
+	}
+	for _, word := range words {
+		key, value, _ := strings.Cut(word, "=")
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil && value != "true" {
+			return "", fmt.Errorf("%w: %s", errUsage, word)
+		}
+		switch {
+		case numbers[key] != nil:
+			*numbers[key] = int(n)
+		case key == "prefill":
+			h.Prefill = n
+		case key == "decode":
+			h.Decode = n
+		case key == "cold":
+			h.Cold = true
+		case key == "fencing":
+			h.Fencing = true
+		case key == "alone":
+			h.Alone = true
+		default:
+			return "", fmt.Errorf("%w: %s", errUsage, word)
+		}
+	}
+	s.services = h.Services
+	return "", s.Stage.Up(h)
+}
+
+func (s *Script) signal(w []string) (string, error) {
+	signals := map[string]syscall.Signal{
+		"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+	}
+	number, found := signals[w[1]]
+	if !found {
+		return "", fmt.Errorf("%w: signal %s", errUsage, w[1])
+	}
+	return "", s.Stage.Signal(w[0], number)
+}
+
+func (s *Script) exited(w []string) (string, error) {
+	want, err := stager.Number(w[1])
+	if err != nil {
+		return "", err
+	}
+	got, err := s.Stage.Exited(w[0])
+	if err == nil && got != want {
+		err = fmt.Errorf("prover: %s ended with status %d, want %d", w[0], got, want)
+	}
+	return "", err
+}
+
+func (s *Script) put(w []string) (string, error) {
+	n, err := stager.Number(w[0])
+	if err != nil {
+		return "", err
+	}
+	return "", s.Stage.Put(n, w[1], w[2])
+}
+
+func (s *Script) admin(w []string) (string, error) {
+	n, err := stager.Number(w[0])
+	if err != nil {
+		return "", err
+	}
+	return s.Stage.Admin(n, w[1], w[2], strings.Join(w[3:], " "))
+}
+
+// Prompt returns a prompt of the given number of words of 8 bytes each.
+func Prompt(words int, name string) string {
+	var b strings.Builder
+	b.WriteString(name)
+	for i := range words {
+		fmt.Fprintf(&b, " %07d", i)
+	}
+	return b.String()
+}
+
+func (s *Script) ask(w []string) (string, error) {
+	var numbers [3]int
+	for i, text := range []string{w[0], w[2], w[3]} {
+		n, err := stager.Number(text)
+		if err != nil {
+			return "", err
+		}
+		numbers[i] = n
+	}
+	u := stager.Question{Entry: numbers[0], Tokens: int64(numbers[2])}
+	as, start := "", ""
+	for _, word := range w[4:] {
+		key, value, _ := strings.Cut(word, "=")
+		switch key {
+		case "whole":
+			u.Whole = true
+		case "timeout":
+			u.Timeout = value
+		case "model":
+			u.Model = value
+		case "key":
+			u.Key = value
+		case "text":
+			start = value
+		case "as":
+			as = value
+		default:
+			return "", fmt.Errorf("%w: %s", errUsage, word)
+		}
+	}
+	u.Prompt = Prompt(numbers[1], start+as)
+	return "", s.call(as, func() error { return expect(w[1], s.Stage.Ask(context.Background(), u)) })
+}
+
+func (s *Script) book(w []string) (string, error) {
+	n, err := stager.Number(w[0])
+	if err != nil {
+		return "", err
+	}
+	as := ""
+	if len(w) > 4 {
+		as, _ = strings.CutPrefix(w[4], "as=")
+	}
+	return "", s.call(as, func() error {
+		_, err := s.Stage.Book(n, w[2], w[3])
+		return expect(w[1], err)
+	})
+}
+
+// call runs a call now, or beside the script if it has a name.
+func (s *Script) call(as string, do func() error) error {
+	if as == "" {
+		return do()
+	}
+	done := make(chan error, 1)
+	s.mu.Lock()
+	s.calls[as] = done
+	s.mu.Unlock()
+	go func() { done <- do() }()
+	return nil
+}
+
+func (s *Script) join(w []string) (string, error) {
+	s.mu.Lock()
+	done, found := s.calls[w[0]]
+	s.mu.Unlock()
+	if !found {
+		return "", fmt.Errorf("%w: no call %s", errUsage, w[0])
+	}
+	return "", <-done
+}
+
+// expect checks a call's outcome. A wrong or silently cut text fails always.
+func expect(want string, err error) error {
+	if errors.Is(err, stager.ErrWrong) || errors.Is(err, stager.ErrShort) {
+		return err
+	}
+	got := stager.Outcome(err)
+	var stream *stager.StreamError
+	if errors.As(err, &stream) {
+		got = stream.Outcome
+	}
+	if want == "any" || slices.Contains(strings.Split(want, "|"), got) {
+		return nil
+	}
+	return fmt.Errorf("prover: outcome %s, want %s: %w", got, want, errors.Join(err, errOutcome))
+}
+
+var errOutcome = errors.New("prover: another outcome")
+
+func (s *Script) runs(w []string) (string, error) {
+	want, err := stager.Number(w[1])
+	if err != nil {
+		return "", err
+	}
+	total := 0
+	for n := range s.services {
+		text, err := s.Stage.Counts(fmt.Sprintf("service%d", n), "/runs")
+		if err != nil {
+			return "", err
+		}
+		counts := map[string]int{}
+		if err := json.Unmarshal([]byte(text), &counts); err != nil {
+			return "", err
+		}
+		for key, count := range counts {
+			if key == w[0] || strings.HasSuffix(key, "/"+w[0]) {
+				total += count
+			}
+		}
+	}
+	if total != want {
+		return "", fmt.Errorf("prover: booking %s ran %d times, want %d", w[0], total, want)
+	}
+	return "", nil
+}
--- /dev/null
+++ b/prover/doc.go
@@ -0,0 +1,33 @@
+// Package prover holds the scripted scenarios: the promises of the system
+// under kills, pauses, cuts and outages, run over the real programs as
+// processes on loopback addresses.
+//
+// # Usage
+//
+//	go test ./prover/...
+//	go test ./prover/... -run TestScenarios/once-lost-answer -v
+//
+// Each file testdata/NAME.txtar is one scenario in the language of
+// github.com/rogpeppe/go-internal/testscript with these commands besides:
+//
+//	stack KEY=VALUE ...      start a stack; keys: entries engines services memory
+//	                         prefill decode cold warmup work beat poll drain restart fencing
+//	signal NAME SIGNAL       send KILL, TERM, STOP or CONT to a process
+//	start NAME               start a process again
+//	exited NAME STATUS       wait for a process to end with an exit status
+//	fault STANDIN NAME VALUE set a fault (see bamboohill/standin/faulter)
+//	put ENTRY KIND/NAME JSON write a configuration row through an entry
+//	admin ENTRY METHOD PATH  call the administration API; the answer is stdout
+//	ask ENTRY OUTCOME WORDS TOKENS [whole] [timeout=S] [model=M] [as=NAME]
+//	                         send a prompt of so many words; OUTCOME is answered,
+//	                         not-run, unknown, some of them as A|B, or any; the text is always checked
+//	book ENTRY OUTCOME KEY BODY [as=NAME]
+//	                         make a booking; OUTCOME as above
+//	join NAME                wait for a call that was started with as=NAME
+//	runs KEY N               check that a booking ran N times in all services
+//	counts STANDIN PATH      what a stand-in counted; the answer is stdout
+//	until CMD ...            repeat a command until it succeeds, 20 s at most
+//
+// A call with as=NAME runs beside the script; its outcome is checked at join.
+// Scenarios wait for states, never for times.
+package prover
--- /dev/null
+++ b/prover/internal/stager/ask.go
@@ -0,0 +1,134 @@
+package stager
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"bamboohill/core/texter"
+)
+
+// Question is one prompt and how it is asked.
+type Question struct {
+	Entry   int
+	Prompt  string
+	Tokens  int64 // of the answer
+	Whole   bool  // ask for one piece instead of a stream
+	Timeout string
+	Key     string // caller's key, CallerKey if empty
+	Model   string // base if empty
+}
+
+// Faults of an answer.
+var (
+	ErrWrong = errors.New("stager: wrong text")
+	ErrShort = errors.New("stager: stream ended without [DONE]")
+)
+
+// StreamError is an error event in a stream.
+type StreamError struct {
+	Code    string `json:"code"`
+	Outcome string `json:"outcome"`
+}
+
+// Error implements error.
+func (e *StreamError) Error() string { return "stream failed: " + e.Code + " outcome " + e.Outcome }
+
+type event struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Error *StreamError `json:"error"`
+}
+
+// Ask asks a question and checks the answer's text against the prompt. The
+// error is nil only for the whole right answer; a refusal is a *CallError, an
+// error event a *StreamError, and a text that is wrong or stops unseen is
+// ErrWrong or ErrShort.
+func (s *Stage) Ask(ctx context.Context, u Question) error {
+	if u.Key == "" {
+		u.Key = CallerKey
+	}
+	if u.Model == "" {
+		u.Model = "base"
+	}
+	body, err := json.Marshal(map[string]any{"model": u.Model, "prompt": u.Prompt, "max_tokens": u.Tokens, "stream": !u.Whole})
+	if err != nil {
+		return err
+	}
+	if u.Whole {
+		return s.askWhole(u, string(body))
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Entry(u.Entry)+"/v1/completions", strings.NewReader(string(body)))
+	if err != nil {
+		return err
+	}
+	q.Header.Set("Authorization", "Bearer "+u.Key)
+	if u.Timeout != "" {
+		q.Header.Set("Bamboohill-Timeout", u.Timeout)
+	}
+	r, err := s.client.Do(q)
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		return &CallError{Status: r.StatusCode, Outcome: r.Header.Get("Bamboohill-Outcome")}
+	}
+	return check(bufio.NewScanner(r.Body), u)
+}
+
+func check(lines *bufio.Scanner, u Question) error {
+	lines.Buffer(nil, 1<<20)
+	var text strings.Builder
+	for lines.Scan() {
+		data, found := strings.CutPrefix(lines.Text(), "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			return compare(text.String(), u)
+		}
+		var e event
+		if err := json.Unmarshal([]byte(data), &e); err != nil {
+			return err
+		}
+		if e.Error != nil {
+			return e.Error
+		}
+		for _, c := range e.Choices {
+			text.WriteString(c.Text)
+		}
+	}
+	return ErrShort
+}
+
+func (s *Stage) askWhole(u Question, body string) error {
+	header := map[string]string{}
+	if u.Timeout != "" {
+		header["Bamboohill-Timeout"] = u.Timeout
+	}
+	text, err := s.call(http.MethodPost, "http://"+s.Entry(u.Entry)+"/v1/completions", u.Key, body, header)
+	if err != nil {
+		return err
+	}
+	var e event
+	if err := json.Unmarshal([]byte(text), &e); err != nil {
+		return err
+	}
+	if len(e.Choices) != 1 {
+		return fmt.Errorf("stager: %d choices", len(e.Choices))
+	}
+	return compare(e.Choices[0].Text, u)
+}
+
+func compare(text string, u Question) error {
+	if text != texter.Text(texter.Seed([]byte(u.Prompt)), u.Tokens) {
+		return ErrWrong
+	}
+	return nil
+}
--- /dev/null
+++ b/prover/internal/stager/shape.go
@@ -0,0 +1,166 @@
+package stager
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"strings"
+)
+
+// Keys that every stack knows.
+const (
+	OperatorKey = "proof-operator"
+	CallerKey   = "proof-caller"
+)
+
+// Domains are the failure domains; process N stands in domain N modulo 3.
+var Domains = []string{"ikeja", "lekki", "apapa"}
+
+// Shape is what a stack consists of. Zero values mean the defaults of fill.
+type Shape struct {
+	Entries  int
+	Engines  int
+	Services int
+	Memory   int     // tokens of an engine
+	Prefill  float64 // tokens a second of an engine
+	Decode   float64 // tokens a second of one stream
+	Cold     bool    // engines start cold
+	Warmup   int     // finished requests until an engine is warm
+	Work     int     // milliseconds of one plain call
+	Beat     int     // milliseconds between heartbeats
+	Poll     int     // milliseconds between reads of the configuration's head
+	Drain    int     // milliseconds that a sidecar may take to leave
+	Restart  int     // milliseconds that a crashed engine is away
+	Fencing  bool    // engines refuse orders with an old number
+	Alone    bool    // a process starts knowing no other entry
+}
+
+func (h *Shape) fill() {
+	set := func(value *int, fallback int) {
+		if *value == 0 {
+			*value = fallback
+		}
+	}
+	set(&h.Entries, 1)
+	set(&h.Engines, 1)
+	set(&h.Memory, 400_000)
+	set(&h.Warmup, 8)
+	set(&h.Work, 5)
+	set(&h.Beat, 100)
+	set(&h.Poll, 200)
+	set(&h.Drain, 10_000)
+	set(&h.Restart, 500)
+	if h.Prefill == 0 {
+		h.Prefill = 400_000
+	}
+	if h.Decode == 0 {
+		h.Decode = 400
+	}
+}
+
+// Ports of a stack; every process has its own on the scenario's address.
+const (
+	tablePort   = 5001
+	objectsPort = 5002
+	listPort    = 5003
+	weightsPort = 5004
+	outerPort   = 5100
+	innerPort   = 5200
+	enginePort  = 5300
+	servicePort = 5400
+	sidecarPort = 5500
+)
+
+func (s *Stage) at(port, n int) string { return fmt.Sprintf("%s:%d", s.config.Address, port+n) }
+
+// Entry returns the address for callers and operators of entry n.
+func (s *Stage) Entry(n int) string { return s.at(outerPort, n) }
+
+// Fault returns the address of a stand-in by its name: table, objects, list,
+// weights, engineN or serviceN.
+func (s *Stage) Fault(name string) (string, error) {
+	var n int
+	switch name {
+	case "table":
+		return s.at(tablePort, 0), nil
+	case "objects":
+		return s.at(objectsPort, 0), nil
+	case "list":
+		return s.at(listPort, 0), nil
+	case "weights":
+		return s.at(weightsPort, 0), nil
+	}
+	if _, err := fmt.Sscanf(name, "engine%d", &n); err == nil {
+		return s.at(enginePort, n), nil
+	}
+	if _, err := fmt.Sscanf(name, "service%d", &n); err == nil {
+		return s.at(servicePort, n), nil
+	}
+	return "", fmt.Errorf("stager: no stand-in %q", name)
+}
+
+func domain(n int) string { return Domains[n%len(Domains)] }
+
+func (s *Stage) platform() string {
+	return fmt.Sprintf("[platform]\ntable = %q\nobjects = %q\nlist = %q\n", s.at(tablePort, 0), s.at(objectsPort, 0), s.at(listPort, 0))
+}
+
+// settings returns the settings files by process name.
+func (s *Stage) settings(h Shape) map[string]string {
+	files := map[string]string{"platform": s.platformFile(h)}
+	for n := range h.Engines {
+		files[fmt.Sprintf("engine%d", n)] = fmt.Sprintf(
+			"[[engine]]\naddress = %q\nmemory = %d\nprefill = %g\ndecode = %g\nwarm = %t\nwarmup = %d\nrestart = %d\nfencing = %t\nmodels = [\"base\", \"survey\"]\n",
+			s.at(enginePort, n), h.Memory, h.Prefill, h.Decode, !h.Cold, h.Warmup, h.Restart, h.Fencing)
+		files[fmt.Sprintf("sidecar%d", n)] = s.sidecar(h, n, fmt.Sprintf("engine%d", n), "model", "", s.at(enginePort, n))
+	}
+	for n := range h.Services {
+		i := h.Engines + n
+		files[fmt.Sprintf("service%d", n)] = fmt.Sprintf("[[service]]\naddress = %q\nwork = %d\n", s.at(servicePort, n), h.Work)
+		files[fmt.Sprintf("sidecar%d", i)] = s.sidecar(h, i, fmt.Sprintf("service%d", n), "service", "bookings", s.at(servicePort, n))
+	}
+	for n := range h.Entries {
+		files[fmt.Sprintf("entry%d", n)] = s.entry(h, n)
+	}
+	return files
+}
+
+// platformFile lists the first entry and every sidecar in the VM list.
+func (s *Stage) platformFile(h Shape) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[table]\naddress = %q\n[objects]\naddress = %q\n[weights]\naddress = %q\nrate = 2.0\nburst = 2\n[list]\naddress = %q\nlag = 500\n",
+		s.at(tablePort, 0), s.at(objectsPort, 0), s.at(weightsPort, 0), s.at(listPort, 0))
+	for n := range h.Entries {
+		fmt.Fprintf(&b, "[[list.vm]]\nname = \"entry%d\"\ndomain = %q\naddress = %q\nrole = \"entry\"\n", n, domain(n), s.at(innerPort, n))
+	}
+	for n := range h.Engines + h.Services {
+		fmt.Fprintf(&b, "[[list.vm]]\nname = \"vm%d\"\ndomain = %q\naddress = %q\nrole = \"sidecar\"\n", n, domain(n), s.at(sidecarPort, n))
+	}
+	return b.String()
+}
+
+func (s *Stage) sidecar(h Shape, n int, server, kind, service, backend string) string {
+	return fmt.Sprintf("address = %q\nserver = %q\nvm = \"vm%d\"\ndomain = %q\nkind = %q\nservice = %q\nbackend = %q\nbeat = %d\ndrain = %d\nentries = [%q]\n%s",
+		s.at(sidecarPort, n), server, n, domain(n), kind, service, backend, h.Beat, h.Drain, s.at(innerPort, 0), s.platform())
+}
+
+func (s *Stage) entry(h Shape, n int) string {
+	peers := ""
+	if h.Entries > 1 && !h.Alone {
+		peers = fmt.Sprintf("%q", s.at(innerPort, (n+1)%h.Entries))
+	}
+	sum := sha256.Sum256([]byte(OperatorKey))
+	return fmt.Sprintf("address = %q\ninner = %q\nvm = \"entry%d\"\ndomain = %q\npoll = %d\nentries = [%s]\n%s[[operator]]\nname = \"proof\"\nhash = %q\nrole = \"write\"\n",
+		s.at(outerPort, n), s.at(innerPort, n), n, domain(n), h.Poll, peers, s.platform(), hex.EncodeToString(sum[:]))
+}
+
+// lists returns the rows that every stack starts with, by KIND/NAME.
+func lists() map[string]string {
+	sum := sha256.Sum256([]byte(CallerKey))
+	key := base64.StdEncoding.EncodeToString(sum[:])
+	return map[string]string{
+		"plan/crew":       `{"plan":{"name":"crew","offers":[{"model":"base","adapters":["*"]},{"model":"survey"}],"services":["bookings"],"timeoutMs":"30000"}}`,
+		"account/balloon": `{"account":{"name":"balloon","plan":"crew","keys":["` + key + `"]}}`,
+	}
+}
--- /dev/null
+++ b/prover/prover_test.go
@@ -0,0 +1,85 @@
+package prover
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+
+	"bamboohill/prover/internal/stager"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+var programs string
+
+func TestMain(m *testing.M) {
+	os.Exit(build(m))
+}
+
+// build builds the programs, runs the tests and removes what it built.
+func build(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "prover")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	programs = dir
+	for _, name := range []string{"entry", "sidecar", "standin", "load", "operator"} {
+		command := exec.CommandContext(context.Background(), "go", "build", "-o", filepath.Join(dir, name), "bamboohill/"+name)
+		command.Stderr = os.Stderr
+		if err := command.Run(); err != nil {
+			fmt.Fprintln(os.Stderr, name, err)
+			return 1
+		}
+	}
+	if err := os.Rename(filepath.Join(dir, "operator"), filepath.Join(dir, "bamboohill")); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// scripts numbers the scenarios, for their loopback addresses.
+var scripts atomic.Int32
+
+type scriptKey struct{}
+
+func TestScenarios(t *testing.T) {
+	commands := map[string]func(*testscript.TestScript, bool, []string){}
+	for _, name := range []string{
+		"stack", "signal", "start", "exited", "fault", "put", "admin", "ask", "book", "join", "runs", "counts", "until",
+	} {
+		commands[name] = func(ts *testscript.TestScript, negated bool, words []string) {
+			out, err := ts.Value(scriptKey{}).(*Script).Run(name, words)
+			ts.Logf("%s", out)
+			fmt.Fprint(ts.Stdout(), out)
+			if err != nil && !negated {
+				ts.Fatalf("%v", err)
+			}
+			if err == nil && negated {
+				ts.Fatalf("%s succeeded", name)
+			}
+		}
+	}
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			p := os.Getpid()
+			address := fmt.Sprintf("127.%d.%d.%d", 64+p%128, 1+p/128%250, scripts.Add(1))
+			s := NewScript(stager.New(stager.Config{Programs: programs, Work: env.WorkDir, Address: address}))
+			env.Values[scriptKey{}] = s
+			env.Setenv("ENTRY0", s.Stage.Entry(0))
+			env.Setenv("ENTRY1", s.Stage.Entry(1))
+			env.Setenv("OPERATOR_KEY", stager.OperatorKey)
+			env.Setenv("PATH", programs+string(os.PathListSeparator)+os.Getenv("PATH"))
+			env.Defer(s.Stage.Close)
+			return nil
+		},
+		Cmds: commands,
+	})
+}
