Watchdogs, a retry budget and resumption for every attempt

Cause: an attempt had no watch of its own, so one frozen sidecar or engine cost a request its whole deadline; retries had no bound but a count.

Change: the dispatcher watches acceptance, first token and gaps of each attempt; a lost one is resumed elsewhere at the next position while the request may be repeated. core/retrier bounds retries by what first tries earn, per entry and per client account, with exponential pauses and full jitter. A stale configuration or a restarted sidecar costs no server and no budget, twice at most. A refusal that holds everywhere (late, mismatch, store down) is final.

Ruled out: waiting in the entry for a server when all refuse: a request given up on gets its answer at once. Only one that is under way tries all anew.

Conclusion: a freeze costs one watch. The watches' lengths are settings of the dispatcher, not yet of the entry.

--- /dev/null
+++ b/core/retrier/retrier_test.go
@@ -0,0 +1,81 @@
+package retrier_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bamboohill/core/ider"
+	"bamboohill/core/retrier"
+
+	"github.com/matryer/is"
+)
+
+func TestDeadFleet(t *testing.T) {
+	tests := map[string]struct {
+		accounts int
+		requests int
+		most     float64 // sent against first tries
+	}{
+		"one account":   {accounts: 1, requests: 2000, most: 1.2},
+		"many accounts": {accounts: 50, requests: 2000, most: 1.2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			random := rand.New(rand.NewPCG(1, 2))
+			r := retrier.New(retrier.Config{})
+			sent := 0
+			for i := range test.requests {
+				account := ider.Account(rune('a' + i%test.accounts))
+				r.First(account)
+				sent++
+				for try := 1; try < 8; try++ {
+					if _, ok := r.Again(account, try, time.Minute, random.Float64()); !ok {
+						break
+					}
+					sent++
+				}
+			}
+			is.True(float64(sent) < test.most*float64(test.requests)) // the budget holds
+			is.True(sent > test.requests)                             // and lets some through
+		})
+	}
+}
+
+func TestOneAccountCannotSpendAll(t *testing.T) {
+	is := is.New(t)
+	r := retrier.New(retrier.Config{Burst: 20, Share: 0.25})
+	r.First("large")
+	for {
+		if _, ok := r.Again("large", 1, time.Minute, 0); !ok {
+			break
+		}
+	}
+	_, ok := r.Again("small", 1, time.Minute, 0)
+	is.True(ok)
+}
+
+func TestPauseFitsTimeLeft(t *testing.T) {
+	tests := map[string]struct {
+		tries  int
+		left   time.Duration
+		random float64
+		want   time.Duration
+		ok     bool
+	}{
+		"first":        {tries: 1, left: time.Second, random: 0.5, want: 5 * time.Millisecond, ok: true},
+		"doubles":      {tries: 3, left: time.Second, random: 0.5, want: 20 * time.Millisecond, ok: true},
+		"bounded":      {tries: 30, left: time.Minute, random: 0.5, want: time.Second, ok: true},
+		"no time left": {tries: 3, left: 20 * time.Millisecond, random: 0.5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := retrier.New(retrier.Config{Base: 10 * time.Millisecond, Most: 2 * time.Second})
+			pause, ok := r.Again("a", test.tries, test.left, test.random)
+			is.Equal(ok, test.ok)
+			is.Equal(pause, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/entry/internal/dispatcher/attempt.go
@@ -0,0 +1,116 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"bamboohill/core/ider"
+	"bamboohill/core/watcher"
+	"bamboohill/wire"
+)
+
+// attempt runs one try of a request at one server, from a position on.
+func (d *Dispatcher) attempt(ctx context.Context, q *Request, server watcher.Server, position int64, sink Sink) step {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p := d.proposal(q, server, position)
+	d.config.Log.Debug().Str("event", "proposed").Str("request", p.GetRequest()).Str("attempt", p.GetAttempt()).
+		Str("server", server.GetServer()).Int64("position", position).Msg("")
+	watch := time.AfterFunc(d.acceptWatch(q), cancel)
+	defer watch.Stop()
+	a, err := d.config.Propose(ctx, server.GetAddress(), p, q.Payload)
+	if err != nil {
+		return d.lost(server, position)
+	}
+	defer a.Close()
+	for {
+		f, err := a.Next()
+		if err != nil {
+			return d.lost(server, a.Position())
+		}
+		// The caller's own slowness is not the server's.
+		watch.Stop()
+		if s, done := d.relay(f, sink, a.Position()); done {
+			return s
+		}
+		watch.Reset(d.nextWatch(f, q, server))
+	}
+}
+
+// lost is the end of an attempt of which nothing more is heard.
+func (d *Dispatcher) lost(server watcher.Server, position int64) step {
+	d.config.Watcher.Fail(ider.Server(server.GetServer()))
+	return step{Result: Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: wire.Reason_REASON_ENGINE, Position: position}}
+}
+
+// share of the time left that waiting for the gate may use, so that time
+// remains for a try elsewhere.
+const acceptShare = 3
+
+func (d *Dispatcher) acceptWatch(q *Request) time.Duration {
+	return min(d.config.Watches.Accept, time.Until(q.Deadline)/acceptShare)
+}
+
+// nextWatch returns how long the frame after f may take.
+func (d *Dispatcher) nextWatch(f *wire.Frame, q *Request, server watcher.Server) time.Duration {
+	if _, accepted := f.GetBody().(*wire.Frame_Accepted); accepted {
+		return d.firstWatch(q, server)
+	}
+	return d.config.Watches.Gap
+}
+
+// slack multiplies the expected time to the first token.
+const slack = 4
+
+// firstWatch returns how long the first token may take: a multiple of the time
+// that the server needs for the prefill before it and its own. A plain call may
+// take until its deadline.
+func (d *Dispatcher) firstWatch(q *Request, server watcher.Server) time.Duration {
+	if q.Job.Kind == wire.Kind_KIND_SERVICE {
+		return time.Until(q.Deadline)
+	}
+	speed := max(1, server.GetPrefill())
+	expected := float64(q.Job.Prompt+server.GetQueued()) / speed
+	return d.config.Watches.First + time.Duration(slack*expected*float64(time.Second))
+}
+
+// relay passes one frame on and reports whether the attempt has ended.
+func (d *Dispatcher) relay(f *wire.Frame, sink Sink, position int64) (step, bool) {
+	var err error
+	switch b := f.GetBody().(type) {
+	case *wire.Frame_Accepted:
+		d.config.Watcher.Hear(b.Accepted.GetReport())
+	case *wire.Frame_Tokens:
+		err = sink.Tokens(b.Tokens.GetTexts())
+	case *wire.Frame_Head:
+		err = sink.Head(b.Head)
+	case *wire.Frame_Data:
+		err = sink.Data(b.Data.GetBytes())
+	case *wire.Frame_End:
+		d.config.Watcher.Hear(b.End.GetReport())
+		return step{Result: Result{Outcome: wire.Outcome_OUTCOME_ANSWERED, End: b.End, Position: position}}, true
+	case *wire.Frame_Refused:
+		d.config.Watcher.Hear(b.Refused.GetReport())
+		return refused(b.Refused, position), true
+	}
+	if err != nil {
+		return step{Result: Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Position: position}, left: true}, true
+	}
+	return step{}, false
+}
+
+func refused(r *wire.Refused, position int64) step {
+	return step{Result: Result{
+		Outcome: r.GetOutcome(), Reason: r.GetReason(), Retry: time.Duration(r.GetRetryMs()) * time.Millisecond, Position: position,
+	}}
+}
+
+func (d *Dispatcher) proposal(q *Request, server watcher.Server, position int64) *wire.Proposal {
+	return &wire.Proposal{
+		Request: string(q.ID), Attempt: string(ider.New[ider.Attempt]()), Account: q.Account.GetName(), Entry: d.config.Entry,
+		Boot: server.GetBoot(), Sequence: d.config.Keeper.State().Sequence, RemainingMs: time.Until(q.Deadline).Milliseconds(),
+		Priority: q.Priority, Call: q.Call, Key: q.Key, Hash: q.Hash, Model: q.Job.Model, Version: q.Job.Version,
+		Adapter: q.Job.Adapter, Prompt: q.Job.Prompt, Answer: q.Job.Answer, Position: position,
+		Method: q.Method, Path: q.Path, Type: q.Type,
+	}
+}
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -3,32 +3,37 @@
 //
 // # Usage
 //
-//	d := dispatcher.New(dispatcher.Config{Watcher: w, Proposer: p, Keeper: k})
+//	d := dispatcher.New(dispatcher.Config{Watcher: w, Propose: p.Propose, Keeper: k})
 //	result := d.Do(ctx, request, sink)
 //
 // The result's outcome is one of three final words: answered, not run (safe to
 // send again) or unknown (it may have run). A repeatable request that fails
 // half way counts as unknown too: part of it ran.
+//
+// A try after the first is sent only if nothing ran, or the request may be
+// repeated; if the retry budget allows it; and if the time left does. Each
+// attempt has watchdogs for its acceptance, its first token and the gaps after
+// it, so that a frozen process or a half-open connection costs one watch and
+// not the deadline. An answer that breaks off is resumed elsewhere at the next
+// position.
 package dispatcher
 
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"bamboohill/core/ider"
 	"bamboohill/core/keeper"
+	"bamboohill/core/retrier"
 	"bamboohill/core/router"
 	"bamboohill/core/watcher"
-	"bamboohill/entry/internal/proposer"
 	"bamboohill/wire"
 
 	"github.com/phuslu/log"
 )
 
-// maxAttempts bounds the tries of one request.
-const maxAttempts = 8
-
 // Request is one admitted request.
 type Request struct {
 	ID       ider.Request
@@ -62,15 +67,43 @@
 	End      *wire.End     // if answered
 	Position int64         // tokens or bytes passed on
 	Attempts int
+	Known    bool // some backend server offers what was asked for
 }
 
-// Config describes a Dispatcher.
+// Attempt is one proposal under way; *proposer.Attempt is one.
+type Attempt interface {
+	// Next returns the next frame, checked.
+	Next() (*wire.Frame, error)
+	// Position returns the next position that is due.
+	Position() int64
+	// Close gives the attempt up.
+	Close() error
+}
+
+// Watches are the longest waits of one attempt. Zero values mean the defaults.
+type Watches struct {
+	Accept time.Duration // for the gate's word
+	First  time.Duration // for the first token, besides the expected time
+	Gap    time.Duration // between frames after that
+}
+
+// Defaults of Watches.
+const (
+	defaultAccept = 3 * time.Second
+	defaultFirst  = 5 * time.Second
+	defaultGap    = 5 * time.Second
+)
+
+// Config describes a Dispatcher. Random is rand.Float64 if nil.
 type Config struct {
-	Watcher  *watcher.Watcher
-	Proposer *proposer.Proposer
-	Keeper   *keeper.Keeper
-	Entry    string // this entry's inner address
-	Log      *log.Logger
+	Watcher *watcher.Watcher
+	Propose func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (Attempt, error)
+	Keeper  *keeper.Keeper
+	Retrier *retrier.Retrier
+	Watches Watches
+	Entry   string // this entry's inner address
+	Log     *log.Logger
+	Random  func() float64
 }
 
 // Dispatcher runs requests.
@@ -79,103 +112,147 @@
 }
 
 // New returns a dispatcher.
-func New(config Config) *Dispatcher { return &Dispatcher{config: config} }
+func New(config Config) *Dispatcher {
+	if config.Random == nil {
+		config.Random = rand.Float64
+	}
+	if config.Retrier == nil {
+		config.Retrier = retrier.New(retrier.Config{})
+	}
+	if config.Watches.Accept <= 0 {
+		config.Watches.Accept = defaultAccept
+	}
+	if config.Watches.First <= 0 {
+		config.Watches.First = defaultFirst
+	}
+	if config.Watches.Gap <= 0 {
+		config.Watches.Gap = defaultGap
+	}
+	return &Dispatcher{config: config}
+}
+
+// course is what has become of a request so far.
+type course struct {
+	result Result
+	ran    bool // some attempt may have run
+	free   int  // retries left that cost no budget: the entry's own view was old
+	left   bool // the caller has gone
+}
+
+// freeRetries is how many tries a request gets that are owed to the entry's
+// own old view: a stale configuration or a restarted sidecar.
+const freeRetries = 2
 
 // Do runs a request to its final word.
 func (d *Dispatcher) Do(ctx context.Context, q *Request, sink Sink) Result {
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
-	result := Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN}
-	ran := false
-	for result.Attempts < maxAttempts {
+	c := &course{free: freeRetries}
+	c.result.Outcome = wire.Outcome_OUTCOME_NOT_RUN
+	d.config.Retrier.First(ider.Account(q.Account.GetName()))
+	for {
 		server, err := router.Pick(q.Job, d.config.Watcher.View().Servers)
 		if err != nil {
-			return giveUp(result, ran, err)
+			if !d.comeBack(ctx, q, c, err) {
+				return c.final()
+			}
+			continue
 		}
-		result.Attempts++
-		step := d.attempt(ctx, q, server, result.Position, sink)
-		result.Position = step.Position
-		result.Reason = step.Reason
-		result.Retry = step.Retry
-		ran = ran || step.Outcome != wire.Outcome_OUTCOME_NOT_RUN
-		if step.Outcome == wire.Outcome_OUTCOME_ANSWERED {
-			step.Attempts = result.Attempts
-			return step
+		c.result.Known = true
+		c.result.Attempts++
+		step := d.attempt(ctx, q, server, c.result.Position, sink)
+		if c.take(step) {
+			return c.final()
 		}
-		if ctx.Err() != nil || ran && q.Call == wire.Call_CALL_ONCE {
-			break
+		if !d.again(ctx, q, c, server) {
+			return c.final()
 		}
-		q.Job.Excluded = append(q.Job.Excluded, ider.Server(server.GetServer()))
 	}
-	return giveUp(result, ran, nil)
 }
 
-func giveUp(result Result, ran bool, err error) Result {
-	var none *router.NoneError
-	if errors.As(err, &none) {
-		result.Retry = none.Retry
-	}
-	if ran {
-		result.Outcome = wire.Outcome_OUTCOME_UNKNOWN
+// step is the end of one attempt.
+type step struct {
+	Result
+	left bool // the caller has gone
+}
+
+// take adds an attempt's end to the course and reports whether that is final.
+func (c *course) take(s step) bool {
+	s.Attempts = c.result.Attempts
+	s.Known = true
+	c.result = s.Result
+	c.left = s.left
+	c.ran = c.ran || s.Outcome != wire.Outcome_OUTCOME_NOT_RUN
+	return s.Outcome == wire.Outcome_OUTCOME_ANSWERED || s.left
+}
+
+// final returns the last word.
+func (c *course) final() Result {
+	if c.result.Outcome != wire.Outcome_OUTCOME_ANSWERED && c.ran {
+		c.result.Outcome = wire.Outcome_OUTCOME_UNKNOWN
 	}
-	return result
+	return c.result
 }
 
-func (d *Dispatcher) attempt(ctx context.Context, q *Request, server watcher.Server, position int64, sink Sink) Result {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	p := d.proposal(q, server, position)
-	d.config.Log.Debug().Str("event", "proposed").Str("request", p.GetRequest()).Str("attempt", p.GetAttempt()).Str("server", server.GetServer()).Msg("")
-	a, err := d.config.Proposer.Propose(ctx, server.GetAddress(), p, q.Payload)
-	if err != nil {
-		d.config.Watcher.Fail(ider.Server(server.GetServer()))
-		return Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: wire.Reason_REASON_ENGINE, Position: position}
+// again decides on one more try after a failed one and waits for its turn.
+func (d *Dispatcher) again(ctx context.Context, q *Request, c *course, server watcher.Server) bool {
+	if ctx.Err() != nil || c.ran && q.Call != wire.Call_CALL_REPEATABLE {
+		return false
 	}
-	defer a.Close()
-	for {
-		f, err := a.Next()
-		if err != nil {
-			d.config.Watcher.Fail(ider.Server(server.GetServer()))
-			return Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: wire.Reason_REASON_ENGINE, Position: a.Position()}
-		}
-		if result, done := d.relay(f, sink, a.Position()); done {
-			return result
+	reason := c.result.Reason
+	if final(reason) {
+		return false
+	}
+	if c.free > 0 && (reason == wire.Reason_REASON_STALE || reason == wire.Reason_REASON_BOOT) {
+		c.free--
+		if reason == wire.Reason_REASON_STALE {
+			d.config.Keeper.Refresh(ctx)
 		}
+		return ctx.Err() == nil
 	}
+	q.Job.Excluded = append(q.Job.Excluded, ider.Server(server.GetServer()))
+	return d.pause(ctx, q, c)
 }
 
-// relay passes one frame on and reports whether the attempt has ended.
-func (d *Dispatcher) relay(f *wire.Frame, sink Sink, position int64) (Result, bool) {
-	var err error
-	switch b := f.GetBody().(type) {
-	case *wire.Frame_Accepted:
-		d.config.Watcher.Hear(b.Accepted.GetReport())
-	case *wire.Frame_Tokens:
-		err = sink.Tokens(b.Tokens.GetTexts())
-	case *wire.Frame_Head:
-		err = sink.Head(b.Head)
-	case *wire.Frame_Data:
-		err = sink.Data(b.Data.GetBytes())
-	case *wire.Frame_End:
-		d.config.Watcher.Hear(b.End.GetReport())
-		return Result{Outcome: wire.Outcome_OUTCOME_ANSWERED, End: b.End, Position: position}, true
-	case *wire.Frame_Refused:
-		d.config.Watcher.Hear(b.Refused.GetReport())
-		retry := time.Duration(b.Refused.GetRetryMs()) * time.Millisecond
-		return Result{Outcome: b.Refused.GetOutcome(), Reason: b.Refused.GetReason(), Retry: retry, Position: position}, true
+// final reports whether a refusal holds wherever the request is sent.
+func final(reason wire.Reason) bool {
+	switch reason {
+	case wire.Reason_REASON_LATE, wire.Reason_REASON_MISMATCH, wire.Reason_REASON_DUPLICATE, wire.Reason_REASON_DENIED,
+		wire.Reason_REASON_STORE:
+		return true
+	default:
+		return false
 	}
-	if err != nil {
-		return Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: wire.Reason_REASON_LATE, Position: position}, true
+}
+
+// comeBack decides what to do when no server can take the request: a request
+// that nothing has been done for is given up at once, one that is under way
+// tries all servers anew.
+func (d *Dispatcher) comeBack(ctx context.Context, q *Request, c *course, err error) bool {
+	var none *router.NoneError
+	if errors.As(err, &none) {
+		c.result.Known = c.result.Known || none.Known
+		c.result.Retry = max(c.result.Retry, none.Retry)
 	}
-	return Result{}, false
+	if !c.ran || len(q.Job.Excluded) == 0 {
+		return false
+	}
+	q.Job.Excluded = nil
+	return d.pause(ctx, q, c)
 }
 
-func (d *Dispatcher) proposal(q *Request, server watcher.Server, position int64) *wire.Proposal {
-	return &wire.Proposal{
-		Request: string(q.ID), Attempt: string(ider.New[ider.Attempt]()), Account: q.Account.GetName(), Entry: d.config.Entry,
-		Boot: server.GetBoot(), Sequence: d.config.Keeper.State().Sequence, RemainingMs: time.Until(q.Deadline).Milliseconds(),
-		Priority: q.Priority, Call: q.Call, Key: q.Key, Hash: q.Hash, Model: q.Job.Model, Version: q.Job.Version,
-		Adapter: q.Job.Adapter, Prompt: q.Job.Prompt, Answer: q.Job.Answer, Position: position,
-		Method: q.Method, Path: q.Path, Type: q.Type,
+// pause takes a retry from the budget and waits its pause.
+func (d *Dispatcher) pause(ctx context.Context, q *Request, c *course) bool {
+	wait, ok := d.config.Retrier.Again(ider.Account(q.Account.GetName()), c.result.Attempts, time.Until(q.Deadline), d.config.Random())
+	if !ok {
+		return false
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
--- /dev/null
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -0,0 +1,204 @@
+package dispatcher_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bamboohill/core/framer"
+	"bamboohill/core/ider"
+	"bamboohill/core/keeper"
+	"bamboohill/core/router"
+	"bamboohill/core/storer"
+	"bamboohill/core/watcher"
+	"bamboohill/entry/internal/dispatcher"
+	"bamboohill/wire"
+
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+)
+
+// answer writes the frames of one scripted attempt.
+type answer func(w *framer.Writer)
+
+// scripted is a fake sidecar: the n-th attempt gets the n-th answer, and all
+// after the last get the last.
+type scripted struct {
+	answers  []answer
+	attempts []*wire.Proposal
+	servers  []string
+	crossed  int // the first so many answers carry another attempt's id
+}
+
+type attempt struct {
+	*framer.Reader
+	hang context.Context // set: hangs instead of ending
+}
+
+func (a attempt) Next() (*wire.Frame, error) {
+	f, err := a.Reader.Next()
+	var broken *framer.BrokenError
+	if errors.As(err, &broken) && a.hang != nil {
+		<-a.hang.Done()
+	}
+	return f, err
+}
+
+func (a attempt) Close() error { return nil }
+
+var hang answer // an answer that never comes
+
+func (s *scripted) propose(ctx context.Context, address string, p *wire.Proposal, _ []byte) (dispatcher.Attempt, error) {
+	do := s.answers[min(len(s.attempts), len(s.answers)-1)]
+	s.attempts = append(s.attempts, p)
+	s.servers = append(s.servers, address)
+	if do == nil {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	var frames bytes.Buffer
+	id := p.GetAttempt()
+	if len(s.attempts) <= s.crossed {
+		id = "another"
+	}
+	w := framer.NewWriter(framer.WriterConfig{Request: p.GetRequest(), Attempt: id, Position: p.GetPosition(), Sink: &frames})
+	do(w)
+	r := framer.NewReader(framer.ReaderConfig{
+		Request: ider.Request(p.GetRequest()), Attempt: ider.Attempt(p.GetAttempt()), Position: p.GetPosition(), Source: &frames,
+	})
+	return attempt{Reader: r, hang: ctx}, nil
+}
+
+type sink struct {
+	text strings.Builder
+	fail bool
+}
+
+func (s *sink) Tokens(texts []string) error {
+	if s.fail {
+		return io.ErrClosedPipe
+	}
+	s.text.WriteString(strings.Join(texts, ""))
+	return nil
+}
+func (s *sink) Head(*wire.Head) error { return nil }
+func (s *sink) Data([]byte) error     { return nil }
+
+func refuse(reason wire.Reason) answer {
+	return func(w *framer.Writer) {
+		w.Refuse(&wire.Refused{Reason: reason, Outcome: wire.Outcome_OUTCOME_NOT_RUN, RetryMs: 700})
+	}
+}
+
+// rest writes tokens of "abcd" from the writer's position up to end and closes
+// the answer if it is whole.
+func rest(end int64) answer {
+	return func(w *framer.Writer) {
+		w.Accept(nil)
+		for w.Position() < end {
+			w.Tokens([]string{"abcd"[w.Position() : w.Position()+1]})
+		}
+		if end == 4 {
+			w.End(&wire.End{})
+		}
+	}
+}
+
+const servers = 3
+
+func run(t *testing.T, s *scripted, call wire.Call, out *sink) (dispatcher.Result, time.Duration) {
+	t.Helper()
+	w := watcher.New(watcher.Config{})
+	defer w.Stop()
+	k := keeper.New(keeper.Config{Table: storer.NewTable(storer.Config{Address: "127.0.0.1:1"})})
+	defer k.Stop()
+	for i := range servers {
+		name := string(rune('a' + i))
+		w.Hear(&wire.Report{
+			Server: name, Address: name, Boot: 1, Serial: 1, State: wire.State_STATE_OPEN, Kind: wire.Kind_KIND_MODEL,
+			Offers: []*wire.Offer{{Model: "base"}}, Memory: 1000, Free: 1000, Limit: 8, Prefill: 1000, Decode: 100, Bound: 1 << 40,
+		})
+	}
+	synctest.Wait()
+	d := dispatcher.New(dispatcher.Config{
+		Watcher: w, Propose: s.propose, Keeper: k, Log: &log.Logger{Level: log.ErrorLevel}, Random: func() float64 { return 0.5 },
+	})
+	start := time.Now()
+	result := d.Do(t.Context(), &dispatcher.Request{
+		ID: "r", Account: &wire.Account{Name: "a"}, Plan: &wire.Plan{}, Call: call,
+		Job: router.Job{Kind: wire.Kind_KIND_MODEL, Model: "base", Prompt: 10, Answer: 4}, Deadline: start.Add(time.Minute),
+	}, out)
+	return result, time.Since(start)
+}
+
+func TestDo(t *testing.T) {
+	const (
+		answered = wire.Outcome_OUTCOME_ANSWERED
+		notRun   = wire.Outcome_OUTCOME_NOT_RUN
+		unknown  = wire.Outcome_OUTCOME_UNKNOWN
+	)
+	tests := map[string]struct {
+		answers  []answer
+		call     wire.Call
+		gone     bool
+		crossed  int
+		outcome  wire.Outcome
+		text     string
+		attempts int
+		within   time.Duration
+	}{
+		"whole":                       {answers: []answer{rest(4)}, outcome: answered, text: "abcd", attempts: 1, within: time.Second},
+		"refused once":                {answers: []answer{refuse(wire.Reason_REASON_FULL), rest(4)}, outcome: answered, text: "abcd", attempts: 2, within: time.Second},
+		"resumed in the middle":       {answers: []answer{rest(2), rest(4)}, outcome: answered, text: "abcd", attempts: 2, within: 10 * time.Second},
+		"frozen before the gate":      {answers: []answer{hang, rest(4)}, outcome: answered, text: "abcd", attempts: 2, within: 4 * time.Second},
+		"refused everywhere":          {answers: []answer{refuse(wire.Reason_REASON_FULL)}, outcome: notRun, attempts: servers, within: time.Second},
+		"store down is final":         {answers: []answer{refuse(wire.Reason_REASON_STORE)}, outcome: notRun, attempts: 1, within: time.Second},
+		"once is not sent after lost": {answers: []answer{hang, rest(4)}, call: wire.Call_CALL_ONCE, outcome: unknown, attempts: 1, within: 4 * time.Second},
+		"once moves on if not run":    {answers: []answer{refuse(wire.Reason_REASON_FULL), rest(4)}, call: wire.Call_CALL_ONCE, outcome: answered, text: "abcd", attempts: 2, within: time.Second},
+		"caller has gone":             {answers: []answer{rest(4)}, gone: true, outcome: unknown, attempts: 1, within: time.Second},
+		"stale view costs no server":  {answers: []answer{refuse(wire.Reason_REASON_STALE), refuse(wire.Reason_REASON_BOOT), rest(4)}, outcome: answered, text: "abcd", attempts: 3, within: time.Second},
+		"stopped at the first token":  {answers: []answer{rest(0), rest(4)}, outcome: answered, text: "abcd", attempts: 2, within: 8 * time.Second},
+		"frames of another attempt":   {answers: []answer{rest(4)}, crossed: 1, outcome: answered, text: "abcd", attempts: 2, within: 8 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				if test.call == 0 {
+					test.call = wire.Call_CALL_REPEATABLE
+				}
+				s := &scripted{answers: test.answers, crossed: test.crossed}
+				out := &sink{fail: test.gone}
+				result, took := run(t, s, test.call, out)
+				is.Equal(result.Outcome, test.outcome)
+				is.Equal(out.text.String(), test.text)
+				is.Equal(len(s.attempts), test.attempts)
+				is.Equal(result.Attempts, test.attempts)
+				is.True(took <= test.within) // the watchdogs, on the fake clock
+				if result.Outcome == notRun {
+					is.True(result.Retry > 0)
+				}
+			})
+		})
+	}
+}
+
+func TestAttemptsHaveOwnIDs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &scripted{answers: []answer{rest(2), rest(3), rest(4)}}
+		result, _ := run(t, s, wire.Call_CALL_REPEATABLE, &sink{})
+		is.Equal(result.Outcome, wire.Outcome_OUTCOME_ANSWERED)
+		seen := map[string]bool{}
+		for _, p := range s.attempts {
+			seen[p.GetAttempt()] = true
+		}
+		is.Equal(len(seen), 3)
+		is.Equal([]int64{s.attempts[0].GetPosition(), s.attempts[1].GetPosition(), s.attempts[2].GetPosition()}, []int64{0, 2, 3})
+	})
+}
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -62,8 +62,12 @@
 	s.table = storer.NewTable(storer.Config{Address: set.Platform.Table})
 	s.keeper = keeper.New(keeper.Config{Table: s.table})
 	s.watcher = watcher.New(watcher.Config{})
+	proposals := proposer.New(proposer.Config{})
 	d := dispatcher.New(dispatcher.Config{
-		Watcher: s.watcher, Proposer: proposer.New(proposer.Config{}), Keeper: s.keeper, Entry: set.Inner, Log: config.Log,
+		Watcher: s.watcher, Keeper: s.keeper, Entry: set.Inner, Log: config.Log,
+		Propose: func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (dispatcher.Attempt, error) {
+			return proposals.Propose(ctx, address, p, payload)
+		},
 	})
 	calls := receiver.New(receiver.Config{
 		Keeper: s.keeper, Dispatcher: d, Log: config.Log, Body: set.Bounds.Body, Memory: set.Bounds.Memory,
