receiver: bounds on what a stranger's request may cost

Cause: the entry read bodies without a read deadline, took the whole body bound for a body of unknown length and a caller's word for an announced one, wrote answers without a deadline, bounded no connections, and held a prompt four times (body, raw JSON, text, bytes).

Change: memory is taken as bytes come, at most four times what was read; a body that stops for 10 s is answered 408 and its connection closed; answers have a write deadline 1 s after the request's; beyond bounds.connections the connection idle for longest is closed; prompts are decoded in the body's own memory. bounds.memory is now of the process: three quarters may be bodies, and it must be at least twice bounds.body. An unknown model is 404 unknown_model, and fields that would change the answer are refused by name (n, stop, echo, tools and others); unknown fields are passed over, as client libraries send such. The entry's JSON must be UTF-8.

--- a/entry/internal/receiver/parse.go
+++ b/entry/internal/receiver/parse.go
@@ -1,31 +1,53 @@
 package receiver
 
 import (
-	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 )
 
 // Bounds of what callers may ask.
 const (
-	defaultAnswer = 128     // tokens
-	maxAnswer     = 100_000 // tokens
-	tokenBytes    = 4       // of one token of a token array
+	defaultAnswer  = 128     // tokens
+	maxAnswer      = 100_000 // tokens
+	tokenBytes     = 4       // of one token of a token array
+	maxTemperature = 2
 )
 
-// body is a request for a completion, of either API.
+// body is a request for a completion, of either API. Fields that it does not
+// name are passed over.
 type body struct {
-	Model     string          `json:"model"`
-	Prompt    json.RawMessage `json:"prompt"`
-	Messages  []message       `json:"messages"`
-	MaxTokens *int64          `json:"max_tokens"`
-	Stream    bool            `json:"stream"`
+	Model         string          `json:"model"`
+	Prompt        prompt          `json:"prompt"`
+	Messages      []message       `json:"messages"`
+	MaxTokens     *int64          `json:"max_tokens"`
+	MaxCompletion *int64          `json:"max_completion_tokens"`
+	Stream        bool            `json:"stream"`
+	Options       *options        `json:"stream_options"`
+	Temperature   *float64        `json:"temperature"`
+	TopP          *float64        `json:"top_p"`
+	N             *int64          `json:"n"`
+	BestOf        *int64          `json:"best_of"`
+	Stop          json.RawMessage `json:"stop"`
+	Echo          bool            `json:"echo"`
+	Suffix        string          `json:"suffix"`
+	Tools         json.RawMessage `json:"tools"`
+	Logprobs      json.RawMessage `json:"logprobs"`
+	Format        *format         `json:"response_format"`
 }
 
 type message struct {
 	Role    string `json:"role"`
-	Content string `json:"content"`
+	Content text   `json:"content"`
+}
+
+type options struct {
+	Usage bool `json:"include_usage"`
+}
+
+type format struct {
+	Type string `json:"type"`
 }
 
 // parsed is a checked request for a completion.
@@ -35,18 +57,26 @@
 	answer                  int64
 	stream                  bool
 	chat                    bool
+	usage                   bool // ask for an event of its own
 }
 
-// parse reads a request's JSON text.
-func parse(text []byte, chat bool) (*parsed, *Failure) {
+// parse reads a request's JSON text. It decodes in place: data must not be
+// used again, and the prompt may share its memory.
+func parse(data []byte, chat bool, held *hold) (*parsed, *Failure) {
 	var b body
-	if err := json.Unmarshal(text, &b); err != nil {
-		return nil, invalid("bad_json", err.Error())
+	if f := decode(data, &b); f != nil {
+		return nil, f
 	}
-	p := &parsed{answer: defaultAnswer, stream: b.Stream, chat: chat}
+	p := &parsed{answer: defaultAnswer, stream: b.Stream, chat: chat, usage: b.Options != nil && b.Options.Usage}
 	if f := p.name(b.Model); f != nil {
 		return nil, f
 	}
+	if f := b.check(); f != nil {
+		return nil, f
+	}
+	if b.MaxCompletion != nil {
+		b.MaxTokens = b.MaxCompletion
+	}
 	if b.MaxTokens != nil {
 		p.answer = *b.MaxTokens
 	}
@@ -54,9 +84,54 @@
 		return nil, invalid("bad_max_tokens", fmt.Sprintf("max_tokens must be from 1 to %d", maxAnswer))
 	}
 	if chat {
-		return p, p.chatPrompt(b.Messages)
+		return p, p.chatPrompt(b.Messages, held)
+	}
+	return p, p.plainPrompt(b.Prompt, held)
+}
+
+// check refuses what would change the answer and can't be done.
+func (b *body) check() *Failure {
+	unsupported := map[string]bool{
+		"n above 1":                b.N != nil && *b.N > 1,
+		"best_of above 1":          b.BestOf != nil && *b.BestOf > 1,
+		"stop":                     isSet(b.Stop),
+		"echo":                     b.Echo,
+		"suffix":                   b.Suffix != "",
+		"tools":                    isSet(b.Tools),
+		"logprobs":                 isSet(b.Logprobs),
+		"response_format but text": b.Format != nil && b.Format.Type != "text",
+	}
+	for _, name := range slices.Sorted(keys(unsupported)) {
+		if unsupported[name] {
+			return invalid("unsupported_field", name+" is not supported")
+		}
 	}
-	return p, p.plainPrompt(b.Prompt)
+	switch {
+	case b.N != nil && *b.N < 1:
+		return invalid("bad_n", "n must be 1")
+	case b.Temperature != nil && (*b.Temperature < 0 || *b.Temperature > maxTemperature):
+		return invalid("bad_temperature", "temperature must be from 0 to 2")
+	case b.TopP != nil && (*b.TopP < 0 || *b.TopP > 1):
+		return invalid("bad_top_p", "top_p must be from 0 to 1")
+	case b.Options != nil && !b.Stream:
+		return invalid("bad_stream_options", "stream_options needs stream: true")
+	}
+	return nil
+}
+
+func keys[V any](m map[string]V) func(func(string) bool) {
+	return func(yield func(string) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+// isSet reports whether an optional field asks for anything.
+func isSet(value json.RawMessage) bool {
+	return !slices.Contains([]string{"", "null", "false", "[]", `""`, "0"}, string(value))
 }
 
 // name splits MODEL[@VERSION][:ADAPTER].
@@ -69,37 +144,36 @@
 	return nil
 }
 
-func (p *parsed) chatPrompt(messages []message) *Failure {
+// chatPrompt joins the messages, for which it takes memory.
+func (p *parsed) chatPrompt(messages []message, held *hold) *Failure {
 	if len(messages) == 0 {
 		return invalid("no_messages", "messages must hold at least one message")
 	}
-	var text strings.Builder
+	const between, end = ": ", "\n"
+	size := 0
+	for _, m := range messages {
+		size += len(m.Role) + len(between) + len(m.Content) + len(end)
+	}
+	if !held.take(int64(size)) {
+		return busy("entry_memory", "this entry holds as many bodies as it may", retryMemory)
+	}
+	p.prompt = make([]byte, 0, size)
 	for _, m := range messages {
-		text.WriteString(m.Role)
-		text.WriteString(": ")
-		text.WriteString(m.Content)
-		text.WriteByte('\n')
+		p.prompt = append(append(p.prompt, m.Role...), between...)
+		p.prompt = append(append(p.prompt, m.Content...), end...)
 	}
-	p.prompt = []byte(text.String())
 	return nil
 }
 
-func (p *parsed) plainPrompt(raw json.RawMessage) *Failure {
-	var text string
-	if json.Unmarshal(raw, &text) == nil {
-		if text == "" {
-			return invalid("no_prompt", "prompt must not be empty")
-		}
-		p.prompt = []byte(text)
-		return nil
-	}
-	var tokens []uint32
-	if err := json.Unmarshal(raw, &tokens); err != nil || len(tokens) == 0 {
-		return invalid("bad_prompt", "prompt must be a text or an array of token numbers")
+func (p *parsed) plainPrompt(raw prompt, held *hold) *Failure {
+	if len(raw) < 2 || raw[0] != '"' {
+		var f *Failure
+		p.prompt, f = raw.tokens(held)
+		return f
 	}
-	p.prompt = make([]byte, 0, len(tokens)*tokenBytes)
-	for _, t := range tokens {
-		p.prompt = binary.LittleEndian.AppendUint32(p.prompt, t)
+	p.prompt = unquote(raw[1 : len(raw)-1])
+	if len(p.prompt) == 0 {
+		return invalid("no_prompt", "prompt must not be empty")
 	}
 	return nil
 }
--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -1,10 +1,9 @@
 package receiver
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -19,14 +18,20 @@
 	"github.com/phuslu/log"
 )
 
+// Dispatcher takes an admitted request to its final word.
+type Dispatcher interface {
+	Do(ctx context.Context, q *dispatcher.Request, sink dispatcher.Sink) dispatcher.Result
+}
+
 // Config describes a Receiver.
 type Config struct {
 	Keeper     *keeper.Keeper
-	Dispatcher *dispatcher.Dispatcher
+	Dispatcher Dispatcher
 	Log        *log.Logger
 	Body       int64         // largest body in bytes
 	Memory     int64         // bytes of all bodies at once
 	Timeout    time.Duration // when neither caller nor plan says
+	Stall      time.Duration // longest pause of a body, 0 means 10 s
 }
 
 // Receiver serves callers.
@@ -37,6 +42,9 @@
 
 // New returns a receiver.
 func New(config Config) *Receiver {
+	if config.Stall <= 0 {
+		config.Stall = defaultStall
+	}
 	return &Receiver{config: config, bodies: &budget{most: config.Memory}}
 }
 
@@ -62,7 +70,10 @@
 	if f != nil {
 		return nil, f
 	}
-	return &dispatcher.Request{ID: id, Account: account, Plan: plan, Deadline: time.Now().Add(timeout)}, nil
+	deadline := time.Now().Add(timeout)
+	// A caller that does not read is given up soon after the deadline.
+	http.NewResponseController(w).SetWriteDeadline(deadline.Add(writeGrace))
+	return &dispatcher.Request{ID: id, Account: account, Plan: plan, Deadline: deadline}, nil
 }
 
 func (r *Receiver) identify(q *http.Request) (*wire.Account, *wire.Plan, *Failure) {
@@ -93,6 +104,9 @@
 	return r.config.Timeout, nil
 }
 
+// writeGrace is how long after its deadline a request's answer may be written.
+const writeGrace = time.Second
+
 // maxTimeout is the longest timeout that a caller may ask for.
 const maxTimeout = time.Hour
 
@@ -102,21 +116,13 @@
 		f.write(w)
 		return
 	}
-	text, free, f := r.read(w, q)
+	held := &hold{budget: r.bodies}
+	defer held.free()
+	p, f := r.prompt(w, q, request, chat, held)
 	if f != nil {
 		f.write(w)
 		return
 	}
-	defer free()
-	p, f := parse(text, chat)
-	if f != nil {
-		f.write(w)
-		return
-	}
-	if !keeper.Allows(request.Plan, p.model, p.version, p.adapter) {
-		denied(http.StatusForbidden, "model_not_allowed", "the plan does not allow this model").write(w)
-		return
-	}
 	request.Payload = p.prompt
 	request.Call = wire.Call_CALL_REPEATABLE
 	request.Job = router.Job{
@@ -133,6 +139,36 @@
 	sink.fail(explain(result))
 }
 
+// prompt reads, parses and allows a request for a completion.
+func (r *Receiver) prompt(w http.ResponseWriter, q *http.Request, request *dispatcher.Request, chat bool, held *hold) (*parsed, *Failure) {
+	data, f := r.read(w, q, request.Deadline, held)
+	if f != nil {
+		return nil, f
+	}
+	p, f := parse(data, chat, held)
+	if f != nil {
+		return nil, f
+	}
+	if !keeper.Allows(request.Plan, p.model, p.version, p.adapter) {
+		return nil, r.forbid(p.model)
+	}
+	return p, nil
+}
+
+// forbid tells a model that no plan names from one that this plan may not use.
+func (r *Receiver) forbid(model string) *Failure {
+	for _, row := range r.config.Keeper.State().Rows(keeper.KindPlan) {
+		for _, o := range row.GetRecord().GetPlan().GetOffers() {
+			if o.GetModel() == model {
+				return denied(http.StatusForbidden, "model_not_allowed", "the plan does not allow this model")
+			}
+		}
+	}
+	f := invalid("unknown_model", "there is no such model")
+	f.Status = http.StatusNotFound
+	return f
+}
+
 func (r *Receiver) plain(w http.ResponseWriter, q *http.Request) {
 	request, f := r.open(w, q)
 	if f != nil {
@@ -144,12 +180,13 @@
 		denied(http.StatusForbidden, "service_not_allowed", "the plan does not allow this service").write(w)
 		return
 	}
-	body, free, f := r.read(w, q)
+	held := &hold{budget: r.bodies}
+	defer held.free()
+	body, f := r.read(w, q, request.Deadline, held)
 	if f != nil {
 		f.write(w)
 		return
 	}
-	defer free()
 	hash := sha256.Sum256(body)
 	request.Payload = body
 	request.Hash = hash[:]
@@ -201,38 +238,6 @@
 	}
 }
 
-// read takes a body into memory within the entry's bounds. The caller frees
-// what it holds.
-func (r *Receiver) read(w http.ResponseWriter, q *http.Request) ([]byte, func(), *Failure) {
-	if q.ContentLength > r.config.Body {
-		return nil, nil, tooLarge()
-	}
-	held := q.ContentLength
-	if held < 0 {
-		held = r.config.Body
-	}
-	if !r.bodies.take(held) {
-		return nil, nil, busy("entry_memory", "this entry holds as many bodies as it may", time.Second)
-	}
-	free := func() { r.bodies.give(held) }
-	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, r.config.Body))
-	if err == nil {
-		return body, free, nil
-	}
-	free()
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, nil, tooLarge()
-	}
-	return nil, nil, invalid("broken_body", "the body stopped half way")
-}
-
-func tooLarge() *Failure {
-	f := invalid("body_too_large", "the body is larger than this entry takes")
-	f.Status = http.StatusRequestEntityTooLarge
-	return f
-}
-
 func (r *Receiver) models(w http.ResponseWriter, q *http.Request) {
 	request, f := r.open(w, q)
 	if f != nil {
--- /dev/null
+++ b/entry/internal/receiver/receiver_test.go
@@ -0,0 +1,329 @@
+package receiver
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"bamboohill/core/keeper"
+	"bamboohill/core/storer"
+	"bamboohill/entry/internal/dispatcher"
+	"bamboohill/wire"
+
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+)
+
+// fake stands for the dispatcher.
+type fake func(context.Context, *dispatcher.Request, dispatcher.Sink) dispatcher.Result
+
+func (f fake) Do(ctx context.Context, q *dispatcher.Request, sink dispatcher.Sink) dispatcher.Result {
+	return f(ctx, q, sink)
+}
+
+// echo answers with the prompt, as one token.
+func echo(_ context.Context, q *dispatcher.Request, sink dispatcher.Sink) dispatcher.Result {
+	sink.Tokens([]string{string(q.Payload)})
+	return dispatcher.Result{Outcome: wire.Outcome_OUTCOME_ANSWERED, End: &wire.End{Length: 1, Prompt: 1, Finish: "stop"}}
+}
+
+const callerKey = "crew-key"
+
+func lists(t *testing.T) *keeper.Keeper {
+	t.Helper()
+	k := keeper.New(keeper.Config{Table: storer.NewTable(storer.Config{Address: "127.0.0.1:1"})})
+	t.Cleanup(k.Stop)
+	hash := sha256.Sum256([]byte(callerKey))
+	plan := &wire.Plan{Name: "crew", Offers: []*wire.Offer{{Model: "base"}}}
+	other := &wire.Plan{Name: "other", Offers: []*wire.Offer{{Model: "survey"}}}
+	account := &wire.Account{Name: "koro", Plan: "crew", Keys: [][]byte{hash[:]}}
+	rows := []*wire.Row{
+		{Key: "plan/crew", Version: 1, Record: &wire.Record{Value: &wire.Record_Plan{Plan: plan}}},
+		{Key: "plan/other", Version: 1, Record: &wire.Record{Value: &wire.Record_Plan{Plan: other}}},
+		{Key: "account/koro", Version: 1, Record: &wire.Record{Value: &wire.Record_Account{Account: account}}},
+	}
+	k.Offer(t.Context(), &wire.Batch{Snapshot: &wire.Snapshot{Sequence: 3, Rows: rows}})
+	return k
+}
+
+// place is a receiver behind a real listener.
+type place struct {
+	*Receiver
+	address string
+	open    *Connections
+}
+
+func serve(t *testing.T, config Config, connections int) *place {
+	t.Helper()
+	config.Keeper = lists(t)
+	config.Log = &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	config.Timeout = 10 * time.Second
+	if config.Memory == 0 {
+		config.Memory = 64 << 20
+	}
+	config.Body = 16 << 20
+	r := New(config)
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	web := &http.Server{Handler: r.Handler(), ErrorLog: config.Log.Std("", 0)}
+	p := &place{Receiver: r, address: listener.Addr().String(), open: Protect(web, connections)}
+	go web.Serve(listener)
+	t.Cleanup(func() { web.Close() })
+	return p
+}
+
+// post sends a body and returns the status and the error's code.
+func (p *place) post(t *testing.T, path, body string, headers ...string) (int, string, http.Header) {
+	t.Helper()
+	q, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+p.address+path, strings.NewReader(body))
+	q.Header.Set("Authorization", "Bearer "+callerKey)
+	for i := 0; i < len(headers); i += 2 {
+		q.Header.Set(headers[i], headers[i+1])
+	}
+	reply, err := http.DefaultTransport.RoundTrip(q)
+	is.New(t).NoErr(err)
+	defer reply.Body.Close()
+	var e envelope
+	json.NewDecoder(reply.Body).Decode(&e)
+	if e.Error == nil {
+		return reply.StatusCode, "", reply.Header
+	}
+	return reply.StatusCode, e.Error.Code, reply.Header
+}
+
+func TestBadInput(t *testing.T) {
+	p := serve(t, Config{Dispatcher: fake(echo)}, 100)
+	deep := `{"model":"base","prompt":"a","x":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + "}"
+	cases := map[string]struct {
+		body   string
+		status int
+		code   string
+	}{
+		"no body":             {"", 400, "bad_json"},
+		"broken":              {`{"model":`, 400, "bad_json"},
+		"not an object":       {`[]`, 400, "bad_type"},
+		"deep":                {deep, 400, "bad_json"},
+		"not utf-8":           {"{\"model\":\"base\",\"prompt\":\"\xff\"}", 400, "bad_json"},
+		"model is a number":   {`{"model":1,"prompt":"a"}`, 400, "bad_type"},
+		"no model":            {`{"prompt":"a"}`, 400, "no_model"},
+		"model of nobody":     {`{"model":"none","prompt":"a"}`, 404, "unknown_model"},
+		"model of another":    {`{"model":"survey","prompt":"a"}`, 403, "model_not_allowed"},
+		"huge max_tokens":     {`{"model":"base","prompt":"a","max_tokens":1e400}`, 400, "bad_type"},
+		"long max_tokens":     {`{"model":"base","prompt":"a","max_tokens":100001}`, 400, "bad_max_tokens"},
+		"negative max_tokens": {`{"model":"base","prompt":"a","max_tokens":-1}`, 400, "bad_max_tokens"},
+		"no prompt":           {`{"model":"base"}`, 400, "bad_prompt"},
+		"null prompt":         {`{"model":"base","prompt":null}`, 400, "bad_prompt"},
+		"empty prompt":        {`{"model":"base","prompt":""}`, 400, "no_prompt"},
+		"negative token":      {`{"model":"base","prompt":[1,-2]}`, 400, "bad_prompt"},
+		"huge token":          {`{"model":"base","prompt":[4294967296]}`, 400, "bad_prompt"},
+		"nested tokens":       {`{"model":"base","prompt":[[1]]}`, 400, "bad_prompt"},
+		"n":                   {`{"model":"base","prompt":"a","n":2}`, 400, "unsupported_field"},
+		"negative n":          {`{"model":"base","prompt":"a","n":-2}`, 400, "bad_n"},
+		"stop":                {`{"model":"base","prompt":"a","stop":["b"]}`, 400, "unsupported_field"},
+		"temperature":         {`{"model":"base","prompt":"a","temperature":3}`, 400, "bad_temperature"},
+		"options, no stream":  {`{"model":"base","prompt":"a","stream_options":{}}`, 400, "bad_stream_options"},
+		"allowed extras":      {`{"model":"base","prompt":"a","n":1,"stop":null,"temperature":0.5,"user":"u","unknown":{"a":[1]}}`, 200, ""},
+		"tokens":              {`{"model":"base","prompt":[1, 2 ,4294967295]}`, 200, ""},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			status, code, header := p.post(t, "/v1/completions", k.body)
+			is.Equal(status, k.status)
+			is.Equal(code, k.code)
+			is.True(header.Get(RequestHeader) != "")
+			if k.status != 200 {
+				is.Equal(header.Get(OutcomeHeader), NotRun)
+				is.True(header.Get("Retry-After") != "")
+			}
+			is.Equal(p.bodies.held(), int64(0)) // nothing leaked
+		})
+	}
+}
+
+func TestBadChat(t *testing.T) {
+	p := serve(t, Config{Dispatcher: fake(echo)}, 100)
+	cases := map[string]struct {
+		body string
+		code string
+	}{
+		"no messages":        {`{"model":"base"}`, "no_messages"},
+		"content is a list":  {`{"model":"base","messages":[{"role":"user","content":["a"]}]}`, "bad_type"},
+		"messages is a text": {`{"model":"base","messages":"a"}`, "bad_type"},
+		"right":              {`{"model":"base","messages":[{"content":"a\n","role":"user"}]}`, ""},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, code, _ := p.post(t, "/v1/chat/completions", k.body)
+			is.New(t).Equal(code, k.code)
+		})
+	}
+}
+
+func TestBadTimeout(t *testing.T) {
+	p := serve(t, Config{Dispatcher: fake(echo)}, 100)
+	for _, text := range []string{"0", "-1", "NaN", "Inf", "1e9", "soon"} {
+		_, code, _ := p.post(t, "/v1/completions", `{"model":"base","prompt":"a"}`, TimeoutHeader, text)
+		is.New(t).Equal(code, "bad_timeout")
+	}
+}
+
+func TestRevokedKey(t *testing.T) {
+	is := is.New(t)
+	p := serve(t, Config{Dispatcher: fake(echo)}, 100)
+	good := `{"model":"base","prompt":"a"}`
+	status, _, _ := p.post(t, "/v1/completions", good)
+	is.Equal(status, http.StatusOK)
+	account := &wire.Account{Name: "koro", Plan: "crew"}
+	p.config.Keeper.Offer(t.Context(), &wire.Batch{Changes: []*wire.Change{
+		{Sequence: 4, Key: "account/koro", Version: 2, Record: &wire.Record{Value: &wire.Record_Account{Account: account}}},
+	}})
+	status, code, _ := p.post(t, "/v1/completions", good)
+	is.Equal(status, http.StatusUnauthorized)
+	is.Equal(code, "bad_key")
+}
+
+// raw opens a connection and writes to it.
+func (p *place) raw(t *testing.T, text string) net.Conn {
+	t.Helper()
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", p.address)
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { conn.Close() })
+	io.WriteString(conn, text)
+	return conn
+}
+
+func head(lines ...string) string {
+	return "POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + callerKey + "\r\n" + strings.Join(lines, "\r\n") + "\r\n\r\n"
+}
+
+// status reads the status line of an answer.
+func status(conn net.Conn) string {
+	conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	line := make([]byte, len("HTTP/1.1 400"))
+	io.ReadFull(conn, line)
+	return string(line[len("HTTP/1.1 "):])
+}
+
+func TestBrokenHTTP(t *testing.T) {
+	p := serve(t, Config{Dispatcher: fake(echo), Stall: 50 * time.Millisecond}, 100)
+	cases := map[string]struct{ text, status string }{
+		"two lengths":         {head("Content-Length: 2", "Content-Length: 3") + "{} ", "400"},
+		"negative length":     {head("Content-Length: -1"), "400"},
+		"header of 1 MB":      {head("Long: " + strings.Repeat("a", 1<<20)), "431"},
+		"announced too large": {head("Content-Length: 99999999999"), "413"},
+		"body stops":          {head("Content-Length: 100") + "{", "408"},
+		"chunks stop":         {head("Transfer-Encoding: chunked") + "5\r\n{", "408"},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(status(p.raw(t, k.text)), k.status)
+			is.Equal(p.bodies.held(), int64(0))
+		})
+	}
+}
+
+// An announced length, or none, must not take memory before the bytes come.
+func TestOnlyWhatIsReadIsHeld(t *testing.T) {
+	is := is.New(t)
+	p := serve(t, Config{Dispatcher: fake(echo), Memory: 1 << 20, Stall: 5 * time.Second}, 100)
+	for range 4 {
+		p.raw(t, head("Content-Length: 16000000")+"{")
+		p.raw(t, head("Transfer-Encoding: chunked")+"1\r\n{\r\n")
+	}
+	for p.bodies.held() < 8*firstBytes {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(p.bodies.held(), int64(8*firstBytes))
+	got, _, _ := p.post(t, "/v1/completions", `{"model":"base","prompt":"a"}`)
+	is.Equal(got, http.StatusOK)
+}
+
+func TestMemoryIsRefusedBeyondItsBound(t *testing.T) {
+	is := is.New(t)
+	p := serve(t, Config{Dispatcher: fake(echo), Memory: 1 << 20}, 100)
+	long := fmt.Sprintf(`{"model":"base","prompt":%q}`, strings.Repeat("a", 2<<20))
+	got, code, header := p.post(t, "/v1/completions", long)
+	is.Equal(got, http.StatusServiceUnavailable)
+	is.Equal(code, "entry_memory")
+	is.Equal(header.Get(OutcomeHeader), NotRun)
+	is.Equal(p.bodies.held(), int64(0))
+}
+
+// One million tokens must be held once: the prompt is the body's own memory.
+func TestPromptIsHeldOnce(t *testing.T) {
+	is := is.New(t)
+	data := []byte(fmt.Sprintf(`{"model":"base","prompt":"%s\n%s"}`, strings.Repeat("a", 1<<20), strings.Repeat("b", 1<<20)))
+	held := &hold{budget: &budget{most: 1 << 30}}
+	p, f := parse(data, false, held)
+	is.Equal(f, nil)
+	is.Equal(len(p.prompt), 2<<20+1)
+	is.Equal(held.n, int64(0))
+	is.True(&p.prompt[0] == &data[bytes.IndexByte(data, 'p')+len(`prompt":"`)])
+}
+
+func TestSlowReaderIsGivenUp(t *testing.T) {
+	ended := make(chan struct{})
+	p := serve(t, Config{Dispatcher: fake(func(ctx context.Context, _ *dispatcher.Request, sink dispatcher.Sink) dispatcher.Result {
+		defer close(ended)
+		piece := []string{strings.Repeat("a", 1<<16)}
+		for sink.Tokens(piece) == nil {
+		}
+		return dispatcher.Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN}
+	})}, 100)
+	body := `{"model":"base","prompt":"a","stream":true}`
+	p.raw(t, head(TimeoutHeader+": 0.1", fmt.Sprintf("Content-Length: %d", len(body)))+body)
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the answer is still being written")
+	}
+}
+
+func TestCallerThatLeavesEndsItsRequest(t *testing.T) {
+	is := is.New(t)
+	started, ended := make(chan struct{}), make(chan struct{})
+	p := serve(t, Config{Dispatcher: fake(func(ctx context.Context, _ *dispatcher.Request, sink dispatcher.Sink) dispatcher.Result {
+		sink.Tokens([]string{"a"})
+		close(started)
+		<-ctx.Done()
+		close(ended)
+		return dispatcher.Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN}
+	})}, 100)
+	body := `{"model":"base","prompt":"a","stream":true}`
+	conn := p.raw(t, head(fmt.Sprintf("Content-Length: %d", len(body)))+body)
+	<-started
+	conn.Close()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request goes on without its caller")
+	}
+	for p.bodies.held() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(p.bodies.held(), int64(0))
+}
+
+func TestIdleConnectionsKeepNobodyOut(t *testing.T) {
+	is := is.New(t)
+	const most = 8
+	p := serve(t, Config{Dispatcher: fake(echo)}, most)
+	for range 10 * most {
+		p.raw(t, "")
+	}
+	status, _, _ := p.post(t, "/v1/completions", `{"model":"base","prompt":"a"}`)
+	is.Equal(status, http.StatusOK)
+	open, ended := p.open.Count()
+	is.True(open <= most)
+	is.True(ended >= 9*most)
+}
--- a/entry/internal/receiver/sink.go
+++ b/entry/internal/receiver/sink.go
@@ -120,6 +120,9 @@
 	u := &usage{Prompt: r.End.GetPrompt(), Completion: r.End.GetLength(), Total: r.End.GetPrompt() + r.End.GetLength()}
 	if s.p.stream {
 		s.event(s.choice("", &finish), u)
+		if s.p.usage {
+			s.usage(u)
+		}
 		s.send("[DONE]")
 		return
 	}
@@ -129,6 +132,16 @@
 	json.NewEncoder(s.w).Encode(s.base)
 }
 
+// usage sends the event that stream_options.include_usage asks for.
+func (s *modelSink) usage(u *usage) {
+	last := s.base
+	last.Choices = []choice{}
+	last.Usage = u
+	if data, err := json.Marshal(last); err == nil {
+		s.send(string(data))
+	}
+}
+
 // fail ends an answer visibly: with a status if nothing was sent, else with an
 // error event and without the closing [DONE].
 func (s *modelSink) fail(f *Failure) {
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -29,7 +30,7 @@
 	"github.com/phuslu/log"
 )
 
-// Bounds of the callers' connections.
+// Bounds of the connections from other processes, and of a stop.
 const (
 	headerLimit = 10 * time.Second
 	headerBytes = 64 << 10
@@ -37,6 +38,13 @@
 	stopLimit   = 2 * time.Minute
 )
 
+// Shares of an entry's memory: what callers' bodies may take, and from where
+// on garbage is collected at once.
+const (
+	bodyShare    = 0.75
+	garbageShare = 0.9
+)
+
 // Config describes a Server.
 type Config struct {
 	Settings settings.Settings
@@ -70,7 +78,7 @@
 		},
 	})
 	calls := receiver.New(receiver.Config{
-		Keeper: s.keeper, Dispatcher: d, Log: config.Log, Body: set.Bounds.Body, Memory: set.Bounds.Memory,
+		Keeper: s.keeper, Dispatcher: d, Log: config.Log, Body: set.Bounds.Body, Memory: int64(bodyShare * float64(set.Bounds.Memory)),
 		Timeout: time.Duration(set.Bounds.Timeout) * time.Millisecond,
 	})
 	admin := administrator.New(administrator.Config{
@@ -112,11 +120,15 @@
 	defer stop()
 	defer s.keeper.Stop()
 	defer s.watcher.Stop()
-	outer, err := s.listen(ctx, s.config.Settings.Address, s.outer)
+	set := s.config.Settings
+	debug.SetMemoryLimit(int64(garbageShare * float64(set.Bounds.Memory)))
+	callers := s.web(s.outer)
+	receiver.Protect(callers, set.Bounds.Connections)
+	outer, err := s.listen(ctx, set.Address, callers)
 	if err != nil {
 		return err
 	}
-	inner, err := s.listen(ctx, s.config.Settings.Inner, s.inner)
+	inner, err := s.listen(ctx, set.Inner, s.web(s.inner))
 	if err != nil {
 		return err
 	}
@@ -130,15 +142,18 @@
 	return err
 }
 
-func (s *Server) listen(ctx context.Context, address string, handler http.Handler) (*http.Server, error) {
+func (s *Server) web(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerLimit, MaxHeaderBytes: headerBytes, IdleTimeout: idleLimit,
+		ErrorLog: s.config.Log.Std("", 0),
+	}
+}
+
+func (s *Server) listen(ctx context.Context, address string, web *http.Server) (*http.Server, error) {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	web := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerLimit, MaxHeaderBytes: headerBytes, IdleTimeout: idleLimit,
-		ErrorLog: s.config.Log.Std("", 0),
-	}
 	go web.Serve(listener)
 	s.config.Log.Info().Str("event", "listening").Str("address", address).Msg("")
 	return web, nil
--- a/entry/internal/settings/settings.go
+++ b/entry/internal/settings/settings.go
@@ -39,8 +39,10 @@
 // Bounds limits what callers may send.
 type Bounds struct {
 	Body    int64 `toml:"body"`    // bytes of one request
-	Memory  int64 `toml:"memory"`  // bytes of all requests' bodies at once
+	Memory  int64 `toml:"memory"`  // bytes of the process; three quarters of it may be callers' bodies
 	Timeout int   `toml:"timeout"` // milliseconds, when neither caller nor plan says
+	// Connections is how many connections of callers may be open at once.
+	Connections int `toml:"connections"`
 }
 
 // Operator is a key of the administration API.
@@ -68,6 +70,8 @@
 	defaultMemory  = 512 << 20
 	defaultTimeout = 60_000
 	defaultPoll    = 1000
+
+	defaultConnections = 4096
 )
 
 // hashDigits is the length of an operator's key hash.
@@ -92,8 +96,9 @@
 	}
 	add(isAddress(s.Platform.Table), "platform.table", "must be IP:PORT")
 	add(s.Bounds.Body > 0, "bounds.body", "must be a number of bytes above 0")
-	add(s.Bounds.Memory >= s.Bounds.Body, "bounds.memory", "must be at least bounds.body")
+	add(s.Bounds.Memory >= 2*s.Bounds.Body, "bounds.memory", "must be at least twice bounds.body")
 	add(s.Bounds.Timeout > 0, "bounds.timeout", "must be above 0 milliseconds")
+	add(s.Bounds.Connections > 0, "bounds.connections", "must be at least 1")
 	add(s.Poll >= 10, "poll", "must be at least 10 milliseconds")
 	for _, o := range s.Operators {
 		add(o.Name != "", "operator.name", "must name the operator")
@@ -116,6 +121,9 @@
 	if s.Bounds.Timeout == 0 {
 		s.Bounds.Timeout = defaultTimeout
 	}
+	if s.Bounds.Connections == 0 {
+		s.Bounds.Connections = defaultConnections
+	}
 	if s.Poll == 0 {
 		s.Poll = defaultPoll
 	}
--- a/load/main.go
+++ b/load/main.go
@@ -40,6 +40,7 @@
 	return []*cli.Command{
 		runCommand(),
 		probeCommand(),
+		strangersCommand(),
 	}
 }
 
