stranger: read slowly with the kernel's own buffers

A receive buffer of 1 kB made the last read of the whole answer last longer than its limit, and the case was called open.

--- a/load/internal/stranger/stranger.go
+++ b/load/internal/stranger/stranger.go
@@ -177,7 +177,6 @@
 		return "no-connection"
 	}
 	defer conn.Close()
-	conn.(*net.TCPConn).SetReadBuffer(1 << 10)
 	body := s.good(slowAnswer)
 	io.WriteString(conn, s.head(fmt.Sprintf("Bamboohill-Timeout: %d\r\nContent-Length: %d", slowTimeout, len(body)))+body)
 	start := time.Now()
