Certificates with roles between processes, reloaded without a restart

Cause: any process that reached a port could send heartbeats, propose work or push changes. Log lines ended in an empty message and quoted every value.

Change: core/certifier: mutual TLS with the role as organizational unit, files read anew when they change; [tls] in the settings of entry and sidecar, [front] for callers. Log values are quoted only where they must be.

Ruled out: RootCAs on the client's transport (fixed for its life), a shared secret, a signal to reload; see docs/design/certificates.md.

Measured: scenario tls: every certificate of five processes replaced under two streams of 80 tokens, both whole; a plain caller and one without a certificate get no answer from the inner port. Unit: four role pairs, turnover, bad files.

Conclusion: whole for inner connections; callers' TLS shares the code and has no scenario yet.

--- a/core/logger/logger.go
+++ b/core/logger/logger.go
@@ -46,7 +46,7 @@
 		Context:    log.NewContext(nil).Str("program", config.Program).Value(),
 		Writer: &log.ConsoleWriter{
 			Writer:    config.Sink,
-			Formatter: log.LogfmtFormatter{TimeField: "time"}.Formatter,
+			Formatter: format,
 		},
 	}, nil
 }
--- a/entry/internal/proposer/proposer.go
+++ b/entry/internal/proposer/proposer.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	p := proposer.New(proposer.Config{})
+//	p := proposer.New(proposer.Config{Peer: certifier.NewPeer(store, certifier.Sidecar)})
 //	a, err := p.Propose(ctx, address, proposal, payload)
 //	defer a.Close()
 //	f, err := a.Next()
@@ -18,8 +18,8 @@
 	"fmt"
 	"io"
 	"net/http"
-	"time"
 
+	"bamboohill/core/certifier"
 	"bamboohill/core/framer"
 	"bamboohill/core/ider"
 	"bamboohill/wire"
@@ -27,35 +27,26 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Bounds of the connections to sidecars.
-const (
-	idleLimit     = time.Minute
-	idlePerHost   = 256
-	continueLimit = 5 * time.Second
-)
-
 // expectAbove is the payload size in bytes from which the sidecar is asked
 // before the payload is sent.
 const expectAbove = 64 << 10
 
-// Config describes a Proposer. Client may be nil.
+// Config describes a Proposer. A nil Peer means plain connections.
 type Config struct {
-	Client *http.Client
+	Peer *certifier.Peer
 }
 
 // Proposer sends proposals.
 type Proposer struct {
-	client *http.Client
+	peer *certifier.Peer
 }
 
 // New returns a proposer.
 func New(config Config) *Proposer {
-	if config.Client == nil {
-		config.Client = &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleLimit, ExpectContinueTimeout: continueLimit, DisableCompression: true,
-		}}
+	if config.Peer == nil {
+		config.Peer = certifier.NewPeer(nil)
 	}
-	return &Proposer{client: config.Client}
+	return &Proposer{peer: config.Peer}
 }
 
 // Attempt is one proposal under way.
@@ -74,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/propose", bytes.NewReader(payload))
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, p.peer.URL(address)+"/propose", bytes.NewReader(payload))
 	if err != nil {
 		return nil, err
 	}
@@ -84,7 +75,7 @@
 	}
 	// A proposal is never sent twice by the transport: it would run twice.
 	q.GetBody = nil
-	r, err := p.client.Do(q)
+	r, err := p.peer.Client.Do(q)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -11,11 +11,11 @@
 	"context"
 	"expvar"
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"bamboohill/core/certifier"
 	"bamboohill/core/keeper"
 	"bamboohill/core/storer"
 	"bamboohill/core/watcher"
@@ -47,6 +47,8 @@
 type Server struct {
 	config  Config
 	boot    uint64
+	certs   *certifier.Store // towards other processes, nil if plain
+	front   *certifier.Store // towards callers, nil if plain
 	table   storer.Table
 	keeper  *keeper.Keeper
 	watcher *watcher.Watcher
@@ -55,14 +57,22 @@
 	inner   http.Handler
 }
 
-// New returns an entry that does not run yet.
-func New(config Config) *Server {
+// New returns an entry that does not run yet. The error is that of reading the
+// certificates.
+func New(config Config) (*Server, error) {
 	set := config.Settings
 	s := &Server{config: config, boot: uint64(time.Now().UnixMicro())}
+	var err error
+	if s.certs, err = set.TLS.Store(s.reloaded); err != nil {
+		return nil, err
+	}
+	if s.front, err = set.Front.Store(s.reloaded); err != nil {
+		return nil, err
+	}
 	s.table = storer.NewTable(storer.Config{Address: set.Platform.Table})
 	s.keeper = keeper.New(keeper.Config{Table: s.table})
 	s.watcher = watcher.New(watcher.Config{})
-	proposals := proposer.New(proposer.Config{})
+	proposals := proposer.New(proposer.Config{Peer: certifier.NewPeer(s.certs, certifier.Sidecar)})
 	d := dispatcher.New(dispatcher.Config{
 		Watcher: s.watcher, Keeper: s.keeper, Entry: set.Inner, Log: config.Log,
 		Propose: func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (dispatcher.Attempt, error) {
@@ -78,7 +88,12 @@
 	})
 	s.outer = s.route(calls.Handler(), admin.Handler())
 	s.inner = s.routeInner()
-	return s
+	return s, nil
+}
+
+// reloaded logs that certificate files have changed.
+func (s *Server) reloaded(err error) {
+	s.config.Log.Info().Str("event", "certificates").Err(err).Msg("")
 }
 
 func (s *Server) route(calls, admin http.Handler) http.Handler {
@@ -112,15 +127,18 @@
 	defer stop()
 	defer s.keeper.Stop()
 	defer s.watcher.Stop()
-	outer, err := s.listen(ctx, s.config.Settings.Address, s.outer)
+	outer, err := s.listen(ctx, s.config.Settings.Address, s.outer, s.front)
 	if err != nil {
 		return err
 	}
-	inner, err := s.listen(ctx, s.config.Settings.Inner, s.inner)
+	inner, err := s.listen(ctx, s.config.Settings.Inner, s.inner, s.certs, certifier.Entry, certifier.Sidecar)
 	if err != nil {
 		return err
 	}
 	go s.poll(background)
+	for _, c := range []*certifier.Store{s.certs, s.front} {
+		go c.Watch(background)
+	}
 	<-ctx.Done()
 	s.ready.Store(false)
 	last, cancel := context.WithTimeout(background, stopLimit)
@@ -130,8 +148,10 @@
 	return err
 }
 
-func (s *Server) listen(ctx context.Context, address string, handler http.Handler) (*http.Server, error) {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+func (s *Server) listen(
+	ctx context.Context, address string, handler http.Handler, certs *certifier.Store, roles ...string,
+) (*http.Server, error) {
+	listener, err := certs.Listen(ctx, address, roles...)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/internal/settings/settings.go
+++ b/entry/internal/settings/settings.go
@@ -10,23 +10,26 @@
 	"net/netip"
 	"slices"
 
+	"bamboohill/core/certifier"
 	"bamboohill/core/checker"
 	"bamboohill/core/logger"
 )
 
 // Settings is what one entry needs to know.
 type Settings struct {
-	Level     string     `toml:"level"`   // of the log
-	Address   string     `toml:"address"` // for callers and operators, IP:PORT
-	Inner     string     `toml:"inner"`   // for entries and sidecars, IP:PORT
-	VM        string     `toml:"vm"`      // name of this VM
-	Domain    string     `toml:"domain"`  // failure domain
-	Entries   []string   `toml:"entries"` // inner addresses of some other entries
-	Platform  Platform   `toml:"platform"`
-	Bounds    Bounds     `toml:"bounds"`
-	Operators []Operator `toml:"operator"`
-	Poll      int        `toml:"poll"` // milliseconds between reads of the configuration's head
-	Trace     Trace      `toml:"trace"`
+	Level     string          `toml:"level"`   // of the log
+	Address   string          `toml:"address"` // for callers and operators, IP:PORT
+	Inner     string          `toml:"inner"`   // for entries and sidecars, IP:PORT
+	VM        string          `toml:"vm"`      // name of this VM
+	Domain    string          `toml:"domain"`  // failure domain
+	Entries   []string        `toml:"entries"` // inner addresses of some other entries
+	Platform  Platform        `toml:"platform"`
+	Bounds    Bounds          `toml:"bounds"`
+	Operators []Operator      `toml:"operator"`
+	Poll      int             `toml:"poll"`  // milliseconds between reads of the configuration's head
+	TLS       certifier.Files `toml:"tls"`   // towards entries and sidecars
+	Front     certifier.Files `toml:"front"` // towards callers and operators; no authority
+	Trace     Trace           `toml:"trace"`
 }
 
 // Platform names the platform's services.
@@ -94,6 +97,8 @@
 	add(s.Bounds.Body > 0, "bounds.body", "must be a number of bytes above 0")
 	add(s.Bounds.Memory >= s.Bounds.Body, "bounds.memory", "must be at least bounds.body")
 	add(s.Bounds.Timeout > 0, "bounds.timeout", "must be above 0 milliseconds")
+	add(s.TLS.Whole(), "tls", "must name certificate, key and authority, or none")
+	add((s.Front.Certificate == "") == (s.Front.Key == ""), "front", "must name certificate and key, or none")
 	add(s.Poll >= 10, "poll", "must be at least 10 milliseconds")
 	for _, o := range s.Operators {
 		add(o.Name != "", "operator.name", "must name the operator")
--- a/entry/main.go
+++ b/entry/main.go
@@ -23,7 +23,11 @@
 		Usage: "takes callers' requests and operators' changes",
 		Level: func(s *settings.Settings) string { return s.Level },
 		Run: func(ctx context.Context, s *settings.Settings, l *log.Logger) error {
-			return server.New(server.Config{Settings: *s, Log: l}).Run(ctx)
+			entry, err := server.New(server.Config{Settings: *s, Log: l})
+			if err != nil {
+				return err
+			}
+			return entry.Run(ctx)
 		},
 	})
 }
--- a/prover/commands.go
+++ b/prover/commands.go
@@ -37,18 +37,20 @@
 		least int
 		run   func([]string) (string, error)
 	}{
-		"stack":  {0, s.stack},
-		"signal": {2, s.signal},
-		"start":  {1, func(w []string) (string, error) { return "", s.Stage.Start(w[0]) }},
-		"exited": {2, s.exited},
-		"fault":  {3, func(w []string) (string, error) { return "", s.Stage.SetFault(w[0], w[1], w[2]) }},
-		"put":    {3, s.put},
-		"admin":  {3, s.admin},
-		"ask":    {4, s.ask},
-		"book":   {4, s.book},
-		"join":   {1, s.join},
-		"runs":   {2, s.runs},
-		"counts": {2, func(w []string) (string, error) { return s.Stage.Counts(w[0], w[1]) }},
+		"stack":    {0, s.stack},
+		"signal":   {2, s.signal},
+		"start":    {1, func(w []string) (string, error) { return "", s.Stage.Start(w[0]) }},
+		"issue":    {1, func(w []string) (string, error) { return "", s.Stage.Issue(w[0]) }},
+		"grep-log": {2, s.grepLog},
+		"exited":   {2, s.exited},
+		"fault":    {3, func(w []string) (string, error) { return "", s.Stage.SetFault(w[0], w[1], w[2]) }},
+		"put":      {3, s.put},
+		"admin":    {3, s.admin},
+		"ask":      {4, s.ask},
+		"book":     {4, s.book},
+		"join":     {1, s.join},
+		"runs":     {2, s.runs},
+		"counts":   {2, func(w []string) (string, error) { return s.Stage.Counts(w[0], w[1]) }},
 	}
 	if name == "until" && len(words) > 0 {
 		return s.until(words)
@@ -93,6 +95,8 @@
 			h.Cold = true
 		case key == "fencing":
 			h.Fencing = true
+		case key == "tls":
+			h.TLS = true
 		case key == "alone":
 			h.Alone = true
 		default:
@@ -114,6 +118,15 @@
 	return "", s.Stage.Signal(w[0], number)
 }
 
+// grepLog checks that a process's log holds a text.
+func (s *Script) grepLog(w []string) (string, error) {
+	text, err := s.Stage.Log(w[0])
+	if err == nil && !strings.Contains(text, w[1]) {
+		err = fmt.Errorf("prover: log of %s lacks %q", w[0], w[1])
+	}
+	return "", err
+}
+
 func (s *Script) exited(w []string) (string, error) {
 	want, err := stager.Number(w[1])
 	if err != nil {
--- a/prover/doc.go
+++ b/prover/doc.go
@@ -12,8 +12,11 @@
 //
 //	stack KEY=VALUE ...      start a stack; keys: entries engines services memory
 //	                         prefill decode cold warmup work beat poll drain restart fencing
+//	                         tls alone
 //	signal NAME SIGNAL       send KILL, TERM, STOP or CONT to a process
 //	start NAME               start a process again
+//	issue NAME               write a new certificate for a process
+//	grep-log NAME TEXT       check that a process's log holds a text
 //	exited NAME STATUS       wait for a process to end with an exit status
 //	fault STANDIN NAME VALUE set a fault (see bamboohill/standin/faulter)
 //	put ENTRY KIND/NAME JSON write a configuration row through an entry
--- /dev/null
+++ b/prover/internal/stager/certs.go
@@ -0,0 +1,106 @@
+package stager
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"os"
+	"strings"
+	"time"
+)
+
+// certLife is how long a scenario's certificates are good for.
+const certLife = time.Hour
+
+// authority signs the certificates of a stack's processes.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+func newAuthority() (*authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "stack"}, NotAfter: time.Now().Add(certLife),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, err
+	}
+	certificate, err := x509.ParseCertificate(der)
+	return &authority{certificate: certificate, key: key}, err
+}
+
+// Issue writes a new certificate for a process, in place of an older one.
+func (s *Stage) Issue(name string) error {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return err
+	}
+	role := strings.TrimRight(name, "0123456789")
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), NotAfter: time.Now().Add(certLife),
+		Subject:     pkix.Name{CommonName: name, OrganizationalUnit: []string{role}},
+		IPAddresses: []net.IP{net.ParseIP(s.config.Address)},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, s.authority.certificate, &key.PublicKey, s.authority.key)
+	if err != nil {
+		return err
+	}
+	private, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return err
+	}
+	if err := writePEM(s.file(name, ".key"), "EC PRIVATE KEY", private); err != nil {
+		return err
+	}
+	if err := writePEM(s.file("authority", ".pem"), "CERTIFICATE", s.authority.certificate.Raw); err != nil {
+		return err
+	}
+	return writePEM(s.file(name, ".pem"), "CERTIFICATE", der)
+}
+
+func writePEM(name, kind string, data []byte) error {
+	return os.WriteFile(name, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600)
+}
+
+// tls returns a process's [tls] table, empty for a plain stack.
+func (s *Stage) tls(h Shape, name string) string {
+	if !h.TLS {
+		return ""
+	}
+	return fmt.Sprintf("[tls]\ncertificate = %q\nkey = %q\nauthority = %q\nevery = 100\n",
+		s.file(name, ".pem"), s.file(name, ".key"), s.file("authority", ".pem"))
+}
+
+// issueAll writes the certificates of every entry and sidecar.
+func (s *Stage) issueAll(h Shape) error {
+	if !h.TLS {
+		return nil
+	}
+	var err error
+	if s.authority, err = newAuthority(); err != nil {
+		return err
+	}
+	for n := range h.Entries {
+		if err := s.Issue(fmt.Sprintf("entry%d", n)); err != nil {
+			return err
+		}
+	}
+	for n := range h.Engines + h.Services {
+		if err := s.Issue(fmt.Sprintf("sidecar%d", n)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/prover/internal/stager/shape.go
+++ b/prover/internal/stager/shape.go
@@ -34,6 +34,7 @@
 	Restart  int     // milliseconds that a crashed engine is away
 	Fencing  bool    // engines refuse orders with an old number
 	Alone    bool    // a process starts knowing no other entry
+	TLS      bool    // between entries and sidecars
 }
 
 func (h *Shape) fill() {
@@ -77,6 +78,9 @@
 // Entry returns the address for callers and operators of entry n.
 func (s *Stage) Entry(n int) string { return s.at(outerPort, n) }
 
+// Inner returns the address for processes of entry n.
+func (s *Stage) Inner(n int) string { return s.at(innerPort, n) }
+
 // Fault returns the address of a stand-in by its name: table, objects, list,
 // weights, engineN or serviceN.
 func (s *Stage) Fault(name string) (string, error) {
@@ -141,8 +145,8 @@
 }
 
 func (s *Stage) sidecar(h Shape, n int, server, kind, service, backend string) string {
-	return fmt.Sprintf("address = %q\nserver = %q\nvm = \"vm%d\"\ndomain = %q\nkind = %q\nservice = %q\nbackend = %q\nbeat = %d\ndrain = %d\nentries = [%q]\n%s",
-		s.at(sidecarPort, n), server, n, domain(n), kind, service, backend, h.Beat, h.Drain, s.at(innerPort, 0), s.platform())
+	return fmt.Sprintf("address = %q\nserver = %q\nvm = \"vm%d\"\ndomain = %q\nkind = %q\nservice = %q\nbackend = %q\nbeat = %d\ndrain = %d\nentries = [%q]\n%s%s",
+		s.at(sidecarPort, n), server, n, domain(n), kind, service, backend, h.Beat, h.Drain, s.at(innerPort, 0), s.platform(), s.tls(h, fmt.Sprintf("sidecar%d", n)))
 }
 
 func (s *Stage) entry(h Shape, n int) string {
@@ -151,8 +155,8 @@
 		peers = fmt.Sprintf("%q", s.at(innerPort, (n+1)%h.Entries))
 	}
 	sum := sha256.Sum256([]byte(OperatorKey))
-	return fmt.Sprintf("address = %q\ninner = %q\nvm = \"entry%d\"\ndomain = %q\npoll = %d\nentries = [%s]\n%s[[operator]]\nname = \"proof\"\nhash = %q\nrole = \"write\"\n",
-		s.at(outerPort, n), s.at(innerPort, n), n, domain(n), h.Poll, peers, s.platform(), hex.EncodeToString(sum[:]))
+	return fmt.Sprintf("address = %q\ninner = %q\nvm = \"entry%d\"\ndomain = %q\npoll = %d\nentries = [%s]\n%s%s[[operator]]\nname = \"proof\"\nhash = %q\nrole = \"write\"\n",
+		s.at(outerPort, n), s.at(innerPort, n), n, domain(n), h.Poll, peers, s.platform(), s.tls(h, fmt.Sprintf("entry%d", n)), hex.EncodeToString(sum[:]))
 }
 
 // lists returns the rows that every stack starts with, by KIND/NAME.
--- a/prover/internal/stager/stager.go
+++ b/prover/internal/stager/stager.go
@@ -37,8 +37,9 @@
 
 // Stage is one stack.
 type Stage struct {
-	config Config
-	client *http.Client
+	config    Config
+	client    *http.Client
+	authority *authority
 
 	mu        sync.Mutex
 	processes map[string]*process
@@ -59,6 +60,9 @@
 // ready and hears every sidecar, and puts the lists.
 func (s *Stage) Up(h Shape) error {
 	h.fill()
+	if err := s.issueAll(h); err != nil {
+		return err
+	}
 	files := s.settings(h)
 	for name, text := range files {
 		if err := os.WriteFile(s.file(name, ".toml"), []byte(text), 0o600); err != nil {
@@ -127,6 +131,12 @@
 	return nil
 }
 
+// Log returns what a process has logged.
+func (s *Stage) Log(name string) (string, error) {
+	text, err := os.ReadFile(s.file(name, ".log"))
+	return string(text), err
+}
+
 // Start starts a process, also again after it has ended.
 func (s *Stage) Start(name string) error {
 	program := strings.TrimRight(name, "0123456789")
--- a/sidecar/internal/reporter/reporter.go
+++ b/sidecar/internal/reporter/reporter.go
@@ -12,11 +12,11 @@
 import (
 	"cmp"
 	"context"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
 
+	"bamboohill/core/certifier"
 	"bamboohill/wire"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,7 +29,7 @@
 type Config struct {
 	Entries []string // addresses to start from, ip:port
 	Every   time.Duration
-	Client  *http.Client
+	Peer    *certifier.Peer
 	Report  func() *wire.Report
 	// Heard is called with every reply.
 	Heard func(*wire.BeatReply)
@@ -74,7 +74,7 @@
 func (r *Reporter) send(ctx context.Context, address string, report *wire.Report) {
 	ctx, cancel := context.WithTimeout(ctx, r.config.Every)
 	defer cancel()
-	reply, err := wire.NewHeartbeatsProtobufClient("http://"+address, r.config.Client).Beat(ctx, report)
+	reply, err := wire.NewHeartbeatsProtobufClient(r.config.Peer.URL(address), r.config.Peer.Client).Beat(ctx, report)
 	if err != nil {
 		return
 	}
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -11,12 +11,12 @@
 	"context"
 	"encoding/base64"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"bamboohill/core/certifier"
 	"bamboohill/core/framer"
 	"bamboohill/core/generator"
 	"bamboohill/core/keeper"
@@ -52,6 +52,7 @@
 type Server struct {
 	config  Config
 	boot    uint64
+	certs   *certifier.Store // towards entries, nil if plain
 	engine  *generator.Engine
 	runner  *runner.Runner
 	keeper  *keeper.Keeper
@@ -65,11 +66,17 @@
 	alive  bool
 }
 
-// New returns a sidecar that does not run yet.
-func New(config Config) *Server {
+// New returns a sidecar that does not run yet. The error is that of reading
+// the certificates.
+func New(config Config) (*Server, error) {
 	set := config.Settings
+	certs, err := set.TLS.Store(func(err error) { config.Log.Info().Str("event", "certificates").Err(err).Msg("") })
+	if err != nil {
+		return nil, err
+	}
 	s := &Server{
 		config: config,
+		certs:  certs,
 		boot:   uint64(time.Now().UnixMicro()),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleLimit}},
 		gate:   gatekeeper.New(gatekeeper.Config{Cold: set.Gate.Cold, Warm: set.Gate.Warm}),
@@ -79,13 +86,13 @@
 		s.engine = generator.New(generator.Config{Address: set.Backend})
 	}
 	s.runner = runner.New(runner.Config{Engine: s.engine, Service: set.Backend, Client: s.client})
-	return s
+	return s, nil
 }
 
 // Run serves until the context ends, then leaves: it refuses new work, waits
 // for what runs, at most the drain time, and returns.
 func (s *Server) Run(ctx context.Context) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.config.Settings.Address)
+	listener, err := s.certs.Listen(ctx, s.config.Settings.Address, certifier.Entry)
 	if err != nil {
 		return err
 	}
@@ -106,11 +113,12 @@
 func (s *Server) start(ctx context.Context) {
 	set := s.config.Settings
 	s.probe(ctx)
+	go s.certs.Watch(ctx)
 	s.keeper.Refresh(ctx)
 	go s.loop(ctx, statusEvery, s.probe)
 	go s.loop(ctx, time.Second, func(ctx context.Context) { s.keeper.Refresh(ctx) })
 	beats := reporter.New(reporter.Config{
-		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Client: s.client,
+		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Peer: certifier.NewPeer(s.certs, certifier.Entry),
 		Report: s.Report, Heard: func(reply *wire.BeatReply) { s.keeper.Heard(reply.GetSequence()) },
 	})
 	go beats.Run(ctx)
--- a/sidecar/internal/settings/settings.go
+++ b/sidecar/internal/settings/settings.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"slices"
 
+	"bamboohill/core/certifier"
 	"bamboohill/core/checker"
 	"bamboohill/core/logger"
 )
@@ -22,20 +23,21 @@
 
 // Settings is what one sidecar needs to know.
 type Settings struct {
-	Level    string   `toml:"level"`    // of the log
-	Address  string   `toml:"address"`  // where entries reach it, IP:PORT
-	Server   string   `toml:"server"`   // id of the backend server
-	VM       string   `toml:"vm"`       // name of this VM
-	Domain   string   `toml:"domain"`   // failure domain
-	Kind     string   `toml:"kind"`     // model or service
-	Service  string   `toml:"service"`  // name of the plain service
-	Backend  string   `toml:"backend"`  // of the backend server, IP:PORT
-	Entries  []string `toml:"entries"`  // some entries to start from
-	Platform Platform `toml:"platform"` // the platform's services
-	Gate     Gate     `toml:"gate"`     // limits
-	Beat     int      `toml:"beat"`     // milliseconds between heartbeats
-	Drain    int      `toml:"drain"`    // milliseconds to leave
-	Trace    Trace    `toml:"trace"`
+	Level    string          `toml:"level"`    // of the log
+	Address  string          `toml:"address"`  // where entries reach it, IP:PORT
+	Server   string          `toml:"server"`   // id of the backend server
+	VM       string          `toml:"vm"`       // name of this VM
+	Domain   string          `toml:"domain"`   // failure domain
+	Kind     string          `toml:"kind"`     // model or service
+	Service  string          `toml:"service"`  // name of the plain service
+	Backend  string          `toml:"backend"`  // of the backend server, IP:PORT
+	Entries  []string        `toml:"entries"`  // some entries to start from
+	Platform Platform        `toml:"platform"` // the platform's services
+	Gate     Gate            `toml:"gate"`     // limits
+	Beat     int             `toml:"beat"`     // milliseconds between heartbeats
+	Drain    int             `toml:"drain"`    // milliseconds to leave
+	TLS      certifier.Files `toml:"tls"`      // towards entries
+	Trace    Trace           `toml:"trace"`
 }
 
 // Platform names the platform's services.
@@ -89,6 +91,7 @@
 	add(isAddress(s.Platform.Table), "platform.table", "must be IP:PORT")
 	add(s.Gate.Cold > 0, "gate.cold", "must be at least 1")
 	add(s.Gate.Warm >= s.Gate.Cold, "gate.warm", "must be at least gate.cold")
+	add(s.TLS.Whole(), "tls", "must name certificate, key and authority, or none")
 	add(s.Beat >= 10, "beat", "must be at least 10 milliseconds")
 	add(s.Drain >= 0, "drain", "must not be negative")
 	return bad
--- a/sidecar/main.go
+++ b/sidecar/main.go
@@ -23,7 +23,11 @@
 		Usage: "the last gate before one backend server",
 		Level: func(s *settings.Settings) string { return s.Level },
 		Run: func(ctx context.Context, s *settings.Settings, l *log.Logger) error {
-			return server.New(server.Config{Settings: *s, Log: l}).Run(ctx)
+			sidecar, err := server.New(server.Config{Settings: *s, Log: l})
+			if err != nil {
+				return err
+			}
+			return sidecar.Run(ctx)
 		},
 	})
 }
