Keep the configuration through outages, races and lost answers

Change: a commit that loses reads the head alone again and writes on the rows that the conflict showed; a lost answer is resolved by the change id, and a doubt is never turned into "nothing was changed". A process starts from the store, or from the highest sequence number of several peers; until then it is not ready. Keeper.CatchUp brings it to a sequence number from store or peers.

--- a/core/keeper/commit.go
+++ b/core/keeper/commit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -23,8 +24,9 @@
 
 // Bounds of one commit.
 const (
-	commitTries = 8
-	commitPause = 20 * time.Millisecond
+	commitTries   = 40
+	commitPause   = 2 * time.Millisecond
+	commitLongest = 50 * time.Millisecond
 )
 
 // Proposal is a change that an operator asks for.
@@ -52,24 +54,102 @@
 
 func changeKey(sequence uint64) string { return fmt.Sprintf("%s%020d", changePrefix, sequence) }
 
+// rows is what a try to commit believes to stand in the table.
+type rows struct {
+	head storer.Row
+	row  storer.Row
+	id   storer.Row
+}
+
+// read reads the id after the row: a row that an earlier try of this change
+// wrote can't be taken for another operator's. The head comes last, since it
+// is what other changes move.
+func (r *rows) read(ctx context.Context, table storer.Table, p Proposal) error {
+	var err error
+	if r.row, err = table.Get(ctx, rowPrefix+p.Key); err != nil {
+		return err
+	}
+	if r.id, err = table.Get(ctx, idPrefix+p.ID); err != nil {
+		return err
+	}
+	r.head, err = table.Get(ctx, headKey)
+	return err
+}
+
+// learn takes over the rows that a conflict shows.
+func (r *rows) learn(p Proposal, e *storer.ConflictError) {
+	for _, row := range e.Rows {
+		switch row.Key {
+		case headKey:
+			r.head = row
+		case rowPrefix + p.Key:
+			r.row = row
+		case idPrefix + p.ID:
+			r.id = row
+		}
+	}
+}
+
 // Commit writes a change. It returns the change as it stands in the log, also
-// when the same id was committed before. The error is a *RaceError if the row
-// has another version, a *storer.DownError if nothing was written, and a
-// *storer.DoubtError if nobody knows: ask again with the same id.
+// when the same id was committed before. A try that loses against another
+// change is made again after a pause that grows, from the rows that the
+// conflict shows and a new reading of the head; one whose answer is lost is
+// resolved by the id. The error is a
+// *RaceError if the row has another version, a *storer.DownError if nothing
+// was written, and a *storer.DoubtError if nobody knows: ask again with the
+// same id.
 func Commit(ctx context.Context, table storer.Table, p Proposal) (*wire.Change, error) {
-	for range commitTries {
-		c, err := tryCommit(ctx, table, p)
+	var seen rows
+	var doubt error
+	known := false
+	for n := range commitTries {
+		var err error
+		if known {
+			seen.head, err = table.Get(ctx, headKey)
+		} else {
+			err = seen.read(ctx, table, p)
+		}
+		if err != nil {
+			return nil, unread(err, doubt)
+		}
+		c, err := try(ctx, table, p, seen)
 		var conflict *storer.ConflictError
-		if !errors.As(err, &conflict) {
+		var lost *storer.DoubtError
+		var down *storer.DownError
+		switch {
+		case errors.As(err, &conflict):
+			seen.learn(p, conflict)
+			known = true
+		case errors.As(err, &lost):
+			doubt = err
+			known = false
+		case errors.As(err, &down):
+			return nil, unread(err, doubt)
+		default:
 			return c, err
 		}
-		if err := pause(ctx, commitPause); err != nil {
-			return nil, err
+		if err := pause(ctx, time.Duration(rand.Int64N(int64(min(commitPause<<min(n, 6), commitLongest))))); err != nil {
+			return nil, unread(err, doubt)
 		}
 	}
-	return nil, &storer.DownError{Retry: time.Second}
+	return nil, unread(errBusy, doubt)
+}
+
+// unread is the error of a commit that must give up: in doubt if an earlier
+// try may have taken effect, else nothing was written.
+func unread(err, doubt error) error {
+	if doubt != nil {
+		return &storer.DoubtError{Cause: doubt}
+	}
+	var down *storer.DownError
+	if errors.As(err, &down) {
+		return down
+	}
+	return &storer.DownError{Retry: time.Second}
 }
 
+var errBusy = errors.New("keeper: too many changes at once")
+
 func pause(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -81,47 +161,49 @@
 	}
 }
 
-func tryCommit(ctx context.Context, table storer.Table, p Proposal) (*wire.Change, error) {
-	if c, err := committed(ctx, table, p.ID); c != nil || err != nil {
-		return c, err
+// try makes one transaction out of what the table is believed to hold.
+func try(ctx context.Context, table storer.Table, p Proposal, seen rows) (*wire.Change, error) {
+	if seen.id.Version != 0 {
+		return committed(ctx, table, seen.id)
 	}
-	head, err := table.Get(ctx, headKey)
+	old, err := decodeChange(seen.row)
 	if err != nil {
 		return nil, err
 	}
-	row, err := table.Get(ctx, rowPrefix+p.Key)
-	if err != nil {
-		return nil, err
+	// A deleted row keeps its version: one made again under the same name
+	// must not match what an operator saw before.
+	if !p.Force && shown(old) != p.Version {
+		return nil, &RaceError{Key: p.Key, Version: shown(old), Record: old.GetRecord(), Author: old.GetAuthor()}
 	}
-	old, err := decodeChange(row)
-	if err != nil {
-		return nil, err
-	}
-	if !p.Force && old.GetVersion() != p.Version {
-		return nil, &RaceError{Key: p.Key, Version: old.GetVersion(), Record: old.GetRecord(), Author: old.GetAuthor()}
-	}
-	return write(ctx, table, p, head, row, old)
+	return write(ctx, table, p, seen, old)
 }
 
-// committed returns the change of an id, nil if there is none.
-func committed(ctx context.Context, table storer.Table, id string) (*wire.Change, error) {
-	row, err := table.Get(ctx, idPrefix+id)
-	if err != nil || row.Version == 0 {
-		return nil, err
+// shown is the version that operators see: 0 for a row that is absent.
+func shown(c *wire.Change) uint64 {
+	if c.GetRecord() == nil {
+		return 0
 	}
-	sequence, err := strconv.ParseUint(string(row.Value), 10, 64)
+	return c.GetVersion()
+}
+
+// committed returns the change that an id row points to.
+func committed(ctx context.Context, table storer.Table, id storer.Row) (*wire.Change, error) {
+	sequence, err := strconv.ParseUint(string(id.Value), 10, 64)
 	if err != nil {
 		return nil, err
 	}
 	entry, err := table.Get(ctx, changeKey(sequence))
 	if err != nil {
-		return nil, err
+		return nil, &storer.DoubtError{Cause: err}
+	}
+	if entry.Version == 0 {
+		return &wire.Change{Sequence: sequence}, nil
 	}
 	return decodeChange(entry)
 }
 
-func write(ctx context.Context, table storer.Table, p Proposal, head, row storer.Row, old *wire.Change) (*wire.Change, error) {
-	last, err := parseHead(head)
+func write(ctx context.Context, table storer.Table, p Proposal, seen rows, old *wire.Change) (*wire.Change, error) {
+	last, err := parseHead(seen.head)
 	if err != nil {
 		return nil, err
 	}
@@ -133,8 +215,8 @@
 	number := []byte(strconv.FormatUint(c.GetSequence(), 10))
 	return c, table.Commit(ctx, storer.Txn{
 		Checks: []storer.Check{
-			{Key: headKey, Version: head.Version},
-			{Key: rowPrefix + p.Key, Version: row.Version},
+			{Key: headKey, Version: seen.head.Version},
+			{Key: rowPrefix + p.Key, Version: seen.row.Version},
 			{Key: idPrefix + p.ID},
 		},
 		Puts: []storer.Put{
--- /dev/null
+++ b/core/keeper/fake_test.go
@@ -0,0 +1,162 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"bamboohill/core/storer"
+	"bamboohill/wire"
+)
+
+// fakeTable is a table service in memory with faults.
+type fakeTable struct {
+	mu      sync.Mutex
+	rows    map[string]storer.Row
+	down    bool
+	lose    int           // commits whose answer is lost after the effect
+	drop    int           // commits that are lost before the effect
+	delay   time.Duration // of each call
+	before  func()        // runs once, before the next commit
+	reads   int
+	writes  int
+	objects map[string][]byte
+}
+
+func newTable() *fakeTable {
+	return &fakeTable{rows: map[string]storer.Row{}, objects: map[string][]byte{}}
+}
+
+var errLost = errors.New("answer lost")
+
+func (t *fakeTable) Get(_ context.Context, key string) (storer.Row, error) {
+	time.Sleep(t.delay)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	if t.down {
+		return storer.Row{}, &storer.DownError{Retry: time.Second}
+	}
+	row := t.rows[key]
+	row.Key = key
+	return row, nil
+}
+
+func (t *fakeTable) Scan(_ context.Context, prefix, after string, limit int) ([]storer.Row, error) {
+	time.Sleep(t.delay)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	if t.down {
+		return nil, &storer.DownError{Retry: time.Second}
+	}
+	var rows []storer.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b storer.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows[:min(limit, len(rows))], nil
+}
+
+func (t *fakeTable) Commit(_ context.Context, txn storer.Txn) error {
+	time.Sleep(t.delay)
+	t.mu.Lock()
+	before := t.before
+	t.before = nil
+	t.mu.Unlock()
+	if before != nil {
+		before()
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.writes++
+	if t.down {
+		return &storer.DownError{Retry: time.Second}
+	}
+	if t.drop > 0 {
+		t.drop--
+		return &storer.DoubtError{Cause: errLost}
+	}
+	if e := t.apply(txn); e != nil {
+		return e
+	}
+	if t.lose > 0 {
+		t.lose--
+		return &storer.DoubtError{Cause: errLost}
+	}
+	return nil
+}
+
+func (t *fakeTable) apply(txn storer.Txn) error {
+	e := &storer.ConflictError{}
+	for _, c := range txn.Checks {
+		if row := t.rows[c.Key]; row.Version != c.Version {
+			row.Key = c.Key
+			e.Rows = append(e.Rows, row)
+		}
+	}
+	if len(e.Rows) > 0 {
+		return e
+	}
+	for _, p := range txn.Puts {
+		t.rows[p.Key] = storer.Row{Key: p.Key, Value: p.Value, Version: t.rows[p.Key].Version + 1}
+	}
+	for _, key := range txn.Deletes {
+		delete(t.rows, key)
+	}
+	return nil
+}
+
+func (t *fakeTable) setDown(down bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.down = down
+}
+
+// fakeObjects is the object store beside a fakeTable.
+type fakeObjects struct{ t *fakeTable }
+
+func (o fakeObjects) Put(_ context.Context, name string, data []byte) error {
+	o.t.mu.Lock()
+	defer o.t.mu.Unlock()
+	o.t.objects[name] = data
+	return nil
+}
+
+func (o fakeObjects) Get(_ context.Context, name string) ([]byte, error) {
+	o.t.mu.Lock()
+	defer o.t.mu.Unlock()
+	data, found := o.t.objects[name]
+	if !found {
+		return nil, &storer.MissingError{Name: name}
+	}
+	return data, nil
+}
+
+// fakePeers are other processes' keepers, of which some can be reached.
+type fakePeers struct {
+	all  map[string]*Keeper
+	pick func() []string // those that answer
+}
+
+func (p *fakePeers) Ask(context.Context) (int, []Answer) {
+	var answers []Answer
+	for _, a := range p.pick() {
+		k := p.all[a]
+		answers = append(answers, Answer{Address: a, Sequence: k.State().Sequence, Age: time.Since(k.Confirmed()), Ready: k.Ready()})
+	}
+	return len(p.all), answers
+}
+
+func (p *fakePeers) Pull(_ context.Context, address string, after uint64) (*wire.Batch, error) {
+	return p.all[address].State().Since(after), nil
+}
+
+func domainOut(name string, out bool) *wire.Record {
+	return &wire.Record{Value: &wire.Record_Domain{Domain: &wire.Placement{Name: name, Out: out}}}
+}
--- /dev/null
+++ b/core/keeper/fetch.go
@@ -0,0 +1,253 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bamboohill/wire"
+)
+
+// Answer is what one peer says of itself.
+type Answer struct {
+	Address  string
+	Sequence uint64        // in force there
+	Age      time.Duration // since its configuration was last confirmed
+	Ready    bool          // it has started from the store or from peers
+}
+
+// Peers reads the configuration from other processes.
+type Peers interface {
+	// Ask returns how many peers are known and what several of them answer.
+	Ask(ctx context.Context) (known int, answers []Answer)
+	// Pull returns what one peer has after a sequence number.
+	Pull(ctx context.Context, address string, after uint64) (*wire.Batch, error)
+}
+
+// Several is how many peers must answer before their highest sequence number
+// stands for the newest, when so many are known.
+const Several = 3
+
+// patience is how long a start waits for several peers before it takes what
+// answers.
+const patience = 5 * time.Second
+
+// Evidence is what a process that starts without the store knows.
+type Evidence struct {
+	Known   int           // peers
+	Answers int           // of peers that are ready
+	Best    uint64        // highest sequence number among the answers
+	Heard   uint64        // highest sequence number heard from anybody
+	Waited  time.Duration // since the process started
+}
+
+// Enough reports whether a process may start from peers: several have
+// answered, or all that are known, or after some patience at least one, and
+// nobody has been heard to have more.
+func Enough(e Evidence) bool {
+	if e.Answers == 0 || e.Best < e.Heard {
+		return false
+	}
+	return e.Answers >= min(Several, e.Known) || e.Waited >= patience
+}
+
+// Fresh reports whether a configuration that was last confirmed at a time is
+// within a plan's bound. A plan without a bound is content with any.
+func Fresh(plan *wire.Plan, confirmed, now time.Time) bool {
+	bound := time.Duration(plan.GetStalenessMs()) * time.Millisecond
+	return bound <= 0 || now.Sub(confirmed) <= bound
+}
+
+// BehindError says that a newer configuration exists and could not be had.
+type BehindError struct {
+	Have  uint64
+	Want  uint64
+	Cause error
+}
+
+// Error implements error.
+func (e *BehindError) Error() string {
+	return fmt.Sprintf("keeper: have sequence %d, want %d: %v", e.Have, e.Want, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *BehindError) Unwrap() error { return e.Cause }
+
+func take(ctx context.Context, turn chan struct{}) error {
+	select {
+	case turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// CatchUp returns once this process has at least a sequence number in force.
+// Calls at the same time share the work. The error is a *BehindError.
+func (k *Keeper) CatchUp(ctx context.Context, sequence uint64) error {
+	if k.State().Sequence >= sequence {
+		return nil
+	}
+	k.Heard(sequence)
+	if err := take(ctx, k.turn); err != nil {
+		return &BehindError{Have: k.State().Sequence, Want: sequence, Cause: err}
+	}
+	defer func() { <-k.turn }()
+	sources := []func(context.Context) error{k.fromStore, k.fromPeers}
+	if k.config.Near {
+		slices.Reverse(sources)
+	}
+	var cause error
+	for _, source := range sources {
+		if k.State().Sequence >= sequence {
+			return nil
+		}
+		if err := source(ctx); err != nil {
+			cause = err
+		}
+	}
+	if k.State().Sequence >= sequence {
+		return nil
+	}
+	return &BehindError{Have: k.State().Sequence, Want: sequence, Cause: cause}
+}
+
+// Refresh reads the store until this process has the head in force, and
+// confirms the state. When the store does not answer it asks peers, and
+// returns the store's error all the same unless a peer confirms the state.
+func (k *Keeper) Refresh(ctx context.Context) error {
+	if err := take(ctx, k.turn); err != nil {
+		return err
+	}
+	defer func() { <-k.turn }()
+	err := k.fromStore(ctx)
+	if err == nil || k.config.Peers == nil {
+		return err
+	}
+	before := k.Confirmed()
+	if k.fromPeers(ctx) == nil && k.Confirmed().After(before) {
+		return nil
+	}
+	return err
+}
+
+// fromStore reads the head, and the log or a snapshot up to it.
+func (k *Keeper) fromStore(ctx context.Context) error {
+	start := k.config.Now()
+	head, err := Head(ctx, k.config.Table)
+	if err != nil {
+		return err
+	}
+	k.Heard(head)
+	for k.State().Sequence < head {
+		if err := k.step(ctx, head); err != nil {
+			return err
+		}
+	}
+	k.started.Store(true)
+	k.Confirm(start)
+	return nil
+}
+
+// step brings the state nearer to the head.
+func (k *Keeper) step(ctx context.Context, head uint64) error {
+	have := k.State().Sequence
+	if head-have > tailPage && k.fromSnapshot(ctx) == nil && k.State().Sequence > have {
+		return nil
+	}
+	changes, err := Tail(ctx, k.config.Table, have)
+	if err != nil {
+		return err
+	}
+	err = k.Offer(ctx, &wire.Batch{Changes: changes})
+	var gap *GapError
+	if errors.As(err, &gap) || err == nil && len(changes) == 0 {
+		err = k.fromSnapshot(ctx)
+	}
+	if err == nil && k.State().Sequence == have {
+		err = errTail
+	}
+	return err
+}
+
+var (
+	errTail  = errors.New("keeper: log ends before its head")
+	errPeers = errors.New("keeper: no peer has the newest configuration")
+)
+
+// fromPeers takes the highest sequence number among several peers. One that
+// has not started yet starts only on enough evidence.
+func (k *Keeper) fromPeers(ctx context.Context) error {
+	if k.config.Peers == nil {
+		return errPeers
+	}
+	asked := k.config.Now()
+	known, answers := k.config.Peers.Ask(ctx)
+	answers = slices.DeleteFunc(answers, func(a Answer) bool { return !a.Ready })
+	slices.SortStableFunc(answers, func(a, b Answer) int { return compare(b.Sequence, a.Sequence) })
+	e := Evidence{Known: known, Answers: len(answers), Waited: asked.Sub(k.born)}
+	if len(answers) > 0 {
+		e.Best = answers[0].Sequence
+	}
+	k.Heard(e.Best)
+	e.Heard = k.known.Load()
+	if !k.Ready() && !Enough(e) {
+		return errPeers
+	}
+	for _, a := range answers {
+		if a.Sequence > k.State().Sequence {
+			k.pull(ctx, a.Address)
+		}
+	}
+	if len(answers) == 0 || k.State().Sequence < e.Best {
+		return errPeers
+	}
+	k.started.Store(true)
+	for _, a := range answers {
+		if a.Sequence == k.State().Sequence {
+			k.Confirm(asked.Add(-a.Age))
+		}
+	}
+	return nil
+}
+
+func compare(a, b uint64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func (k *Keeper) pull(ctx context.Context, address string) error {
+	batch, err := k.config.Peers.Pull(ctx, address, k.State().Sequence)
+	if err != nil {
+		return err
+	}
+	return k.Offer(ctx, batch)
+}
+
+// Poll refreshes until the context ends, at gaps drawn between half and one
+// and a half times every, so that processes started together drift apart.
+// Until the first success it tries at a tenth of that. After each try it calls
+// done with its error.
+func (k *Keeper) Poll(ctx context.Context, every time.Duration, done func(error)) {
+	for ctx.Err() == nil {
+		err := k.Refresh(ctx)
+		if done != nil {
+			done(err)
+		}
+		gap := every
+		if !k.Ready() {
+			gap = every / 10
+		}
+		if pause(ctx, gap/2+time.Duration(rand.Int64N(int64(gap)+1))) != nil {
+			return
+		}
+	}
+}
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
@@ -12,10 +11,13 @@
 )
 
 // Config describes a Keeper. Objects may be nil: then only the log is read.
-// Now is the clock, time.Now if nil.
+// Peers may be nil: then only the store is read. Near asks peers before the
+// store, for processes too many to read it. Now is the clock, time.Now if nil.
 type Config struct {
 	Table   storer.Table
 	Objects storer.Objects
+	Peers   Peers
+	Near    bool
 	Now     func() time.Time
 	// Changed is called on the keeper's goroutine after each new state.
 	Changed func(*State)
@@ -27,6 +29,10 @@
 	state     atomic.Pointer[State]
 	confirmed atomic.Int64 // unix nanoseconds
 	known     atomic.Uint64
+	started   atomic.Bool
+	born      time.Time
+	turn      chan struct{} // held by the one that reads store or peers
+	writing   chan struct{} // held by the one that commits
 	owner     *spawner.Ref[offer]
 }
 
@@ -43,7 +49,7 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
-	k := &Keeper{config: config}
+	k := &Keeper{config: config, turn: make(chan struct{}, 1), writing: make(chan struct{}, 1), born: config.Now()}
 	k.state.Store(Empty())
 	k.owner = spawner.Spawn(spawner.Config[offer]{Name: "keeper", Receive: k.receive})
 	return k
@@ -112,31 +118,12 @@
 	}
 }
 
-// Refresh reads the store until this process has the head in force, and
-// confirms the state.
-func (k *Keeper) Refresh(ctx context.Context) error {
-	start := k.config.Now()
-	head, err := Head(ctx, k.config.Table)
-	if err != nil {
-		return err
-	}
-	for k.State().Sequence < head {
-		changes, err := Tail(ctx, k.config.Table, k.State().Sequence)
-		if err != nil {
-			return err
-		}
-		if len(changes) == 0 {
-			return errTail
-		}
-		if err := k.Offer(ctx, &wire.Batch{Changes: changes}); err != nil {
-			return err
-		}
-	}
-	k.Confirm(start)
-	return nil
-}
+// Ready reports whether this process has started from the store or from enough
+// peers. One that has not must serve nobody.
+func (k *Keeper) Ready() bool { return k.started.Load() }
 
-var errTail = errors.New("keeper: log ends before its head")
+// Known returns the highest sequence number that this process has heard of.
+func (k *Keeper) Known() uint64 { return max(k.known.Load(), k.State().Sequence) }
 
 // Confirm notes that the state in force was the newest at a time.
 func (k *Keeper) Confirm(at time.Time) {
--- /dev/null
+++ b/core/keeper/main_test.go
@@ -0,0 +1,47 @@
+package keeper
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "7", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// recorder is a test that may fail.
+type recorder struct {
+	testing.TB
+	failed bool
+}
+
+func (r *recorder) Helper()               {}
+func (r *recorder) Name() string          { return "recorder" }
+func (r *recorder) Logf(string, ...any)   {}
+func (r *recorder) Log(...any)            {}
+func (r *recorder) Errorf(string, ...any) { r.failed = true }
+func (r *recorder) Error(...any)          { r.failed = true }
+func (r *recorder) Fatalf(string, ...any) { r.failed = true }
+func (r *recorder) Fatal(...any)          { r.failed = true }
+func (r *recorder) FailNow()              { r.failed = true }
+func (r *recorder) Fail()                 { r.failed = true }
+func (r *recorder) Failed() bool          { return r.failed }
+
+// rejected reports whether a property was found not to hold.
+func rejected(t *testing.T, property func(*rapid.T)) bool {
+	r := &recorder{TB: t}
+	rapid.Check(r, property)
+	return r.failed
+}
--- a/core/keeper/state.go
+++ b/core/keeper/state.go
@@ -39,8 +39,12 @@
 	Sequence uint64
 	rows     map[string]*wire.Row
 	keys     map[[sha256.Size]byte]string // caller key hash to account
+	recent   []*wire.Change               // the last changes, without a gap
 }
 
+// recentLength is how many changes a state remembers for peers that are behind.
+const recentLength = 256
+
 // Empty returns the state before the first change.
 func Empty() *State {
 	return &State{rows: map[string]*wire.Row{}, keys: map[[sha256.Size]byte]string{}}
@@ -86,11 +90,13 @@
 }
 
 func (s *State) clone() *State {
-	return &State{Sequence: s.Sequence, rows: maps.Clone(s.rows), keys: maps.Clone(s.keys)}
+	recent := s.recent[max(0, len(s.recent)-recentLength):]
+	return &State{Sequence: s.Sequence, rows: maps.Clone(s.rows), keys: maps.Clone(s.keys), recent: slices.Clone(recent)}
 }
 
 func (s *State) apply(c *wire.Change) {
 	s.Sequence = c.GetSequence()
+	s.recent = append(s.recent, c)
 	s.unset(c.GetKey())
 	if c.GetRecord() != nil {
 		s.set(&wire.Row{Key: c.GetKey(), Version: c.GetVersion(), Record: c.GetRecord()})
@@ -107,14 +113,37 @@
 }
 
 func (s *State) unset(key string) {
-	for _, k := range s.rows[key].GetRecord().GetAccount().GetKeys() {
-		if len(k) == sha256.Size {
+	account := s.rows[key].GetRecord().GetAccount()
+	for _, k := range account.GetKeys() {
+		if len(k) == sha256.Size && s.keys[[sha256.Size]byte(k)] == account.GetName() {
 			delete(s.keys, [sha256.Size]byte(k))
 		}
 	}
 	delete(s.rows, key)
 }
 
+// Since returns what a process with the sequence number after needs to have
+// this state: the changes if they are remembered, else a snapshot.
+func (s *State) Since(after uint64) *wire.Batch {
+	b := &wire.Batch{Sequence: s.Sequence}
+	switch {
+	case after >= s.Sequence:
+	case len(s.recent) > 0 && s.recent[0].GetSequence() <= after+1:
+		b.Changes = s.recent[after+1-s.recent[0].GetSequence():]
+	default:
+		b.Snapshot = s.Snapshot()
+	}
+	return b
+}
+
+// Owner returns the account that has a caller key of this hash, or "".
+func (s *State) Owner(hash []byte) string {
+	if len(hash) != sha256.Size {
+		return ""
+	}
+	return s.keys[[sha256.Size]byte(hash)]
+}
+
 // Row returns the row with the key KIND/NAME, nil if there is none.
 func (s *State) Row(key string) *wire.Row { return s.rows[key] }
 
--- /dev/null
+++ b/core/puller/puller.go
@@ -0,0 +1,120 @@
+// Package puller asks entries which configuration they have in force and reads
+// it from them: the way to the newest configuration when the table service is
+// down, and for processes too many to read it.
+//
+// # Usage
+//
+//	p := puller.New(puller.Config{Addresses: roster.Known})
+//	k := keeper.New(keeper.Config{Table: table, Peers: p})
+//
+// A first round asks some of the addresses; a second one asks entries that the
+// answers name, so that a process which knows one entry asks several.
+package puller
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"bamboohill/core/keeper"
+	"bamboohill/wire"
+)
+
+// Bounds of one question.
+const (
+	width          = 2 * keeper.Several // entries asked in one round
+	defaultTimeout = time.Second
+)
+
+// Config describes a Puller. The zero Timeout is one second a call; Client may
+// be nil.
+type Config struct {
+	Addresses func() []string // of known entries, this process not among them
+	Self      string          // never asked
+	Timeout   time.Duration
+	Client    *http.Client
+}
+
+// Puller implements keeper.Peers.
+type Puller struct {
+	config Config
+}
+
+// New returns a puller. It panics if Addresses is nil.
+func New(config Config) *Puller {
+	if config.Addresses == nil {
+		panic("puller: nil addresses")
+	}
+	if config.Timeout <= 0 {
+		config.Timeout = defaultTimeout
+	}
+	if config.Client == nil {
+		config.Client = http.DefaultClient
+	}
+	return &Puller{config: config}
+}
+
+func (p *Puller) peer(address string) wire.Peers {
+	return wire.NewPeersProtobufClient("http://"+address, p.config.Client)
+}
+
+// Ask implements keeper.Peers. An entry that does not answer counts as known.
+func (p *Puller) Ask(ctx context.Context) (int, []keeper.Answer) {
+	known := p.others(p.config.Addresses())
+	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	asked := known[:min(width, len(known))]
+	answers, named := p.round(ctx, asked)
+	for _, a := range p.others(named) {
+		if !slices.Contains(known, a) {
+			known = append(known, a)
+		}
+	}
+	if len(answers) < keeper.Several && len(known) > len(asked) {
+		rest := known[len(asked):]
+		more, _ := p.round(ctx, rest[:min(width, len(rest))])
+		answers = append(answers, more...)
+	}
+	return len(known), answers
+}
+
+func (p *Puller) others(addresses []string) []string {
+	all := slices.Compact(slices.Sorted(slices.Values(addresses)))
+	return slices.DeleteFunc(all, func(a string) bool { return a == p.config.Self })
+}
+
+// round asks some entries at once and returns what they answer and the entries
+// that they name.
+func (p *Puller) round(ctx context.Context, addresses []string) ([]keeper.Answer, []string) {
+	ctx, cancel := context.WithTimeout(ctx, p.config.Timeout)
+	defer cancel()
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	var answers []keeper.Answer
+	var named []string
+	for _, address := range addresses {
+		all.Go(func() {
+			g, err := p.peer(address).Greet(ctx, &wire.Greeting{})
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, keeper.Answer{
+				Address: address, Sequence: g.GetSequence(), Ready: g.GetReady(), Age: time.Duration(g.GetAgeMs()) * time.Millisecond,
+			})
+			for _, m := range g.GetMembers() {
+				named = append(named, m.GetAddress())
+			}
+		})
+	}
+	all.Wait()
+	return answers, named
+}
+
+// Pull implements keeper.Peers.
+func (p *Puller) Pull(ctx context.Context, address string, after uint64) (*wire.Batch, error) {
+	return p.peer(address).Pull(ctx, &wire.PullRequest{After: after})
+}
