--- /dev/null
+++ b/entry/internal/gossiper/gossiper.go
@@ -0,0 +1,278 @@
+package gossiper
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bamboohill/core/keeper"
+	"bamboohill/core/storer"
+	"bamboohill/core/watcher"
+	"bamboohill/wire"
+
+	"github.com/phuslu/log"
+)
+
+// Defaults of Config.
+const (
+	defaultEvery = time.Second
+	defaultLimit = time.Second
+	listEvery    = 10 // greetings between two readings of the list of VMs
+	fanout       = 3  // entries greeted at once
+	spreadWidth  = 32 // pushes under way at once
+	probeWidth   = 8  // silent servers asked at once
+)
+
+// Lister reads the platform's list of VMs.
+type Lister interface {
+	List(ctx context.Context) ([]storer.VM, error)
+}
+
+// Config describes a Gossiper. The zero Every greets each second, the zero
+// Limit gives a call one second, the zero Copies pushes changes to every
+// sidecar heard. List, Client, Log, Accuse and Borrow may be nil.
+type Config struct {
+	Address string // this entry's inner address
+	Boot    uint64
+	Seeds   []string // inner addresses of some other entries
+	List    Lister
+	Keeper  *keeper.Keeper
+	Watcher *watcher.Watcher
+	Every   time.Duration
+	Limit   time.Duration
+	// Copies is how many of the entries that hear a sidecar push to it, by
+	// rendezvous rank among live entries; 0 means all.
+	Copies int
+	Client *http.Client
+	Log    *log.Logger
+	// Accuse takes a crash suspect that another entry tells of.
+	Accuse func(*wire.Accusation)
+	// Borrow lends a share of an account's limits to another entry.
+	Borrow func(context.Context, *wire.BorrowRequest) (*wire.BorrowReply, error)
+}
+
+// Gossiper joins one entry to the others.
+type Gossiper struct {
+	config  Config
+	leaving atomic.Bool
+	wake    chan struct{}
+
+	mu     sync.Mutex
+	roster *roster
+	random *rand.Rand
+	peers  map[string]uint64 // sequence number that each entry last said
+	sent   map[string]uint64 // sequence number that each server last took
+}
+
+// New returns a gossiper that does not greet yet. It panics without a keeper
+// or a watcher.
+func New(config Config) *Gossiper {
+	if config.Keeper == nil || config.Watcher == nil {
+		panic("gossiper: nil keeper or watcher")
+	}
+	if config.Every <= 0 {
+		config.Every = defaultEvery
+	}
+	if config.Limit <= 0 {
+		config.Limit = defaultLimit
+	}
+	if config.Client == nil {
+		config.Client = http.DefaultClient
+	}
+	g := &Gossiper{
+		config: config, wake: make(chan struct{}, 1), roster: newRoster(config.Address),
+		random: rand.New(rand.NewPCG(config.Boot, uint64(len(config.Address)))),
+		peers:  map[string]uint64{}, sent: map[string]uint64{},
+	}
+	g.roster.fix(config.Seeds)
+	return g
+}
+
+// Live returns the inner addresses of the other entries that serve.
+func (g *Gossiper) Live() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.roster.live(time.Now())
+}
+
+// Known returns the inner addresses of every other entry that was heard of.
+func (g *Gossiper) Known() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.roster.known()
+}
+
+// Leave tells the other entries that this one stops.
+func (g *Gossiper) Leave(ctx context.Context) {
+	g.leaving.Store(true)
+	g.each(ctx, g.Live(), func(ctx context.Context, a string) { g.greet(ctx, a, false) })
+}
+
+// Wake spreads the configuration in force now rather than at the next
+// greeting.
+func (g *Gossiper) Wake() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run greets and spreads until the context ends.
+func (g *Gossiper) Run(ctx context.Context) {
+	go g.spreadLoop(ctx)
+	for n := 0; ctx.Err() == nil; n++ {
+		if n%listEvery == 0 {
+			g.readList(ctx)
+		}
+		g.Round(ctx)
+		t := time.NewTimer(g.config.Every/2 + g.jitter(g.config.Every))
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (g *Gossiper) jitter(most time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Duration(g.random.Int64N(int64(most) + 1))
+}
+
+func (g *Gossiper) readList(ctx context.Context) {
+	if g.config.List == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, g.config.Limit)
+	defer cancel()
+	vms, err := g.config.List.List(ctx)
+	if err != nil {
+		return
+	}
+	fixed := append([]string(nil), g.config.Seeds...)
+	for _, v := range vms {
+		if v.Role == "entry" && !v.Leaving {
+			fixed = append(fixed, v.Address)
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.roster.fix(fixed)
+}
+
+// Round greets a few entries, asks the servers that are silent, and judges who
+// is gone.
+func (g *Gossiper) Round(ctx context.Context) {
+	g.mu.Lock()
+	targets := g.roster.targets(fanout, g.random)
+	g.mu.Unlock()
+	g.each(ctx, targets, func(ctx context.Context, a string) { g.greet(ctx, a, false) })
+	g.probe(ctx)
+	g.mu.Lock()
+	g.roster.judge(time.Now())
+	g.mu.Unlock()
+	g.config.Watcher.Tick()
+	g.Wake()
+}
+
+// each calls do for every address at once, within the limit.
+func (g *Gossiper) each(ctx context.Context, addresses []string, do func(context.Context, string)) {
+	ctx, cancel := context.WithTimeout(ctx, g.config.Limit)
+	defer cancel()
+	var all sync.WaitGroup
+	slots := make(chan struct{}, spreadWidth)
+	for _, a := range addresses {
+		slots <- struct{}{}
+		all.Go(func() {
+			defer func() { <-slots }()
+			do(ctx, a)
+		})
+	}
+	all.Wait()
+}
+
+func (g *Gossiper) peer(address string) wire.Peers {
+	return wire.NewPeersProtobufClient("http://"+address, g.config.Client)
+}
+
+// greet exchanges greetings with one entry; ask wants its sidecars' standings.
+func (g *Gossiper) greet(ctx context.Context, address string, ask bool) *wire.Greeting {
+	mine := g.greeting()
+	mine.Ask = ask
+	reply, err := g.peer(address).Greet(ctx, mine)
+	now := time.Now()
+	if err != nil {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.roster.fail(address, now)
+		return nil
+	}
+	g.take(reply, now)
+	return reply
+}
+
+// greeting is what this entry says of itself.
+func (g *Gossiper) greeting() *wire.Greeting {
+	now := time.Now()
+	age := now.Sub(g.config.Keeper.Confirmed()).Milliseconds()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return &wire.Greeting{
+		Address: g.config.Address, Boot: g.config.Boot, Sequence: g.config.Keeper.State().Sequence,
+		Leaving: g.leaving.Load(), AgeMs: age, Ready: g.config.Keeper.Ready(),
+		Members: g.roster.sample(sampleSize, now, g.random),
+	}
+}
+
+// take learns from a greeting.
+func (g *Gossiper) take(w *wire.Greeting, now time.Time) {
+	if w.GetAddress() == "" {
+		return
+	}
+	g.mu.Lock()
+	g.roster.hear(&wire.Member{Address: w.GetAddress(), Boot: w.GetBoot(), Leaving: w.GetLeaving()}, now, now)
+	for _, m := range w.GetMembers() {
+		g.roster.hear(m, now.Add(-time.Duration(m.GetAgeMs())*time.Millisecond), now)
+	}
+	g.peers[w.GetAddress()] = w.GetSequence()
+	g.mu.Unlock()
+	if w.GetReady() && g.config.Keeper.Heard(w.GetSequence()) {
+		g.catchUp(w.GetSequence())
+	}
+}
+
+// catchUp brings the keeper to a sequence number beside the caller's work.
+func (g *Gossiper) catchUp(sequence uint64) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*g.config.Limit)
+		defer cancel()
+		if g.config.Keeper.CatchUp(ctx, sequence) == nil {
+			g.Wake()
+		}
+	}()
+}
+
+// probe asks the servers whose heartbeats stopped. One that answers is heard;
+// one that does not is shown to fail. A cut that goes one way only is told
+// from a death so.
+func (g *Gossiper) probe(ctx context.Context) {
+	quiet := g.config.Watcher.Quiet(probeWidth)
+	reached := make(map[string]watcher.Server, len(quiet))
+	var addresses []string
+	for _, s := range quiet {
+		reached[s.GetAddress()] = s
+		addresses = append(addresses, s.GetAddress())
+	}
+	g.each(ctx, addresses, func(ctx context.Context, a string) {
+		report, err := wire.NewGateProtobufClient("http://"+a, g.config.Client).Inspect(ctx, &wire.InspectRequest{})
+		if err != nil {
+			g.config.Watcher.Fail(reached[a].ID())
+			return
+		}
+		g.config.Watcher.Hear(report)
+	})
+}
--- /dev/null
+++ b/entry/internal/gossiper/serve.go
@@ -0,0 +1,64 @@
+package gossiper
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"bamboohill/wire"
+
+	"github.com/twitchtv/twirp"
+)
+
+// Handler serves wire.Peers.
+func (g *Gossiper) Handler() http.Handler { return wire.NewPeersServer(service{g}) }
+
+// service serves the calls of wire.Peers.
+type service struct {
+	g *Gossiper
+}
+
+// Push implements wire.Peers.
+func (s service) Push(ctx context.Context, batch *wire.Batch) (*wire.PushReply, error) {
+	k := s.g.config.Keeper
+	if err := k.Offer(ctx, batch); err != nil || k.Heard(batch.GetSequence()) {
+		k.CatchUp(ctx, batch.GetSequence())
+	}
+	s.g.Wake()
+	return &wire.PushReply{Sequence: k.State().Sequence}, nil
+}
+
+// Pull implements wire.Peers. An entry that has not started itself has nothing
+// to give.
+func (s service) Pull(_ context.Context, q *wire.PullRequest) (*wire.Batch, error) {
+	if !s.g.config.Keeper.Ready() {
+		return nil, twirp.NewError(twirp.Unavailable, "not ready")
+	}
+	return s.g.config.Keeper.State().Since(q.GetAfter()), nil
+}
+
+// Greet implements wire.Peers.
+func (s service) Greet(_ context.Context, w *wire.Greeting) (*wire.Greeting, error) {
+	s.g.take(w, time.Now())
+	reply := s.g.greeting()
+	if w.GetAsk() {
+		reply.Standings = s.g.standings()
+	}
+	return reply, nil
+}
+
+// Accuse implements wire.Peers.
+func (s service) Accuse(_ context.Context, a *wire.Accusation) (*wire.AccuseReply, error) {
+	if s.g.config.Accuse != nil {
+		s.g.config.Accuse(a)
+	}
+	return &wire.AccuseReply{}, nil
+}
+
+// Borrow implements wire.Peers.
+func (s service) Borrow(ctx context.Context, q *wire.BorrowRequest) (*wire.BorrowReply, error) {
+	if s.g.config.Borrow == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "no limits are lent here")
+	}
+	return s.g.config.Borrow(ctx, q)
+}
--- /dev/null
+++ b/entry/internal/gossiper/spread.go
@@ -0,0 +1,174 @@
+package gossiper
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"bamboohill/core/watcher"
+	"bamboohill/wire"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Spread pushes what is in force here to every live entry, at once. The
+// entries push it to the sidecars that they hear.
+func (g *Gossiper) Spread(ctx context.Context) {
+	g.Wake()
+	state := g.config.Keeper.State()
+	g.each(ctx, g.Live(), func(ctx context.Context, a string) {
+		g.mu.Lock()
+		after := g.peers[a]
+		g.mu.Unlock()
+		reply, err := g.peer(a).Push(ctx, state.Since(min(after, state.Sequence)))
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if err == nil {
+			g.peers[a] = reply.GetSequence()
+		}
+	})
+}
+
+// spreadLoop pushes to sidecars whenever this entry's configuration or view
+// has changed.
+func (g *Gossiper) spreadLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.wake:
+			g.pushServers(ctx)
+		}
+	}
+}
+
+// pushServers pushes the configuration in force to the sidecars that are
+// behind it.
+func (g *Gossiper) pushServers(ctx context.Context) {
+	state := g.config.Keeper.State()
+	entries := append(g.Live(), g.config.Address)
+	behind := map[string]watcher.Server{}
+	var addresses []string
+	g.mu.Lock()
+	for _, s := range g.config.Watcher.View().Servers {
+		taken := max(g.sent[s.GetServer()], s.GetSequence())
+		if taken < state.Sequence && g.mine(s.GetServer(), entries) {
+			behind[s.GetAddress()] = s
+			addresses = append(addresses, s.GetAddress())
+		}
+	}
+	g.mu.Unlock()
+	g.each(ctx, addresses, func(ctx context.Context, a string) {
+		s := behind[a]
+		batch := state.Since(s.GetSequence())
+		if batch.Snapshot != nil {
+			// It is far behind: tell it so, and let it pull.
+			batch = &wire.Batch{Sequence: state.Sequence}
+		}
+		reply, err := wire.NewGateProtobufClient("http://"+a, g.config.Client).Push(ctx, batch)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if err == nil {
+			g.sent[s.GetServer()] = reply.GetSequence()
+		}
+	})
+}
+
+// mine reports whether this entry is among those that push to a server.
+func (g *Gossiper) mine(server string, entries []string) bool {
+	if g.config.Copies <= 0 || len(entries) <= g.config.Copies {
+		return true
+	}
+	slices.SortFunc(entries, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(server+a), xxhash.Sum64String(server+b))
+	})
+	return slices.Contains(entries[:g.config.Copies], g.config.Address)
+}
+
+// Accuse tells every live entry of a crash suspect.
+func (g *Gossiper) Accuse(ctx context.Context, a *wire.Accusation) {
+	g.each(ctx, g.Live(), func(ctx context.Context, address string) { g.peer(address).Accuse(ctx, a) })
+}
+
+// Borrow asks an account's home entry for a share of its limits.
+func (g *Gossiper) Borrow(ctx context.Context, home string, q *wire.BorrowRequest) (*wire.BorrowReply, error) {
+	return g.peer(home).Borrow(ctx, q)
+}
+
+// Standing is the configuration in force at one process.
+type Standing struct {
+	Name     string // inner address of an entry, id of a backend server
+	Sequence uint64
+	Silent   bool // it did not answer just now
+}
+
+// Survey asks every known entry what is in force there and at the sidecars
+// that it hears.
+func (g *Gossiper) Survey(ctx context.Context) (entries, servers []Standing) {
+	newest := map[string]Standing{}
+	mine := g.standings()
+	add := func(all []*wire.Standing) {
+		for _, w := range all {
+			if old, found := newest[w.GetServer()]; !found || w.GetSequence() > old.Sequence {
+				newest[w.GetServer()] = Standing{Name: w.GetServer(), Sequence: w.GetSequence()}
+			}
+		}
+	}
+	add(mine)
+	entries = []Standing{{Name: g.config.Address, Sequence: g.config.Keeper.State().Sequence}}
+	known := g.surveyed()
+	answers := make(chan *wire.Greeting, len(known))
+	silent := make(chan string, len(known))
+	g.each(ctx, known, func(ctx context.Context, a string) {
+		if reply := g.greet(ctx, a, true); reply != nil {
+			answers <- reply
+		} else {
+			silent <- a
+		}
+	})
+	close(answers)
+	close(silent)
+	for w := range answers {
+		entries = append(entries, Standing{Name: w.GetAddress(), Sequence: w.GetSequence()})
+		add(w.GetStandings())
+	}
+	g.mu.Lock()
+	for a := range silent {
+		entries = append(entries, Standing{Name: a, Sequence: g.peers[a], Silent: true})
+	}
+	g.mu.Unlock()
+	for _, s := range newest {
+		servers = append(servers, s)
+	}
+	order := func(a, b Standing) int { return cmp.Compare(a.Name, b.Name) }
+	slices.SortFunc(entries, order)
+	slices.SortFunc(servers, order)
+	return entries, servers
+}
+
+// surveyed returns the entries whose configuration counts: all that were ever
+// heard and do not leave.
+func (g *Gossiper) surveyed() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all []string
+	for address, m := range g.roster.all {
+		if !m.heard.IsZero() && !m.leaving {
+			all = append(all, address)
+		}
+	}
+	return all
+}
+
+// standings is what the sidecars that this entry hears have in force.
+func (g *Gossiper) standings() []*wire.Standing {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all []*wire.Standing
+	for _, s := range g.config.Watcher.View().Servers {
+		all = append(all, &wire.Standing{
+			Server: s.GetServer(), Boot: s.GetBoot(), Sequence: max(s.GetSequence(), g.sent[s.GetServer()]),
+		})
+	}
+	return all
+}
