Placement by expected first token, admission, limits and prefix hints

Cause: requests went to the server with the least share of its slots in use, whatever their length, the prompts cached there and what this entry had placed since the last report; nothing was refused for lack of time.

A proposal's priority is now the time until it is urgent; the sidecar adds its clock.

--- /dev/null
+++ b/core/admitter/admitter.go
@@ -0,0 +1,132 @@
+// Package admitter decides whether a request can finish before its deadline,
+// and if not, when to come back. What cannot finish is refused at once: it
+// would take the place of requests that can.
+//
+// Expectations come from the router and know nothing of the requests that will
+// overtake this one, so an Admitter learns for each class of priority by how
+// much the real time to the first token exceeds the expected one, and allows
+// for it.
+//
+// # Usage
+//
+//	a := admitter.New(admitter.Config{})
+//	err := a.Admit(admitter.Ask{Prompt: tokens, First: choice.First, Whole: choice.Whole, Left: left})
+//	...                 // first token
+//	a.Learn(tokens, choice.First, took)
+//
+// An Admitter is safe for concurrent use.
+package admitter
+
+import (
+	"fmt"
+	"math/bits"
+	"sync"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	defaultMargin = 20 * time.Millisecond
+	defaultMost   = 4.0
+	defaultRetry  = time.Second
+	defaultLatest = time.Minute
+)
+
+// learning is the weight of one new observation.
+const learning = 0.05
+
+// classes is how many length classes an Admitter tells apart, by powers of
+// four of the prompt's length.
+const classes = 16
+
+// Config describes an Admitter. Zero values mean the defaults.
+type Config struct {
+	Margin time.Duration // kept free before the deadline, 20 ms
+	Most   float64       // largest allowance as a multiple of what is expected, 4
+	Retry  time.Duration // soonest time to come back, 1 s
+	Latest time.Duration // latest time to come back, 1 min
+}
+
+// Ask is one request that wants to be admitted.
+type Ask struct {
+	Prompt int64         // tokens
+	First  time.Duration // expected until the first token
+	Whole  time.Duration // expected until the last token
+	Left   time.Duration // until the deadline
+}
+
+// LateError says that a request cannot finish in time.
+type LateError struct {
+	Needs time.Duration // expected with the learnt allowance
+	Left  time.Duration
+	Retry time.Duration // when to come back
+}
+
+// Error implements error.
+func (e *LateError) Error() string {
+	return fmt.Sprintf("admitter: needs %v and has %v", e.Needs, e.Left)
+}
+
+// Admitter decides.
+type Admitter struct {
+	config  Config
+	mu      sync.Mutex
+	stretch [classes]float64
+}
+
+// New returns an admitter that has learnt nothing.
+func New(config Config) *Admitter {
+	if config.Margin <= 0 {
+		config.Margin = defaultMargin
+	}
+	if config.Most <= 1 {
+		config.Most = defaultMost
+	}
+	if config.Retry <= 0 {
+		config.Retry = defaultRetry
+	}
+	if config.Latest <= 0 {
+		config.Latest = defaultLatest
+	}
+	a := &Admitter{config: config}
+	for c := range a.stretch {
+		a.stretch[c] = 1
+	}
+	return a
+}
+
+func classOf(prompt int64) int {
+	return min(bits.Len64(uint64(max(0, prompt)))/2, classes-1)
+}
+
+// Needs returns the time that a request is expected to take, with the learnt
+// allowance.
+func (a *Admitter) Needs(q Ask) time.Duration {
+	a.mu.Lock()
+	s := a.stretch[classOf(q.Prompt)]
+	a.mu.Unlock()
+	return time.Duration(float64(q.First)*s) + max(0, q.Whole-q.First) + a.config.Margin
+}
+
+// Admit returns nil for a request that can finish in time and a *LateError for
+// one that cannot. It says to come back when the queue that stands in the way
+// will have been worked off.
+func (a *Admitter) Admit(q Ask) error {
+	needs := a.Needs(q)
+	if needs <= q.Left {
+		return nil
+	}
+	return &LateError{Needs: needs, Left: q.Left, Retry: min(max(needs-q.Left, a.config.Retry), a.config.Latest)}
+}
+
+// Learn takes the real time to the first token of an admitted request.
+func (a *Admitter) Learn(prompt int64, expected, took time.Duration) {
+	if expected <= 0 || took <= 0 {
+		return
+	}
+	ratio := min(max(float64(took)/float64(expected), 1), a.config.Most)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := &a.stretch[classOf(prompt)]
+	*s += learning * (ratio - *s)
+}
--- /dev/null
+++ b/core/limiter/fair.go
@@ -0,0 +1,141 @@
+package limiter
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"bamboohill/core/ider"
+)
+
+// Defaults of FairConfig.
+const (
+	defaultCalm   = 300 * time.Millisecond
+	defaultMemory = 4 * time.Second
+	defaultDebt   = time.Second
+	defaultLeast  = 10_000.0
+)
+
+// levelEvery is how often the fair level is worked out anew.
+const levelEvery = 100 * time.Millisecond
+
+// probe is how much more than the measured work is shared out, so that the
+// measure can rise.
+const probe = 1.05
+
+// FairConfig describes fair sharing. Zero values mean the defaults.
+type FairConfig struct {
+	Calm   time.Duration // backlog up to which all is let through, 300 ms
+	Memory time.Duration // how far back demand is measured, 4 s
+	Debt   time.Duration // of an account's share that it may use ahead, 1 s
+	Least  float64       // least work to share out, in tokens a second, 10,000
+	Off    bool          // share nothing out
+}
+
+// fair shares out work among accounts under overload: each gets at most its
+// weighted max-min part of the work that the entry gets done. It is guarded by
+// the Limiter's mutex.
+type fair struct {
+	config   FairConfig
+	pressed  bool
+	claims   map[ider.Account]*claim
+	done     rate    // tokens of work a second let through and not failed
+	level    float64 // tokens of work a second for each unit of weight
+	levelled time.Time
+}
+
+// claim is one account's part.
+type claim struct {
+	weight  float64
+	offered rate    // tokens of work a second asked for
+	credit  float64 // tokens of work, negative while it has used more
+	filled  time.Time
+}
+
+func newFair(config FairConfig) *fair {
+	if config.Calm <= 0 {
+		config.Calm = defaultCalm
+	}
+	if config.Memory <= 0 {
+		config.Memory = defaultMemory
+	}
+	if config.Debt <= 0 {
+		config.Debt = defaultDebt
+	}
+	if config.Least <= 0 {
+		config.Least = defaultLeast
+	}
+	return &fair{config: config, claims: map[ider.Account]*claim{}, level: math.Inf(1)}
+}
+
+func (f *fair) press(backlog time.Duration) {
+	f.pressed = !f.config.Off && backlog > f.config.Calm
+}
+
+// take returns zero if an account's request may go ahead, else when to come
+// back.
+func (f *fair) take(name ider.Account, weight, work float64, now time.Time) time.Duration {
+	c, found := f.claims[name]
+	if !found {
+		c = &claim{filled: now}
+		f.claims[name] = c
+	}
+	c.weight = weight
+	c.offered.add(work, now, f.config.Memory)
+	if now.Sub(f.levelled) >= levelEvery {
+		f.relevel(now)
+	}
+	if !f.pressed || math.IsInf(f.level, 1) {
+		c.credit, c.filled = 0, now
+		f.done.add(work, now, f.config.Memory)
+		return 0
+	}
+	gets := f.level * c.weight
+	c.credit = min(gets*f.config.Debt.Seconds(), c.credit+gets*max(0, now.Sub(c.filled).Seconds()))
+	c.filled = now
+	if c.credit < 0 {
+		wait := time.Duration(-c.credit / gets * float64(time.Second))
+		return min(max(wait, time.Second), time.Minute)
+	}
+	c.credit -= work
+	f.done.add(work, now, f.config.Memory)
+	return 0
+}
+
+// end notes that a request let through has ended. Work that was refused later
+// was not done.
+func (f *fair) end(work float64, served bool, now time.Time) {
+	if !served {
+		f.done.add(-work, now, f.config.Memory)
+	}
+}
+
+// relevel works out the level: the accounts' demands, each cut to the level
+// times its weight, add up to the work that gets done.
+func (f *fair) relevel(now time.Time) {
+	f.levelled = now
+	type demand struct{ wants, weight float64 }
+	var demands []demand
+	var weights float64
+	for name, c := range f.claims {
+		wants := c.offered.get(now, f.config.Memory)
+		if wants < 1 && c.credit >= 0 {
+			delete(f.claims, name)
+			continue
+		}
+		demands = append(demands, demand{wants, c.weight})
+		weights += c.weight
+	}
+	slices.SortFunc(demands, func(a, b demand) int { return cmp.Compare(a.wants/a.weight, b.wants/b.weight) })
+	left := probe * max(f.config.Least, f.done.get(now, f.config.Memory))
+	f.level = math.Inf(1)
+	for _, d := range demands {
+		if level := left / weights; d.wants > level*d.weight {
+			f.level = level
+			return
+		}
+		left -= d.wants
+		weights -= d.weight
+	}
+}
--- /dev/null
+++ b/core/router/estimate.go
@@ -0,0 +1,172 @@
+package router
+
+import (
+	"math"
+	"time"
+
+	"bamboohill/core/ider"
+	"bamboohill/core/watcher"
+	"bamboohill/wire"
+)
+
+// class is a length class of prompts.
+type class int
+
+const (
+	brief class = iota
+	middle
+	long
+)
+
+func classOf(prompt int64) class {
+	switch {
+	case prompt <= BriefTokens:
+		return brief
+	case prompt >= LongTokens:
+		return long
+	}
+	return middle
+}
+
+// Penalties of a server that can hardly take a job now, in seconds. They keep
+// it behind every other server but do not rule it out: the gate decides.
+const (
+	penaltyFull   = 2
+	penaltyFailed = 5
+	penaltyMemory = 30
+	penaltyBound  = 60
+	penaltyShare  = 120
+)
+
+// chunk is the prefill work that an engine does between two looks at its
+// queue, in tokens: a short prompt waits for half of it if a longer one runs.
+const chunk = 2048
+
+// maxPriority keeps priorities within the schema's int32.
+const maxPriority = math.MaxInt32
+
+// stretch is how many times its own work a request may wait before it counts
+// as urgent as any.
+const stretch = 20
+
+// estimate is what a job would meet on one server. Times are in seconds.
+type estimate struct {
+	cost   float64 // first with penalties
+	first  float64 // until the first token
+	whole  float64 // until the last token
+	alone  float64 // prefill on an idle server
+	cached int64   // tokens
+	work   int64   // tokens to prefill
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, math.MaxInt32) * float64(time.Second))
+}
+
+// estimate returns what the job would meet on a server.
+func (s *search) estimate(server *watcher.Server) estimate {
+	if s.job.Kind == wire.Kind_KIND_SERVICE {
+		return s.service(server)
+	}
+	r := s.r
+	o := r.load(server)
+	speed := server.GetPrefill()
+	if speed <= 0 {
+		speed = r.config.Speed
+	}
+	e := estimate{}
+	if r.config.Hints != nil && r.on(Prefix) {
+		e.cached = min(r.config.Hints.Cached(ider.Server(server.GetServer()), s.job.Chain), s.job.Prompt-1)
+	}
+	e.work = max(1, s.job.Prompt-e.cached)
+	e.alone = float64(e.work) / speed
+	running := float64(server.GetRunning()) + float64(o.running)
+	limit := float64(max(1, server.GetLimit()))
+	ahead, behind := s.ahead(server, &o, speed)
+	slow := 1 + min(1, running/limit)/2
+	e.first = slow * (ahead/speed + e.alone)
+	if behind > 0 {
+		e.first += min(behind, chunk) / speed / 2
+	}
+	e.whole = e.first + float64(s.job.Answer)/max(1, server.GetDecode())*slow
+	e.cost = e.first + s.penalty(server, &o, running, limit)
+	return e
+}
+
+// service estimates a plain service by its share of slots in use.
+func (s *search) service(server *watcher.Server) estimate {
+	o := s.r.load(server)
+	running := float64(server.GetRunning()) + float64(o.running)
+	limit := float64(max(1, server.GetLimit()))
+	e := estimate{cost: running/limit + penaltyFailed*float64(server.Failed)}
+	if running >= limit {
+		e.cost += penaltyFull
+	}
+	return e
+}
+
+// ahead returns the prefill tokens that an engine would do before the job's,
+// and those that would wait for it.
+func (s *search) ahead(server *watcher.Server, o *load, speed float64) (ahead, behind float64) {
+	all := float64(server.GetQueued())
+	longs := min(all, float64(server.GetLong()))
+	briefs := min(all-longs, float64(server.GetBrief()))
+	waiting := [...]float64{brief: briefs, middle: all - longs - briefs, long: longs}
+	done := speed * max(0, s.now.Sub(server.Heard).Seconds()+s.r.config.Lag.Seconds())
+	for c := range waiting {
+		waiting[c] += float64(o.prefill[c])
+		served := min(done, waiting[c])
+		waiting[c] -= served
+		done -= served
+	}
+	if !s.r.on(Priority) {
+		return waiting[brief] + waiting[middle] + waiting[long], 0
+	}
+	for c, tokens := range waiting {
+		if class(c) <= s.class {
+			ahead += tokens
+		} else {
+			behind += tokens
+		}
+	}
+	return ahead, behind
+}
+
+func (s *search) penalty(server *watcher.Server, o *load, running, limit float64) float64 {
+	p := penaltyFailed * float64(server.Failed)
+	if running >= limit {
+		p += penaltyFull * (running - limit + 1)
+	}
+	if server.GetFree()-o.memory < s.job.Prompt+s.job.Answer {
+		p += penaltyMemory
+	}
+	if s.class != long {
+		return p
+	}
+	backlog := server.GetLong() + o.prefill[long]
+	if s.r.on(Bound) && backlog > 0 && backlog+s.job.Prompt > s.r.config.Bound {
+		p += penaltyBound
+	}
+	if s.r.on(Share) && rank(server.GetServer()) > s.most {
+		p += penaltyShare
+	}
+	return p
+}
+
+// priority returns when the request turns urgent, in milliseconds from now:
+// after a multiple of its own work, and early enough to meet its deadline. The
+// sidecar adds its clock to it, so that an engine which serves the smallest
+// number first serves the short ones first, and a long one once it is due.
+func (s *search) priority(e estimate) int32 {
+	if !s.r.on(Priority) {
+		return 0
+	}
+	if !s.r.on(Aging) {
+		return int32(s.class)
+	}
+	wait := e.alone * stretch
+	if !s.job.Deadline.IsZero() {
+		wait = min(wait, s.job.Deadline.Sub(s.now).Seconds()-2*e.whole)
+	}
+	return int32(min(max(0, wait*1000), maxPriority))
+}
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -1,20 +1,91 @@
-// Package router places a request on a backend server. It is pure: what is
-// known goes in, a choice comes out.
+// Package router places a request on a backend server: the one with the least
+// expected time to the first token among a few candidates.
+//
+// The candidates are a few servers drawn at random (the power of d choices),
+// those that may hold the start of the prompt in their prefix caches, and the
+// prompt's home by rendezvous hashing. Reports lag, so a router corrects them
+// by what it has itself placed since; without that, every request between two
+// reports goes to the same server. Long prompts take only an elastic share of
+// the servers, sized by measured demand, and a server whose backlog of long
+// prompts is over a bound takes no more of them while another can.
 //
 // # Usage
 //
-//	choice, err := router.Pick(job, view.Servers)
+//	r := router.New(router.Config{Hints: hints})
+//	choice, err := r.Pick(job, view.Servers, time.Now())
+//	r.Placed(choice, time.Now())
+//	...                // first token
+//	r.Begun(choice)
+//	...                // end, or refusal
+//	r.Done(choice)
+//
+// A Router does nothing but decide: the view, the clock and the seed are
+// passed in. It is safe for concurrent use.
 package router
 
 import (
+	"math/rand/v2"
 	"slices"
+	"strings"
+	"sync"
 	"time"
 
+	"bamboohill/core/hinter"
 	"bamboohill/core/ider"
 	"bamboohill/core/watcher"
 	"bamboohill/wire"
 )
 
+// Bounds of the length classes, in prompt tokens.
+const (
+	BriefTokens = 4_000   // a short prompt has at most so many
+	LongTokens  = 100_000 // a long prompt has at least so many
+)
+
+// Defaults of Config.
+const (
+	defaultCandidates = 4
+	defaultHolders    = 3
+	defaultBound      = 600_000 // tokens
+	defaultLag        = 150 * time.Millisecond
+	defaultSpeed      = 50_000.0 // tokens a second
+)
+
+// retryNone is when to come back if no server can take a job.
+const retryNone = time.Second
+
+// Parts names the parts of the policy.
+type Parts uint
+
+// Parts that can be switched off.
+const (
+	Prefix   Parts = 1 << iota // candidates and costs by prefix hints
+	Own                        // correction by own placements
+	Share                      // elastic share for long prompts
+	Bound                      // bound on a server's backlog of long prompts
+	Priority                   // priorities among requests at the engine
+	Aging                      // priorities that rise towards the deadline
+)
+
+// Hints guesses what servers hold of a prompt.
+type Hints interface {
+	Cached(server ider.Server, chain hinter.Chain) int64
+	Holders(list []hinter.Holder, chain hinter.Chain, most int) []hinter.Holder
+	Expect(server ider.Server, chain hinter.Chain)
+}
+
+// Config describes a Router. Zero values mean the defaults.
+type Config struct {
+	Hints      Hints         // none if nil
+	Candidates int           // servers drawn at random, 4
+	Holders    int           // servers tried for their prefix cache, 3
+	Bound      int64         // tokens of a server's backlog of long prompts, 600,000
+	Lag        time.Duration // age of a report when it is heard, 150 ms
+	Speed      float64       // prefill tokens a second of a server that does not say, 50,000
+	Seed       uint64        // of the random draws
+	Off        Parts         // parts switched off
+}
+
 // Job is what placement needs to know of a request.
 type Job struct {
 	Kind     wire.Kind
@@ -22,11 +93,28 @@
 	Model    string
 	Version  string
 	Adapter  string
-	Prompt   int64 // tokens
-	Answer   int64 // tokens
+	Prompt   int64        // tokens
+	Answer   int64        // tokens
+	Chain    hinter.Chain // marks of the prompt
+	Deadline time.Time    // zero is none
+	Wide     bool         // consider every server, not only a few candidates
 	Excluded []ider.Server
 }
 
+// Choice is the server chosen for a job.
+type Choice struct {
+	Server   watcher.Server
+	First    time.Duration // expected until the first token
+	Whole    time.Duration // expected until the last token
+	Cached   int64         // prompt tokens expected in the prefix cache
+	Priority int32         // for the engine, see priority
+	id       uint64
+	work     int64 // prefill tokens
+	memory   int64
+	class    class
+	chain    hinter.Chain
+}
+
 // NoneError says that no backend server can take a job now.
 type NoneError struct {
 	Known bool          // some server offers the model or service
@@ -36,48 +124,167 @@
 // Error implements error.
 func (e *NoneError) Error() string { return "router: no backend server" }
 
-// retryNone is when to come back if no server can take a job.
-const retryNone = time.Second
+// Router chooses servers.
+type Router struct {
+	config Config
+	mu     sync.Mutex
+	random *rand.Rand
+	next   uint64
+	own    map[ider.Server][]placement
+	demand demand
+	list   []hinter.Holder // scratch of Pick
+	ranks  []uint64        // scratch of Pick
+}
+
+// New returns a router without placements.
+func New(config Config) *Router {
+	if config.Candidates <= 0 {
+		config.Candidates = defaultCandidates
+	}
+	if config.Holders <= 0 {
+		config.Holders = defaultHolders
+	}
+	if config.Bound <= 0 {
+		config.Bound = defaultBound
+	}
+	if config.Lag <= 0 {
+		config.Lag = defaultLag
+	}
+	if config.Speed <= 0 {
+		config.Speed = defaultSpeed
+	}
+	return &Router{
+		config: config, random: rand.New(rand.NewPCG(config.Seed, config.Seed+1)), own: map[ider.Server][]placement{},
+	}
+}
+
+func (r *Router) on(part Parts) bool { return r.config.Off&part == 0 }
 
-// Pick returns the server that is least loaded among those that can take the
-// job, or a *NoneError.
-func Pick(job Job, servers []watcher.Server) (watcher.Server, error) {
-	none := &NoneError{Retry: retryNone}
-	var best watcher.Server
-	for _, s := range servers {
-		if !offers(job, s.Report) {
-			continue
+// Pick returns the choice for a job among the servers, which must be in order
+// of id. It changes nothing: tell Placed when the choice is proposed. If no
+// server can take the job it returns a *NoneError.
+func (r *Router) Pick(job Job, servers []watcher.Server, now time.Time) (Choice, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := search{r: r, job: &job, servers: servers, now: now, class: classOf(job.Prompt)}
+	s.prepare()
+	if job.Wide || s.class == long || len(servers) <= r.config.Candidates {
+		s.all()
+	} else {
+		s.hinted()
+		s.draw()
+		if !s.found {
+			s.all()
 		}
-		none.Known = true
-		if s.GetState() != wire.State_STATE_OPEN || slices.Contains(job.Excluded, ider.Server(s.GetServer())) {
-			continue
+	}
+	if !s.found {
+		return Choice{}, &NoneError{Known: s.known, Retry: retryNone}
+	}
+	r.next++
+	choice := s.choice()
+	choice.id = r.next
+	return choice, nil
+}
+
+// search is one decision.
+type search struct {
+	r       *Router
+	job     *Job
+	servers []watcher.Server
+	now     time.Time
+	class   class
+	most    uint64 // largest rank that a long prompt may use
+	known   bool
+	found   bool
+	best    estimate
+	index   int
+}
+
+// hinted considers the servers that may hold the prompt's start, and its home.
+func (s *search) hinted() {
+	if s.r.config.Hints == nil || !s.r.on(Prefix) || len(s.job.Chain) == 0 {
+		return
+	}
+	s.r.list = s.r.config.Hints.Holders(s.r.list[:0], s.job.Chain, s.r.config.Holders)
+	for _, x := range s.r.list {
+		i, found := slices.BinarySearchFunc(s.servers, string(x.Server), func(a watcher.Server, id string) int {
+			return strings.Compare(a.GetServer(), id)
+		})
+		if found {
+			s.consider(i)
 		}
-		if job.Kind == wire.Kind_KIND_MODEL && s.GetMemory() < job.Prompt+job.Answer {
-			continue
+	}
+	if len(s.r.list) == 0 {
+		s.consider(Home(s.job.Chain[0].Hash, s.servers))
+	}
+}
+
+// draw considers servers at random until enough of them could take the job.
+func (s *search) draw() {
+	const tries = 4
+	left := s.r.config.Candidates
+	for range left * tries {
+		if s.consider(s.r.random.IntN(len(s.servers))) {
+			left--
 		}
-		if best.Report == nil || load(s) < load(best) {
-			best = s
+		if left == 0 {
+			return
 		}
 	}
-	if best.Report == nil {
-		return best, none
+}
+
+// all considers every server, from a random one on.
+func (s *search) all() {
+	if len(s.servers) == 0 {
+		return
+	}
+	start := s.r.random.IntN(len(s.servers))
+	for i := range s.servers {
+		s.consider((start + i) % len(s.servers))
+	}
+}
+
+// consider keeps a server if it is the best so far, and reports whether it
+// could take the job.
+func (s *search) consider(i int) bool {
+	server := &s.servers[i]
+	if !offers(s.job, server.Report) {
+		return false
+	}
+	s.known = true
+	if server.GetState() != wire.State_STATE_OPEN || slices.Contains(s.job.Excluded, ider.Server(server.GetServer())) {
+		return false
+	}
+	if s.job.Kind == wire.Kind_KIND_MODEL && server.GetMemory() < s.job.Prompt+s.job.Answer {
+		return false
+	}
+	e := s.estimate(server)
+	if !s.found || e.cost < s.best.cost {
+		s.found, s.best, s.index = true, e, i
 	}
-	return best, nil
+	return true
 }
 
-func load(s watcher.Server) float64 {
-	return float64(s.GetRunning()+int32(s.Failed)) / float64(max(1, s.GetLimit()))
+func (s *search) choice() Choice {
+	e := s.best
+	return Choice{
+		Server: s.servers[s.index], First: seconds(e.first), Whole: seconds(e.whole), Cached: e.cached,
+		Priority: s.priority(e), work: e.work, memory: s.job.Prompt + s.job.Answer, class: s.class, chain: s.job.Chain,
+	}
 }
 
-func offers(job Job, report *wire.Report) bool {
+func offers(job *Job, report *wire.Report) bool {
 	if job.Kind != report.GetKind() {
 		return false
 	}
 	if job.Kind == wire.Kind_KIND_SERVICE {
 		return job.Service == report.GetService()
 	}
-	return slices.ContainsFunc(report.GetOffers(), func(o *wire.Offer) bool {
-		return o.GetModel() == job.Model && (job.Version == "" || o.GetVersion() == job.Version) &&
-			(job.Adapter == "" || slices.Contains(o.GetAdapters(), job.Adapter))
-	})
+	for _, o := range report.GetOffers() {
+		if o.GetModel() == job.Model && (job.Version == "" || o.GetVersion() == job.Version) &&
+			(job.Adapter == "" || slices.Contains(o.GetAdapters(), job.Adapter)) {
+			return true
+		}
+	}
+	return false
 }
--- /dev/null
+++ b/core/router/share.go
@@ -0,0 +1,99 @@
+package router
+
+import (
+	"math"
+	"slices"
+
+	"bamboohill/core/watcher"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// demandMemory is after how many tokens of work the measured share of long
+// prompts has forgotten two thirds of the past.
+const demandMemory = 20_000_000
+
+// headroom is how much more than their share of the work long prompts get in
+// servers.
+const headroom = 1.2
+
+// demand measures which part of the work long prompts are.
+type demand struct {
+	longs float64
+	all   float64
+}
+
+func (d *demand) add(c class, work int64) {
+	keep := math.Exp(-float64(work) / demandMemory)
+	d.longs *= keep
+	d.all = d.all*keep + float64(work)
+	if c == long {
+		d.longs += float64(work)
+	}
+}
+
+// share returns the part of the servers that long prompts may use.
+func (d *demand) share() float64 {
+	if d.all == 0 {
+		return 1
+	}
+	return min(1, headroom*d.longs/d.all)
+}
+
+// rank orders servers alike at every entry, with no word between them.
+func rank(server string) uint64 { return xxhash.Sum64String(server) }
+
+// prepare finds the servers that a long prompt may use: those with the
+// smallest ranks, as many as the share says, at least one.
+func (s *search) prepare() {
+	s.most = math.MaxUint64
+	if s.class != long || !s.r.on(Share) {
+		return
+	}
+	able := s.ranks()
+	if len(able) == 0 {
+		return
+	}
+	n := int(math.Ceil(s.r.demand.share() * float64(len(able))))
+	s.most = able[min(max(n, 1), len(able))-1]
+}
+
+// Home returns the index of the server that is a prefix's home by weighted
+// rendezvous hashing: the same at every entry, and unmoved by the coming and
+// going of other servers. The weight is the server's memory. It panics if
+// there is no server.
+func Home(prefix uint64, servers []watcher.Server) int {
+	best, top := 0, math.Inf(-1)
+	for i := range servers {
+		h := mix(prefix ^ rank(servers[i].GetServer()))
+		u := (float64(h>>11) + 0.5) / (1 << 53)
+		score := -float64(max(1, servers[i].GetMemory())) / math.Log(u)
+		if score > top {
+			best, top = i, score
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of a hash (the finaliser of splitmix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	return x
+}
+
+// ranks returns the sorted ranks of the servers that offer what the job needs.
+func (s *search) ranks() []uint64 {
+	able := s.r.ranks[:0]
+	for i := range s.servers {
+		if offers(s.job, s.servers[i].Report) {
+			able = append(able, rank(s.servers[i].GetServer()))
+		}
+	}
+	slices.Sort(able)
+	s.r.ranks = able
+	return able
+}
--- a/entry/internal/dispatcher/attempt.go
+++ b/entry/internal/dispatcher/attempt.go
@@ -5,15 +5,20 @@
 	"time"
 
 	"bamboohill/core/ider"
+	"bamboohill/core/router"
 	"bamboohill/core/watcher"
 	"bamboohill/wire"
 )
 
 // attempt runs one try of a request at one server, from a position on.
-func (d *Dispatcher) attempt(ctx context.Context, q *Request, server watcher.Server, position int64, sink Sink) step {
+func (d *Dispatcher) attempt(ctx context.Context, q *Request, choice router.Choice, position int64, sink Sink) step {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	p := d.proposal(q, server, position)
+	server := choice.Server
+	started := time.Now()
+	d.config.Router.Placed(choice, started)
+	defer d.config.Router.Done(choice)
+	p := d.proposal(q, choice, position)
 	d.config.Log.Debug().Str("event", "proposed").Str("request", p.GetRequest()).Str("attempt", p.GetAttempt()).
 		Str("server", server.GetServer()).Int64("position", position).Msg("")
 	watch := time.AfterFunc(d.acceptWatch(q), cancel)
@@ -23,11 +28,16 @@
 		return d.lost(server, position)
 	}
 	defer a.Close()
+	begun := false
 	for {
 		f, err := a.Next()
 		if err != nil {
 			return d.lost(server, a.Position())
 		}
+		if f.GetTokens() != nil && !begun {
+			begun = true
+			d.begun(q, choice, started)
+		}
 		// The caller's own slowness is not the server's.
 		watch.Stop()
 		if s, done := d.relay(f, sink, a.Position()); done {
@@ -105,11 +115,11 @@
 	}}
 }
 
-func (d *Dispatcher) proposal(q *Request, server watcher.Server, position int64) *wire.Proposal {
+func (d *Dispatcher) proposal(q *Request, choice router.Choice, position int64) *wire.Proposal {
 	return &wire.Proposal{
 		Request: string(q.ID), Attempt: string(ider.New[ider.Attempt]()), Account: q.Account.GetName(), Entry: d.config.Entry,
-		Boot: server.GetBoot(), Sequence: d.config.Keeper.State().Sequence, RemainingMs: time.Until(q.Deadline).Milliseconds(),
-		Priority: q.Priority, Call: q.Call, Key: q.Key, Hash: q.Hash, Model: q.Job.Model, Version: q.Job.Version,
+		Boot: choice.Server.GetBoot(), Sequence: d.config.Keeper.State().Sequence, RemainingMs: time.Until(q.Deadline).Milliseconds(),
+		Priority: choice.Priority, Cached: choice.Cached, Call: q.Call, Key: q.Key, Hash: q.Hash, Model: q.Job.Model, Version: q.Job.Version,
 		Adapter: q.Job.Adapter, Prompt: q.Job.Prompt, Answer: q.Job.Answer, Position: position,
 		Method: q.Method, Path: q.Path, Type: q.Type,
 	}
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -20,10 +20,11 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"time"
 
+	"bamboohill/core/admitter"
+	"bamboohill/core/hinter"
 	"bamboohill/core/ider"
 	"bamboohill/core/keeper"
 	"bamboohill/core/retrier"
@@ -48,7 +49,6 @@
 	Payload  []byte
 	Hash     []byte
 	Deadline time.Time
-	Priority int32
 }
 
 // Sink takes the answer as it comes. An error from it means that the caller
@@ -96,14 +96,16 @@
 
 // Config describes a Dispatcher. Random is rand.Float64 if nil.
 type Config struct {
-	Watcher *watcher.Watcher
-	Propose func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (Attempt, error)
-	Keeper  *keeper.Keeper
-	Retrier *retrier.Retrier
-	Watches Watches
-	Entry   string // this entry's inner address
-	Log     *log.Logger
-	Random  func() float64
+	Watcher  *watcher.Watcher
+	Propose  func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (Attempt, error)
+	Keeper   *keeper.Keeper
+	Retrier  *retrier.Retrier
+	Router   *router.Router
+	Admitter *admitter.Admitter
+	Watches  Watches
+	Entry    string // this entry's inner address
+	Log      *log.Logger
+	Random   func() float64
 }
 
 // Dispatcher runs requests.
@@ -119,6 +121,12 @@
 	if config.Retrier == nil {
 		config.Retrier = retrier.New(retrier.Config{})
 	}
+	if config.Router == nil {
+		config.Router = router.New(router.Config{Seed: rand.Uint64()})
+	}
+	if config.Admitter == nil {
+		config.Admitter = admitter.New(admitter.Config{})
+	}
 	if config.Watches.Accept <= 0 {
 		config.Watches.Accept = defaultAccept
 	}
@@ -147,11 +155,15 @@
 func (d *Dispatcher) Do(ctx context.Context, q *Request, sink Sink) Result {
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
+	q.Job.Deadline = q.Deadline
+	if q.Job.Kind == wire.Kind_KIND_MODEL {
+		q.Job.Chain = hinter.Read(q.Payload)
+	}
 	c := &course{free: freeRetries}
 	c.result.Outcome = wire.Outcome_OUTCOME_NOT_RUN
 	d.config.Retrier.First(ider.Account(q.Account.GetName()))
 	for {
-		server, err := router.Pick(q.Job, d.config.Watcher.View().Servers)
+		choice, err := d.place(q, c)
 		if err != nil {
 			if !d.comeBack(ctx, q, c, err) {
 				return c.final()
@@ -160,11 +172,11 @@
 		}
 		c.result.Known = true
 		c.result.Attempts++
-		step := d.attempt(ctx, q, server, c.result.Position, sink)
+		step := d.attempt(ctx, q, choice, c.result.Position, sink)
 		if c.take(step) {
 			return c.final()
 		}
-		if !d.again(ctx, q, c, server) {
+		if !d.again(ctx, q, c, choice.Server) {
 			return c.final()
 		}
 	}
@@ -229,11 +241,7 @@
 // that nothing has been done for is given up at once, one that is under way
 // tries all servers anew.
 func (d *Dispatcher) comeBack(ctx context.Context, q *Request, c *course, err error) bool {
-	var none *router.NoneError
-	if errors.As(err, &none) {
-		c.result.Known = c.result.Known || none.Known
-		c.result.Retry = max(c.result.Retry, none.Retry)
-	}
+	c.refuse(err)
 	if !c.ran || len(q.Job.Excluded) == 0 {
 		return false
 	}
--- a/sidecar/internal/runner/runner.go
+++ b/sidecar/internal/runner/runner.go
@@ -12,7 +12,9 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
+	"time"
 
 	"bamboohill/core/framer"
 	"bamboohill/core/generator"
@@ -33,10 +35,22 @@
 // Runner runs accepted work.
 type Runner struct {
 	config Config
+	start  time.Time
 }
 
 // New returns a runner.
-func New(config Config) *Runner { return &Runner{config: config} }
+func New(config Config) *Runner { return &Runner{config: config, start: time.Now()} }
+
+// tick is the unit of the engine's priorities. With it they last 248 days.
+const tick = 10 * time.Millisecond
+
+// urgency turns a proposal's priority, the milliseconds until it is urgent,
+// into a moment on this sidecar's clock, so that what has waited rises above
+// what has come since, without a further word to the engine.
+func (r *Runner) urgency(priority int32) int32 {
+	moment := time.Since(r.start) + time.Duration(priority)*time.Millisecond
+	return int32(min(moment/tick, math.MaxInt32))
+}
 
 // Model runs a prompt and writes its frames up to the closing one, to which it
 // adds the newest report. It returns nil when the answer is whole, else what to
@@ -44,7 +58,7 @@
 func (r *Runner) Model(ctx context.Context, p *wire.Proposal, prompt []byte, frames *framer.Writer, report func() *wire.Report) *wire.Refused {
 	stream, err := r.config.Engine.Generate(ctx, generator.Job{
 		ID: p.GetAttempt(), Model: p.GetModel(), Version: p.GetVersion(), Adapter: p.GetAdapter(), Prompt: prompt,
-		Answer: p.GetAnswer(), Position: p.GetPosition(), Priority: p.GetPriority(), Import: p.GetImported(),
+		Answer: p.GetAnswer(), Position: p.GetPosition(), Priority: r.urgency(p.GetPriority()), Import: p.GetImported(),
 	})
 	if err != nil {
 		return refuseEngine(err)
