--- /dev/null
+++ b/core/accuser/accuser.go
@@ -0,0 +1,108 @@
+// Package accuser holds what one process knows of crash suspects. Entries ask
+// it before each attempt, sidecars at the gate; both pass on what it holds.
+//
+// # Usage
+//
+//	a := accuser.New(accuser.Config{})
+//	a.Hear(accusation)
+//	a.Pardon(state) // after each change of the configuration
+//	v := a.Judge(fingerprint)
+package accuser
+
+import (
+	"sync"
+	"time"
+
+	"bamboohill/core/convictor"
+	"bamboohill/core/keeper"
+	"bamboohill/wire"
+)
+
+// expireEvery is how often what has expired is forgotten.
+const expireEvery = time.Minute
+
+// Config describes an Accuser. Now is the clock, time.Now if nil.
+type Config struct {
+	Convictor convictor.Config
+	Now       func() time.Time
+}
+
+// Accuser owns the suspects of one process. It is safe for concurrent use.
+type Accuser struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	suspects *convictor.Convictor
+	pardoned map[string]uint64 // fingerprint to the row version acted on
+	expired  time.Time
+}
+
+// New returns an accuser that suspects nobody.
+func New(config Config) *Accuser {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	return &Accuser{now: config.Now, suspects: convictor.New(config.Convictor), pardoned: map[string]uint64{}}
+}
+
+// Hear takes an accusation or a clearance and reports whether it was news.
+func (a *Accuser) Hear(accusation *wire.Accusation) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.suspects.Hear(accusation, a.now())
+}
+
+// Judge says what may be done with a request now.
+func (a *Accuser) Judge(fingerprint string) convictor.Verdict {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.suspects.Judge(fingerprint, a.now())
+}
+
+// Suspects returns every accusation in force, for the answers to heartbeats.
+func (a *Accuser) Suspects() []*wire.Accusation {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	if now.Sub(a.expired) > expireEvery {
+		a.expired = now
+		a.suspects.Expire(now)
+	}
+	return a.suspects.Suspects(now)
+}
+
+// Missing returns the accusations in force here that a list of another process
+// lacks: what that process has yet to hear.
+func (a *Accuser) Missing(theirs []*wire.Accusation) []*wire.Accusation {
+	type key struct {
+		fingerprint, server string
+		boot                uint64
+	}
+	known := map[key]bool{}
+	for _, t := range theirs {
+		known[key{t.GetFingerprint(), t.GetServer(), t.GetBoot()}] = true
+	}
+	var missing []*wire.Accusation
+	for _, m := range a.Suspects() {
+		if !known[key{m.GetFingerprint(), m.GetServer(), m.GetBoot()}] {
+			missing = append(missing, m)
+		}
+	}
+	return missing
+}
+
+// Pardon clears the fingerprints that the operators pardoned since it was last
+// called. A row acts once for each version: a pardoned request that crashes
+// backend servers again is suspected again.
+func (a *Accuser) Pardon(state *keeper.State) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, row := range state.Rows(keeper.KindPardon) {
+		f := row.GetRecord().GetPardon().GetFingerprint()
+		if a.pardoned[f] >= row.GetVersion() {
+			continue
+		}
+		a.pardoned[f] = row.GetVersion()
+		a.suspects.Pardon(f, a.now())
+	}
+}
--- /dev/null
+++ b/core/convictor/convictor_test.go
@@ -0,0 +1,131 @@
+package convictor
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bamboohill/wire"
+
+	"github.com/matryer/is"
+)
+
+func accuse(fingerprint, server string, boot uint64) *wire.Accusation {
+	return &wire.Accusation{Fingerprint: fingerprint, Server: server, Boot: boot}
+}
+
+func TestJudge(t *testing.T) {
+	start := time.Unix(1000, 0)
+	cleared := &wire.Accusation{Fingerprint: "a", Cleared: true}
+	tests := map[string]struct {
+		heard []*wire.Accusation // one a second
+		after time.Duration
+		want  Ruling
+	}{
+		"unknown":                       {nil, 0, Free},
+		"one crash":                     {[]*wire.Accusation{accuse("a", "x", 1)}, 0, Alone},
+		"one crash told twice":          {[]*wire.Accusation{accuse("a", "x", 1), accuse("a", "x", 1)}, 0, Alone},
+		"two crashes of one server":     {[]*wire.Accusation{accuse("a", "x", 1), accuse("a", "x", 2)}, 0, Convicted},
+		"crashes of two servers":        {[]*wire.Accusation{accuse("a", "x", 1), accuse("a", "y", 1)}, 0, Convicted},
+		"another's crash":               {[]*wire.Accusation{accuse("b", "x", 1)}, 0, Free},
+		"cleared":                       {[]*wire.Accusation{accuse("a", "x", 1), cleared}, 0, Free},
+		"cleared, told again":           {[]*wire.Accusation{accuse("a", "x", 1), cleared, accuse("a", "x", 1)}, 0, Free},
+		"cleared, then another crash":   {[]*wire.Accusation{accuse("a", "x", 1), cleared, accuse("a", "y", 1)}, 0, Convicted},
+		"clearance after conviction":    {[]*wire.Accusation{accuse("a", "x", 1), accuse("a", "y", 1), cleared}, 0, Convicted},
+		"suspicion over":                {[]*wire.Accusation{accuse("a", "x", 1)}, defaultSuspicion, Free},
+		"conviction outlives suspicion": {[]*wire.Accusation{accuse("a", "x", 1), accuse("a", "y", 1)}, defaultSuspicion, Convicted},
+		"conviction over":               {[]*wire.Accusation{accuse("a", "x", 1), accuse("a", "y", 1)}, defaultConviction, Free},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := New(Config{})
+			now := start
+			for _, a := range test.heard {
+				now = now.Add(time.Second)
+				c.Hear(a, now)
+			}
+			is.Equal(c.Judge("a", now.Add(test.after)).Ruling, test.want)
+			c.Pardon("a", now)
+			is.Equal(c.Judge("a", now).Ruling, Free)
+			for _, a := range test.heard {
+				a.AgeMs = 10
+				c.Hear(a, now)
+			}
+			is.Equal(c.Judge("a", now).Ruling, Free) // old news does not undo a pardon
+			now = now.Add(time.Second)
+			c.Hear(accuse("a", "z", 9), now)
+			is.Equal(c.Judge("a", now).Ruling, Alone) // a new crash does
+		})
+	}
+}
+
+// Entries that hear the same accusations in any order judge alike, and one that
+// starts late learns all from another's list.
+func TestOrder(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := rand.New(rand.NewPCG(1, 1))
+	for range 200 {
+		var all []*wire.Accusation
+		for range r.IntN(12) {
+			all = append(all, accuse(string(rune('a'+r.IntN(4))), string(rune('x'+r.IntN(3))), uint64(r.IntN(2))))
+		}
+		one, two, late := New(Config{}), New(Config{}), New(Config{})
+		for _, a := range all {
+			one.Hear(a, now)
+		}
+		for _, i := range r.Perm(len(all)) {
+			two.Hear(all[i], now)
+		}
+		for _, a := range two.Suspects(now) {
+			late.Hear(a, now)
+		}
+		for _, f := range []string{"a", "b", "c", "d"} {
+			is.Equal(one.Judge(f, now), two.Judge(f, now))
+			is.Equal(one.Judge(f, now), late.Judge(f, now))
+		}
+	}
+}
+
+func TestRoom(t *testing.T) {
+	is := is.New(t)
+	c := New(Config{Most: 2})
+	now := time.Unix(1000, 0)
+	for i, f := range []string{"a", "b", "c"} {
+		c.Hear(accuse(f, "x", 1), now.Add(time.Duration(i)*time.Second))
+	}
+	now = now.Add(time.Minute)
+	is.Equal(c.Judge("a", now).Ruling, Free) // the oldest made room
+	is.Equal(c.Judge("b", now).Ruling, Alone)
+	is.Equal(c.Judge("c", now).Ruling, Alone)
+}
+
+func TestPlace(t *testing.T) {
+	is := is.New(t)
+	_, found := Place("a", nil)
+	is.True(!found)
+	a, found := Place("a", []string{"x", "y", "z"})
+	is.True(found)
+	b, _ := Place("b", []string{"z", "x", "y"})
+	is.Equal(a, b) // a small fleet has one place, whatever the order
+}
+
+func TestFingerprint(t *testing.T) {
+	is := is.New(t)
+	is.True(Fingerprint("a", []byte("x")) != Fingerprint("b", []byte("x")))
+	is.True(Fingerprint("a", []byte("x")) != Fingerprint("a", []byte("y")))
+	is.True(Fingerprint("a", []byte("b x")) != Fingerprint("a b", []byte("x")))
+	is.Equal(Fingerprint("a", []byte("x")), Fingerprint("a", []byte("x")))
+}
+
+func BenchmarkJudge(b *testing.B) {
+	c := New(Config{})
+	now := time.Unix(1000, 0)
+	for i := range 1000 {
+		c.Hear(accuse(Fingerprint("a", []byte{byte(i), byte(i >> 8)}), "x", 1), now)
+	}
+	for b.Loop() {
+		c.Judge("free", now)
+	}
+}
--- a/core/generator/generator.go
+++ b/core/generator/generator.go
@@ -143,13 +143,24 @@
 	return e.call(ctx, http.MethodPost, "/v1/cancel?id="+url.QueryEscape(id), nil, nil)
 }
 
-// Export stops a job and stores its cache under the returned handle.
-func (e *Engine) Export(ctx context.Context, id string) (string, error) {
-	var reply struct {
-		Handle string `json:"handle"`
-	}
-	err := e.call(ctx, http.MethodPost, "/v1/export?id="+url.QueryEscape(id), nil, &reply)
-	return reply.Handle, err
+// Cache names an exported cache.
+type Cache struct {
+	Handle string `json:"handle"`
+	Tokens int64  `json:"tokens"`
+}
+
+// Export stops a job and stores its cache until it is dropped.
+func (e *Engine) Export(ctx context.Context, id string) (Cache, error) {
+	var cache Cache
+	err := e.call(ctx, http.MethodPost, "/v1/export?id="+url.QueryEscape(id), nil, &cache)
+	return cache, err
+}
+
+// Import fetches a cache that another engine exported, for a job whose Import
+// names it. It holds memory until that job starts or it is dropped.
+func (e *Engine) Import(ctx context.Context, cache Cache) error {
+	query := url.Values{"handle": {cache.Handle}, "tokens": {strconv.FormatInt(cache.Tokens, 10)}}
+	return e.call(ctx, http.MethodPost, "/v1/import?"+query.Encode(), nil, nil)
 }
 
 // Drop frees an exported cache.
--- a/sidecar/internal/gatekeeper/gate.go
+++ b/sidecar/internal/gatekeeper/gate.go
@@ -2,29 +2,45 @@
 // It is the last gate: every promise about what must not reach a backend
 // server is kept here, whatever the entries believe.
 //
+// A Gate holds the limit of a cold start (ramp.go), the ledger of memory
+// (ledger.go) and the reservations of gangs (gang.go). It reads no clock and
+// calls nobody: the moment and what is known of the backend server are passed
+// in, and what must be done about the backend server is handed back.
+//
 // # Usage
 //
 //	g := gatekeeper.New(gatekeeper.Config{Cold: 2, Warm: 64})
 //	if refused := g.Enter(proposal, facts); refused != nil { ... }
-//	defer g.Leave(attempt, finished)
+//	if refused := g.Hand(attempt); refused != nil { ... }
+//	... the backend server works ...
+//	g.Leave(attempt, finished)
 //
-// A refusal by Enter is the only source of the words "not run".
+// Enter reserves a place, Hand confirms it in the moment before the backend
+// server is called, Leave frees it once the backend server is known to have
+// let go. A refusal by Enter or Hand is the only source of the words "not
+// run".
 package gatekeeper
 
 import (
+	"sync"
 	"time"
 
 	"bamboohill/wire"
 )
 
-// Refusal texts and pauses.
+// Pauses that refusals ask for.
 const (
 	retryFull  = 200 * time.Millisecond
 	retryOut   = 5 * time.Second
 	retryStale = 50 * time.Millisecond
 	retryDown  = time.Second
+	retryAlone = 100 * time.Millisecond
 )
 
+// holdLimit is how long a gate that waits to be empty for a suspect takes no
+// other work after the suspect's last try.
+const holdLimit = 2 * time.Second
+
 // Config describes a Gate.
 type Config struct {
 	Cold int // requests at once in a cold start
@@ -33,107 +49,257 @@
 
 // Facts is what the sidecar knows at the moment of a decision.
 type Facts struct {
+	Now      time.Time
 	Boot     uint64 // of this sidecar
 	Sequence uint64 // configuration in force here
 	Out      bool   // the operators took the VM or its failure domain out
 	Leaving  bool   // this sidecar is stopping
 	Alive    bool   // the backend server answers
-	Free     int64  // tokens of memory that nobody reserved
+	Memory   int64  // tokens of memory in all, 0 if it has no bound
 	Model    bool   // the model, version and adapter are loaded
 }
 
-// Gate holds what runs now and the limit. It is not safe for concurrent use.
+// work is one attempt that the gate let in.
+type work struct {
+	need        int64 // tokens reserved
+	gang        string
+	fingerprint string
+	alone       bool
+	handed      bool
+	epoch       int // of the ramp when it was handed over
+	missing     int // audits that did not find it
+}
+
+// hold keeps the gate empty for a suspect.
+type hold struct {
+	fingerprint string
+	until       time.Time
+}
+
+// Gate holds what runs now and the limit. It is safe for concurrent use.
 type Gate struct {
-	config   Config
-	running  map[string]int64 // attempt to reserved tokens
-	reserved int64
-	limit    int
-	finished int // since the limit last changed
+	config Config
+
+	mu      sync.Mutex
+	ramp    ramp
+	work    map[string]*work    // by attempt
+	gangs   map[string]*gang    // by id
+	strange map[string]*strange // by the engine's id
+	exports map[string]export   // by handle
+	hold    hold
+	crashed uint64 // boot of the engine whose crash was last told
 }
 
 // New returns a gate for a backend server in a cold start.
 func New(config Config) *Gate {
-	return &Gate{config: config, running: map[string]int64{}, limit: config.Cold}
+	return &Gate{
+		config: config, ramp: newRamp(config), work: map[string]*work{}, gangs: map[string]*gang{},
+		strange: map[string]*strange{}, exports: map[string]export{},
+	}
 }
 
 // Limit returns how many requests the gate takes at once.
-func (g *Gate) Limit() int { return g.limit }
+func (g *Gate) Limit() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ramp.limit
+}
 
-// Running returns how many requests run now.
-func (g *Gate) Running() int { return len(g.running) }
+// Running returns how many requests count against the limit: those let in,
+// reservations of gangs, and what the engine runs for nobody.
+func (g *Gate) Running() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running()
+}
 
-// Reserved returns the tokens of memory that running requests hold.
-func (g *Gate) Reserved() int64 { return g.reserved }
+func (g *Gate) running() int {
+	n := len(g.gangs)
+	for _, w := range g.work {
+		if w.gang == "" {
+			n++
+		}
+	}
+	for _, s := range g.strange {
+		if !s.export {
+			n++
+		}
+	}
+	return n
+}
 
-// Enter takes a proposal and returns nil, or says why not.
+// Enter reserves a place for a proposal and returns nil, or says why not.
 func (g *Gate) Enter(p *wire.Proposal, f Facts) *wire.Refused {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if r := g.refuse(p, f); r != nil {
-		r.Outcome = wire.Outcome_OUTCOME_NOT_RUN
 		return r
 	}
-	need := p.GetPrompt() + p.GetAnswer()
-	g.running[p.GetAttempt()] = need
-	g.reserved += need
+	w := &work{gang: p.GetGang(), fingerprint: p.GetFingerprint(), alone: p.GetAlone()}
+	if w.gang == "" {
+		w.need = p.GetPrompt() + p.GetAnswer()
+	}
+	if w.alone {
+		g.hold = hold{}
+	}
+	g.work[p.GetAttempt()] = w
 	return nil
 }
 
 func (g *Gate) refuse(p *wire.Proposal, f Facts) *wire.Refused {
-	no := func(reason wire.Reason, retry time.Duration) *wire.Refused {
-		return &wire.Refused{Reason: reason, RetryMs: retry.Milliseconds()}
-	}
-	_, twice := g.running[p.GetAttempt()]
+	_, twice := g.work[p.GetAttempt()]
 	switch {
 	case f.Leaving:
-		return no(wire.Reason_REASON_LEAVING, retryOut)
+		return refusal(wire.Reason_REASON_LEAVING, retryOut)
 	case f.Out:
-		return no(wire.Reason_REASON_OUT, retryOut)
+		return refusal(wire.Reason_REASON_OUT, retryOut)
 	case p.GetSequence() < f.Sequence:
-		return no(wire.Reason_REASON_STALE, retryStale)
+		return refusal(wire.Reason_REASON_STALE, retryStale)
 	case p.GetBoot() != 0 && p.GetBoot() != f.Boot:
-		return no(wire.Reason_REASON_BOOT, retryStale)
+		return refusal(wire.Reason_REASON_BOOT, retryStale)
 	case p.GetRemainingMs() <= 0:
-		return no(wire.Reason_REASON_LATE, 0)
+		return refusal(wire.Reason_REASON_LATE, 0)
 	case twice:
-		return no(wire.Reason_REASON_DUPLICATE, 0)
+		return refusal(wire.Reason_REASON_DUPLICATE, 0)
 	case !f.Alive:
-		return no(wire.Reason_REASON_ENGINE, retryDown)
+		return refusal(wire.Reason_REASON_ENGINE, retryDown)
 	case !f.Model:
-		return no(wire.Reason_REASON_MODEL, retryDown)
-	case len(g.running) >= g.limit && g.limit < g.config.Warm:
-		return no(wire.Reason_REASON_COLD, retryFull)
-	case len(g.running) >= g.limit:
-		return no(wire.Reason_REASON_FULL, retryFull)
-	case p.GetGang() == "" && p.GetPrompt()+p.GetAnswer() > f.Free:
-		return no(wire.Reason_REASON_MEMORY, retryFull)
+		return refusal(wire.Reason_REASON_MODEL, retryDown)
+	}
+	if r := g.refuseAlone(p, f.Now); r != nil {
+		return r
+	}
+	if p.GetGang() != "" {
+		return g.refuseMember(p, f.Now)
+	}
+	return g.refuseRoom(p.GetPrompt()+p.GetAnswer(), f.Memory)
+}
+
+// refuseRoom says whether one more request of the given tokens has no place.
+func (g *Gate) refuseRoom(need, memory int64) *wire.Refused {
+	running := g.running()
+	switch {
+	case running >= g.ramp.limit && g.ramp.cold():
+		return refusal(wire.Reason_REASON_COLD, retryFull)
+	case running >= g.ramp.limit:
+		return refusal(wire.Reason_REASON_FULL, retryFull)
+	case memory > 0 && need > memory-g.reserved():
+		return refusal(wire.Reason_REASON_MEMORY, retryFull)
 	}
 	return nil
 }
 
-// Leave ends an attempt; finished says whether the backend server did the
-// work, which raises the limit of a cold one.
-func (g *Gate) Leave(attempt string, finished bool) {
-	need, found := g.running[attempt]
+// refuseAlone keeps suspects and other work apart. A suspect that finds the
+// gate in use holds it, so that it empties.
+func (g *Gate) refuseAlone(p *wire.Proposal, now time.Time) *wire.Refused {
+	held := now.Before(g.hold.until)
+	for _, w := range g.work {
+		if w.alone {
+			return refusal(wire.Reason_REASON_ALONE, retryAlone)
+		}
+	}
+	if !p.GetAlone() {
+		if held {
+			return refusal(wire.Reason_REASON_ALONE, retryFull)
+		}
+		return nil
+	}
+	if held && g.hold.fingerprint != p.GetFingerprint() {
+		return refusal(wire.Reason_REASON_ALONE, retryAlone)
+	}
+	if g.running() > 0 {
+		g.hold = hold{fingerprint: p.GetFingerprint(), until: now.Add(holdLimit)}
+		return refusal(wire.Reason_REASON_ALONE, retryAlone)
+	}
+	return nil
+}
+
+func refusal(reason wire.Reason, retry time.Duration) *wire.Refused {
+	return &wire.Refused{Reason: reason, Outcome: wire.Outcome_OUTCOME_NOT_RUN, RetryMs: retry.Milliseconds()}
+}
+
+// Hand marks an attempt as handed over to the backend server, or refuses it if
+// the limit has fallen below what runs there since it entered; the attempt has
+// then left. It must be called in the moment before the backend server is.
+func (g *Gate) Hand(attempt string) *wire.Refused {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w, found := g.work[attempt]
 	if !found {
-		return
+		return refusal(wire.Reason_REASON_LATE, 0)
+	}
+	if g.handed() >= g.ramp.limit {
+		delete(g.work, attempt)
+		return refusal(wire.Reason_REASON_COLD, retryFull)
+	}
+	w.handed = true
+	w.epoch = g.ramp.epoch
+	return nil
+}
+
+// handed returns how many requests are in the backend server.
+func (g *Gate) handed() int {
+	n := 0
+	for _, w := range g.work {
+		if w.handed {
+			n++
+		}
 	}
-	delete(g.running, attempt)
-	g.reserved -= need
-	if !finished || g.limit >= g.config.Warm {
+	for _, s := range g.strange {
+		if !s.export {
+			n++
+		}
+	}
+	return n
+}
+
+// Leave frees an attempt's place. It must not be called before the backend
+// server is known to have let go of the attempt: by its end, by a refusal, or
+// by a confirmed cancellation. finished says whether the backend server did
+// the work, which raises the limit.
+func (g *Gate) Leave(attempt string, finished bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w, found := g.work[attempt]
+	if !found {
 		return
 	}
-	g.finished++
-	if g.finished >= g.limit*raiseAfter {
-		g.finished = 0
-		g.limit = min(g.limit+1, g.config.Warm)
+	delete(g.work, attempt)
+	if finished && w.handed && w.epoch == g.ramp.epoch {
+		g.ramp.rise()
 	}
 }
 
-// raiseAfter is how many finished requests for each unit of the limit raise
-// it by one.
-const raiseAfter = 2
+// Crash tells that the engine of the given boot number died and returns the
+// requests that were in it, the suspects, and whether this crash is news. The limit returns to that of a cold start and the reservations
+// of gangs are over.
+func (g *Gate) Crash(boot uint64) ([]*wire.Accusation, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if boot == g.crashed {
+		return nil, false
+	}
+	g.ramp.fall()
+	g.crashed = boot
+	alone := g.handed() == 1
+	var suspects []*wire.Accusation
+	for _, w := range g.work {
+		if w.handed && w.fingerprint != "" {
+			suspects = append(suspects, &wire.Accusation{Fingerprint: w.fingerprint, Boot: boot, Alone: alone})
+		}
+	}
+	g.strange = map[string]*strange{}
+	g.exports = map[string]export{}
+	for _, m := range g.gangs {
+		m.until = time.Time{}
+	}
+	return suspects, true
+}
 
-// Fall returns the limit to that of a cold start.
-func (g *Gate) Fall() {
-	g.limit = g.config.Cold
-	g.finished = 0
+// Crashed reports whether the engine of the given boot number is known to have
+// died.
+func (g *Gate) Crashed(boot uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return boot == g.crashed
 }
--- a/sidecar/internal/reporter/reporter.go
+++ b/sidecar/internal/reporter/reporter.go
@@ -31,8 +31,8 @@
 	Every   time.Duration
 	Client  *http.Client
 	Report  func() *wire.Report
-	// Heard is called with every reply.
-	Heard func(*wire.BeatReply)
+	// Heard is called with the address of an entry and its reply.
+	Heard func(string, *wire.BeatReply)
 }
 
 // Reporter sends heartbeats.
@@ -80,7 +80,7 @@
 	}
 	r.learn(reply.GetEntries())
 	if r.config.Heard != nil {
-		r.config.Heard(reply)
+		r.config.Heard(address, reply)
 	}
 }
 
@@ -94,6 +94,13 @@
 	}
 }
 
+// Known returns the addresses of all entries known.
+func (r *Reporter) Known() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.known)
+}
+
 // pick returns the entries that hear a server, by rendezvous hashing.
 func (r *Reporter) pick(server string) []string {
 	r.mu.Lock()
--- a/sidecar/internal/runner/runner.go
+++ b/sidecar/internal/runner/runner.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	r := runner.New(runner.Config{Engine: engine})
-//	refused := r.Model(ctx, proposal, prompt, frames)
+//	refused := r.Model(ctx, proposal, prompt, frames, runner.Hooks{Report: report})
 package runner
 
 import (
@@ -38,19 +38,46 @@
 // New returns a runner.
 func New(config Config) *Runner { return &Runner{config: config} }
 
+// Hooks joins a run of a prompt to the rest of the sidecar.
+type Hooks struct {
+	Report func() *wire.Report // the newest report, for the closing frame
+	First  func()              // called at the first token; may be nil
+	Span   int                 // part of the prompt's cache, for a member of a gang
+}
+
 // Model runs a prompt and writes its frames up to the closing one, to which it
 // adds the newest report. It returns nil when the answer is whole, else what to
-// tell the entry.
-func (r *Runner) Model(ctx context.Context, p *wire.Proposal, prompt []byte, frames *framer.Writer, report func() *wire.Report) *wire.Refused {
+// tell the entry. A cache that the proposal brings is imported first; if that
+// fails, the prompt is prefilled anew.
+func (r *Runner) Model(ctx context.Context, p *wire.Proposal, prompt []byte, frames *framer.Writer, hooks Hooks) *wire.Refused {
+	cache := generator.Cache{Handle: p.GetImported(), Tokens: p.GetCarried()}
+	if cache.Handle != "" && r.config.Engine.Import(ctx, cache) != nil {
+		cache.Handle = ""
+	}
 	stream, err := r.config.Engine.Generate(ctx, generator.Job{
 		ID: p.GetAttempt(), Model: p.GetModel(), Version: p.GetVersion(), Adapter: p.GetAdapter(), Prompt: prompt,
-		Answer: p.GetAnswer(), Position: p.GetPosition(), Priority: p.GetPriority(), Import: p.GetImported(),
+		Answer: p.GetAnswer(), Position: p.GetPosition(), Priority: p.GetPriority(), Import: cache.Handle,
+		Span: hooks.Span, Spans: len(p.GetMembers()),
 	})
 	if err != nil {
+		r.drop(ctx, cache.Handle)
 		return refuseEngine(err)
 	}
 	defer stream.Close()
-	for {
+	return relay(stream, frames, hooks)
+}
+
+// drop frees an imported cache that no job took. If this fails too, the audit
+// finds it.
+func (r *Runner) drop(ctx context.Context, handle string) {
+	if handle != "" {
+		r.config.Engine.Drop(context.WithoutCancel(ctx), handle)
+	}
+}
+
+// relay passes a stream on up to its end.
+func relay(stream *generator.Stream, frames *framer.Writer, hooks Hooks) *wire.Refused {
+	for first := true; ; {
 		c, err := stream.Next()
 		if err != nil {
 			return &wire.Refused{Reason: wire.Reason_REASON_CRASH, Outcome: wire.Outcome_OUTCOME_FAILED, Detail: err.Error()}
@@ -61,11 +88,17 @@
 		if c.Position+int64(len(c.Texts)) < frames.Position() || c.Position != frames.Position() {
 			return &wire.Refused{Reason: wire.Reason_REASON_ENGINE, Outcome: wire.Outcome_OUTCOME_FAILED, Detail: "position"}
 		}
+		if first && len(c.Texts) > 0 {
+			first = false
+			if hooks.First != nil {
+				hooks.First()
+			}
+		}
 		if len(c.Texts) > 0 && frames.Tokens(c.Texts) != nil {
 			return &wire.Refused{Reason: wire.Reason_REASON_LATE, Outcome: wire.Outcome_OUTCOME_FAILED}
 		}
 		if c.End {
-			frames.End(&wire.End{Prompt: c.Prompt, Cached: c.Cached, Finish: c.Finish, Report: report()})
+			frames.End(&wire.End{Prompt: c.Prompt, Cached: c.Cached, Finish: c.Finish, Report: hooks.Report()})
 			return nil
 		}
 	}
--- /dev/null
+++ b/sidecar/internal/server/audit.go
@@ -0,0 +1,73 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"bamboohill/sidecar/internal/gatekeeper"
+)
+
+// Times of the audit.
+const (
+	auditEvery = time.Second
+	auditGrace = 1500 * time.Millisecond
+	auditLimit = 2 * time.Second
+)
+
+// recover frees what the engine holds from before this sidecar began: no live
+// request can own it. If the engine does not answer, the audit does so later.
+func (s *Server) recover(ctx context.Context) {
+	for range 2 { // the second look confirms what the first one freed
+		if !s.compare(ctx, 0) {
+			return
+		}
+	}
+	s.engine.setClean()
+}
+
+// audit compares the ledger with what the engine holds and mends what differs
+// for longer than the grace.
+func (s *Server) audit(ctx context.Context) {
+	s.engine.mu.Lock()
+	clean := s.engine.clean
+	s.engine.mu.Unlock()
+	if !clean {
+		s.recover(ctx)
+		return
+	}
+	s.compare(ctx, auditGrace)
+}
+
+// compare reports whether the engine said what it holds.
+func (s *Server) compare(ctx context.Context, grace time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, auditLimit)
+	defer cancel()
+	taken := time.Now()
+	held, err := s.engine.Jobs(ctx)
+	if err != nil {
+		return false
+	}
+	m := s.gate.Audit(held, taken, grace)
+	s.counts.strange.Set(m.Strange)
+	s.mend(ctx, m)
+	return true
+}
+
+func (s *Server) mend(ctx context.Context, m gatekeeper.Mending) {
+	for _, id := range m.Cancel {
+		s.engine.Cancel(ctx, id)
+	}
+	for _, handle := range m.Drop {
+		if s.engine.Drop(ctx, handle) == nil {
+			s.gate.Dropped(handle)
+		}
+	}
+	s.attempts.end(m.Lost)
+	if m.Strange == 0 && len(m.Lost) == 0 {
+		return
+	}
+	s.counts.mended.Add(m.Strange)
+	s.counts.lost.Add(int64(len(m.Lost)))
+	s.config.Log.Warn().Str("event", "mended").Int64("tokens", m.Strange).Int("jobs", len(m.Cancel)).
+		Int("caches", len(m.Drop)).Int("lost", len(m.Lost)).Msg("")
+}
--- /dev/null
+++ b/sidecar/internal/server/crash.go
@@ -0,0 +1,121 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"bamboohill/core/convictor"
+	"bamboohill/core/generator"
+	"bamboohill/wire"
+)
+
+// tellLimit bounds one message about suspects.
+const tellLimit = time.Second
+
+// broken finds out why a stream stopped without an end. It must run before the
+// attempt leaves the gate, so that a crash finds every companion there.
+func (s *Server) broken(refused *wire.Refused) {
+	old, _ := s.engine.known()
+	ctx, cancel := context.WithTimeout(context.Background(), statusLimit)
+	defer cancel()
+	err := s.engine.fresh(ctx)
+	now, _ := s.engine.known()
+	switch {
+	case err != nil && isDead(err):
+		s.crashed(now.Boot)
+	case err == nil && now.Boot == old.Boot && !s.gate.Crashed(now.Boot):
+		refused.Reason = wire.Reason_REASON_ENGINE // the engine lives: a broken stream
+	}
+}
+
+// isDead reports whether an engine's failure to answer shows that its process
+// is gone, and not only slow.
+func isDead(err error) bool {
+	var status *generator.StatusError
+	if errors.As(err, &status) {
+		return status.Code == http.StatusBadGateway
+	}
+	var timeout net.Error
+	return !errors.As(err, &timeout) || !timeout.Timeout()
+}
+
+// crashed takes note of the death of the engine with the given boot number:
+// all that ran in it is suspected.
+func (s *Server) crashed(boot uint64) {
+	suspects, news := s.gate.Crash(boot)
+	if !news {
+		return
+	}
+	s.counts.crashes.Add(1)
+	s.config.Log.Warn().Str("event", "crash").Str("server", s.config.Settings.Server).Int("suspects", len(suspects)).Msg("")
+	for _, a := range suspects {
+		a.Server = s.config.Settings.Server
+	}
+	s.tell(suspects)
+}
+
+// tell spreads accusations to every entry that this sidecar knows. An entry
+// that misses them learns them with the answers to heartbeats.
+func (s *Server) tell(accusations []*wire.Accusation) {
+	for _, a := range accusations {
+		s.suspects.Hear(a)
+	}
+	for _, address := range s.reporter.Known() {
+		go s.accuse(address, accusations)
+	}
+}
+
+func (s *Server) accuse(address string, accusations []*wire.Accusation) {
+	ctx, cancel := context.WithTimeout(context.Background(), tellLimit)
+	defer cancel()
+	peer := wire.NewPeersProtobufClient("http://"+address, s.client)
+	for _, a := range accusations {
+		if _, err := peer.Accuse(ctx, a); err != nil {
+			return
+		}
+	}
+}
+
+// heard takes an entry's answer to a heartbeat: what that entry knows of
+// suspects comes here, what it lacks goes there.
+func (s *Server) heard(address string, reply *wire.BeatReply) {
+	s.keeper.Heard(reply.GetSequence())
+	for _, a := range reply.GetSuspects() {
+		s.suspects.Hear(a)
+	}
+	if missing := s.suspects.Missing(reply.GetSuspects()); len(missing) > 0 {
+		s.accuse(address, missing)
+	}
+}
+
+// refuseSuspect keeps the rules for suspects whatever the entry knows of them:
+// a suspect runs only alone, a convict not at all. An entry that did not know
+// is told.
+func (s *Server) refuseSuspect(p *wire.Proposal) *wire.Refused {
+	if s.engine == nil {
+		return nil
+	}
+	fingerprint(p)
+	v := s.suspects.Judge(p.GetFingerprint())
+	if v.Ruling == convictor.Free || v.Ruling == convictor.Alone && p.GetAlone() {
+		return nil
+	}
+	refused := &wire.Refused{Reason: wire.Reason_REASON_SUSPECT, Outcome: wire.Outcome_OUTCOME_NOT_RUN, Detail: "suspect"}
+	if v.Ruling == convictor.Convicted {
+		refused.Detail = "crashed backend servers"
+		refused.RetryMs = time.Until(v.Until).Milliseconds()
+	}
+	var known []*wire.Accusation
+	for _, a := range s.suspects.Suspects() {
+		if a.GetFingerprint() == p.GetFingerprint() {
+			known = append(known, a)
+		}
+	}
+	if p.GetEntry() != "" {
+		go s.accuse(p.GetEntry(), known)
+	}
+	return refused
+}
--- a/sidecar/internal/server/gate.go
+++ b/sidecar/internal/server/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"bamboohill/wire"
 
@@ -28,16 +29,24 @@
 }
 
 // Reserve implements wire.Gate.
-func (g gate) Reserve(context.Context, *wire.ReserveRequest) (*wire.ReserveReply, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "gangs")
+func (g gate) Reserve(_ context.Context, q *wire.ReserveRequest) (*wire.ReserveReply, error) {
+	if q.GetGang() == "" || q.GetTokens() <= 0 || q.GetLeaseMs() <= 0 || g.s.engine == nil {
+		return nil, twirp.NewError(twirp.InvalidArgument, "a model engine's sidecar needs gang, tokens and lease_ms")
+	}
+	refused := g.s.gate.Reserve(q, g.s.facts(&wire.Proposal{Model: q.GetModel()}))
+	return &wire.ReserveReply{
+		Held: refused == nil, Reason: refused.GetReason(), RetryMs: refused.GetRetryMs(), Report: g.s.Report(),
+	}, nil
 }
 
 // Renew implements wire.Gate.
-func (g gate) Renew(context.Context, *wire.RenewRequest) (*wire.ReserveReply, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "gangs")
+func (g gate) Renew(_ context.Context, q *wire.RenewRequest) (*wire.ReserveReply, error) {
+	held := g.s.gate.Renew(q.GetGang(), time.Duration(q.GetLeaseMs())*time.Millisecond, time.Now())
+	return &wire.ReserveReply{Held: held}, nil
 }
 
 // Release implements wire.Gate.
-func (g gate) Release(context.Context, *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "gangs")
+func (g gate) Release(_ context.Context, q *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
+	g.s.attempts.end(g.s.gate.Release(q.GetGang(), time.Now()))
+	return &wire.ReleaseReply{}, nil
 }
--- /dev/null
+++ b/sidecar/internal/server/propose.go
@@ -0,0 +1,208 @@
+package server
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"bamboohill/core/convictor"
+	"bamboohill/core/framer"
+	"bamboohill/sidecar/internal/gatekeeper"
+	"bamboohill/sidecar/internal/runner"
+	"bamboohill/wire"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// ProposalHeader carries the proposal, as base64 of its protobuf form.
+const ProposalHeader = "Proposal"
+
+// Bounds of letting go of an attempt.
+const (
+	cancelLimit = time.Second
+	cancelPause = 50 * time.Millisecond
+	cancelMost  = time.Second
+	movedLimit  = time.Second
+)
+
+func (s *Server) propose(w http.ResponseWriter, q *http.Request) {
+	p, err := decodeProposal(q.Header.Get(ProposalHeader))
+	if err != nil {
+		http.Error(w, "bad proposal", http.StatusBadRequest)
+		return
+	}
+	flusher := http.NewResponseController(w)
+	frames := framer.NewWriter(framer.WriterConfig{
+		Request: p.GetRequest(), Attempt: p.GetAttempt(), Position: p.GetPosition(), Sink: w, Flush: func() { flusher.Flush() },
+	})
+	if s.keeper.Heard(p.GetSequence()) {
+		s.keeper.Refresh(q.Context())
+	}
+	if refused := s.enter(p); refused != nil {
+		refused.Report = s.Report()
+		frames.Refuse(refused)
+		return
+	}
+	if refused := s.run(w, q, p, frames); refused != nil {
+		refused.Report = s.Report()
+		frames.Refuse(refused)
+	}
+}
+
+func decodeProposal(text string) (*wire.Proposal, error) {
+	data, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		return nil, err
+	}
+	p := &wire.Proposal{}
+	return p, proto.Unmarshal(data, p)
+}
+
+func (s *Server) enter(p *wire.Proposal) *wire.Refused {
+	if refused := s.refuseSuspect(p); refused != nil {
+		return refused
+	}
+	return s.gate.Enter(p, s.facts(p))
+}
+
+// facts returns what the gate must know. p is nil for a reservation, whose
+// model is asked for with its proposal.
+func (s *Server) facts(p *wire.Proposal) gatekeeper.Facts {
+	set := s.config.Settings
+	state := s.keeper.State()
+	f := gatekeeper.Facts{
+		Now: time.Now(), Boot: s.boot, Sequence: state.Sequence, Out: state.Out(set.Domain, set.VM),
+		Leaving: s.leaving.now(), Alive: true, Model: true,
+	}
+	if s.engine != nil {
+		status, alive := s.engine.known()
+		f.Alive = alive
+		f.Memory = status.Memory
+		f.Model = p == nil || offers(status.Models, p)
+	}
+	return f
+}
+
+// run carries an accepted proposal through and frees its place.
+func (s *Server) run(w http.ResponseWriter, q *http.Request, p *wire.Proposal, frames *framer.Writer) *wire.Refused {
+	ctx, cancel := context.WithTimeout(q.Context(), time.Duration(p.GetRemainingMs())*time.Millisecond)
+	defer cancel()
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxBody))
+	if err != nil {
+		s.gate.Leave(p.GetAttempt(), false)
+		return &wire.Refused{Reason: wire.Reason_REASON_DENIED, Outcome: wire.Outcome_OUTCOME_NOT_RUN, Detail: "payload broke off"}
+	}
+	if s.engine != nil {
+		return s.runModel(ctx, cancel, p, body, frames)
+	}
+	if refused := s.gate.Hand(p.GetAttempt()); refused != nil {
+		return refused
+	}
+	frames.Accept(s.Report())
+	refused := s.runner.Plain(ctx, p, body, frames, s.Report)
+	s.gate.Leave(p.GetAttempt(), refused == nil)
+	return refused
+}
+
+// runModel hands an attempt to the engine and waits for its end.
+func (s *Server) runModel(ctx context.Context, cancel context.CancelFunc, p *wire.Proposal, body []byte, frames *framer.Writer) *wire.Refused {
+	if refused := s.hand(ctx, p); refused != nil {
+		return refused
+	}
+	own := s.attempts.begin(p.GetAttempt(), p.GetGang() != "", cancel)
+	defer s.attempts.remove(p.GetAttempt())
+	frames.Accept(s.Report())
+	refused := s.runner.Model(ctx, p, body, frames, runner.Hooks{Report: s.Report, First: s.first(p), Span: s.span(p)})
+	switch {
+	case refused == nil:
+		s.finished(p)
+		return nil
+	case refused.GetOutcome() == wire.Outcome_OUTCOME_NOT_RUN:
+		s.gate.Leave(p.GetAttempt(), false)
+		return refused
+	case refused.GetReason() == wire.Reason_REASON_MOVED:
+		s.moved(own, refused)
+	case refused.GetReason() == wire.Reason_REASON_CRASH && ctx.Err() == nil:
+		s.broken(refused)
+	}
+	go s.free(p.GetAttempt())
+	return refused
+}
+
+// hand confirms the gate's word in the moment before the engine is called. A
+// gate that is above its cold limit asks the engine first whether it still is
+// warm: it may have turned cold since the last probe.
+func (s *Server) hand(ctx context.Context, p *wire.Proposal) *wire.Refused {
+	if s.gate.Running() > s.config.Settings.Gate.Cold && s.engine.fresh(ctx) != nil {
+		s.gate.Leave(p.GetAttempt(), false)
+		return &wire.Refused{
+			Reason: wire.Reason_REASON_ENGINE, Outcome: wire.Outcome_OUTCOME_NOT_RUN, RetryMs: statusLimit.Milliseconds(), Detail: "no status",
+		}
+	}
+	if refused := s.gate.Hand(p.GetAttempt()); refused != nil {
+		return refused
+	}
+	s.attempts.offered.Add(max(p.GetPrompt(), 0))
+	return nil
+}
+
+// fingerprint fills in the request's name among crash suspects.
+func fingerprint(p *wire.Proposal) {
+	if p.GetFingerprint() != "" || len(p.GetHash()) != sha256.Size {
+		return
+	}
+	p.Fingerprint = convictor.Fingerprint(p.GetAccount(), p.GetHash())
+}
+
+// first returns what to do with an attempt's first token: all prefill that was
+// offered to the engine up to it may have gone before.
+func (s *Server) first(p *wire.Proposal) func() {
+	status, _ := s.engine.known()
+	before := status.Queued + max(p.GetPrompt(), 0)
+	offered := s.attempts.offered.Load()
+	start := time.Now()
+	return func() {
+		took := time.Since(start)
+		ahead := before + s.attempts.offered.Load() - offered
+		if s.gate.First(p.GetAttempt(), took, s.engine.expected(ahead)) {
+			s.counts.slow.Add(1)
+			s.config.Log.Warn().Str("event", "cold").Str("sign", "first token").Str("attempt", p.GetAttempt()).Dur("took", took).Msg("")
+		}
+	}
+}
+
+// span returns which part of a gang's prompt this backend server holds.
+func (s *Server) span(p *wire.Proposal) int {
+	return max(0, slices.Index(p.GetMembers(), s.config.Settings.Server))
+}
+
+func (s *Server) finished(p *wire.Proposal) {
+	s.gate.Leave(p.GetAttempt(), true)
+	if p.GetAlone() {
+		s.tell([]*wire.Accusation{{Fingerprint: p.GetFingerprint(), Server: s.config.Settings.Server, Alone: true, Cleared: true}})
+	}
+}
+
+// free has the engine let go of an attempt that did not end by itself. Until
+// the engine confirms it, the attempt counts against the limit and the memory.
+func (s *Server) free(id string) {
+	pause := cancelPause
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelLimit)
+		err := s.engine.Cancel(ctx, id)
+		cancel()
+		if err == nil {
+			s.gate.Leave(id, false)
+			return
+		}
+		if s.leaving.over() {
+			return
+		}
+		time.Sleep(pause)
+		pause = min(2*pause, cancelMost)
+	}
+}
--- a/standin/answerer/engine.go
+++ b/standin/answerer/engine.go
@@ -69,7 +69,7 @@
 	e := &Engine{
 		Faults:  faulter.New(),
 		config:  config,
-		boot:    1,
+		boot:    uint64(time.Now().UnixMicro()),
 		warm:    config.Warm,
 		jobs:    map[string]*job{},
 		exports: map[string]export{},
@@ -333,17 +333,17 @@
 	}
 }
 
-func (e *Engine) export(id string) (string, error) {
+func (e *Engine) export(id string) (generator.Cache, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	j, found := e.jobs[id]
 	if !found {
-		return "", &generator.StatusError{Code: http.StatusNotFound, Text: "no job " + id}
+		return generator.Cache{}, &generator.StatusError{Code: http.StatusNotFound, Text: "no job " + id}
 	}
 	done := j.prompt - int64(j.left)
 	handle := fmt.Sprintf("%s-%d", id, e.boot)
 	e.exports[handle] = export{tokens: done, prompt: done}
 	j.chunks <- generator.Chunk{Position: j.next, Moved: true}
 	e.drop(j)
-	return handle, nil
+	return generator.Cache{Handle: handle, Tokens: done}, nil
 }
--- a/standin/answerer/handler.go
+++ b/standin/answerer/handler.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -162,12 +161,12 @@
 }
 
 func (e *Engine) serveExport(w http.ResponseWriter, q *http.Request) {
-	handle, err := e.export(q.FormValue("id"))
+	cache, err := e.export(q.FormValue("id"))
 	if err != nil {
 		fail(w, err)
 		return
 	}
-	fmt.Fprintf(w, `{"handle":%q}`, handle)
+	json.NewEncoder(w).Encode(cache)
 }
 
 // serveImport takes a cache that another engine exported: its handle and its
