The dispatcher obeys verdicts on crash suspects and resumes handed-over work

Cause: a prompt that kills its engine was tried again at once, beside others, up to the bound of tries; and a stream that a leaving server exported was prefilled anew. Accusations went over plain HTTP whatever [tls] said.

Change: every proposal carries the fingerprint; a suspect goes to its one place alone and waits for it with a count of its own; a convict is refused with the time its conviction ends. What is known against a request rides on every refusal, so the entry that tries again knows it before the next attempt. An exported cache is named to the next server. The sidecar's accusations use the certificates.

Ruled out: relying on the accusation's own message to arrive before the retry: the retry is sent milliseconds after the refusal.

Measured: TestSuspectRunsAloneThenIsRefused: two crashes, then refused; TestHandedOverCacheIsImported: resumed at position 1 with the cache.

--- a/core/router/router.go
+++ b/core/router/router.go
@@ -248,7 +248,7 @@
 // could take the job.
 func (s *search) consider(i int) bool {
 	server := &s.servers[i]
-	if !offers(s.job, server.Report) {
+	if !Offers(s.job, server.Report) {
 		return false
 	}
 	s.known = true
@@ -273,7 +273,8 @@
 	}
 }
 
-func offers(job *Job, report *wire.Report) bool {
+// Offers reports whether a server has what a job asks for.
+func Offers(job *Job, report *wire.Report) bool {
 	if job.Kind != report.GetKind() {
 		return false
 	}
--- a/core/router/share.go
+++ b/core/router/share.go
@@ -89,7 +89,7 @@
 func (s *search) ranks() []uint64 {
 	able := s.r.ranks[:0]
 	for i := range s.servers {
-		if offers(s.job, s.servers[i].Report) {
+		if Offers(s.job, s.servers[i].Report) {
 			able = append(able, rank(s.servers[i].GetServer()))
 		}
 	}
--- a/entry/internal/dispatcher/attempt.go
+++ b/entry/internal/dispatcher/attempt.go
@@ -11,14 +11,15 @@
 )
 
 // attempt runs one try of a request at one server, from a position on.
-func (d *Dispatcher) attempt(ctx context.Context, q *Request, choice router.Choice, position int64, sink Sink) step {
+func (d *Dispatcher) attempt(ctx context.Context, q *Request, choice router.Choice, c *course, sink Sink) step {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	server := choice.Server
 	started := time.Now()
 	d.config.Router.Placed(choice, started)
 	defer d.config.Router.Done(choice)
-	p := d.proposal(q, choice, position)
+	position := c.result.Position
+	p := d.proposal(q, choice, c)
 	d.config.Log.Debug().Str("event", "proposed").Str("request", p.GetRequest()).Str("attempt", p.GetAttempt()).
 		Str("server", server.GetServer()).Int64("position", position).Msg("")
 	watch := time.AfterFunc(d.acceptWatch(q), cancel)
@@ -101,6 +102,9 @@
 		return step{Result: Result{Outcome: wire.Outcome_OUTCOME_ANSWERED, End: b.End, Position: position}}, true
 	case *wire.Frame_Refused:
 		d.config.Watcher.Hear(b.Refused.GetReport())
+		for _, a := range b.Refused.GetSuspects() {
+			d.config.Suspects.Hear(a)
+		}
 		return refused(b.Refused, position), true
 	}
 	if err != nil {
@@ -110,17 +114,21 @@
 }
 
 func refused(r *wire.Refused, position int64) step {
-	return step{Result: Result{
-		Outcome: r.GetOutcome(), Reason: r.GetReason(), Retry: time.Duration(r.GetRetryMs()) * time.Millisecond, Position: position,
-	}}
+	s := step{cache: cache{handle: r.GetExported(), tokens: r.GetTokens()}}
+	s.Outcome = r.GetOutcome()
+	s.Reason = r.GetReason()
+	s.Retry = time.Duration(r.GetRetryMs()) * time.Millisecond
+	s.Position = position
+	return s
 }
 
-func (d *Dispatcher) proposal(q *Request, choice router.Choice, position int64) *wire.Proposal {
+func (d *Dispatcher) proposal(q *Request, choice router.Choice, c *course) *wire.Proposal {
 	return &wire.Proposal{
 		Request: string(q.ID), Attempt: string(ider.New[ider.Attempt]()), Account: q.Account.GetName(), Entry: d.config.Entry,
 		Boot: choice.Server.GetBoot(), Sequence: d.config.Keeper.State().Sequence, RemainingMs: time.Until(q.Deadline).Milliseconds(),
 		Priority: choice.Priority, Cached: choice.Cached, Call: q.Call, Key: q.Key, Hash: q.Hash, Model: q.Job.Model, Version: q.Job.Version,
-		Adapter: q.Job.Adapter, Prompt: q.Job.Prompt, Answer: q.Job.Answer, Position: position,
+		Adapter: q.Job.Adapter, Prompt: q.Job.Prompt, Answer: q.Job.Answer, Position: c.result.Position,
+		Imported: c.cache.handle, Carried: c.cache.tokens, Fingerprint: q.fingerprint, Alone: q.alone,
 		Method: q.Method, Path: q.Path, Type: q.Type,
 	}
 }
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -20,10 +20,13 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"math/rand/v2"
 	"time"
 
+	"bamboohill/core/accuser"
 	"bamboohill/core/admitter"
+	"bamboohill/core/convictor"
 	"bamboohill/core/hinter"
 	"bamboohill/core/ider"
 	"bamboohill/core/keeper"
@@ -49,6 +52,9 @@
 	Payload  []byte
 	Hash     []byte
 	Deadline time.Time
+
+	fingerprint string // of account and body, for crash suspects
+	alone       bool   // the next attempt has to run alone
 }
 
 // Sink takes the answer as it comes. An error from it means that the caller
@@ -102,6 +108,7 @@
 	Retrier  *retrier.Retrier
 	Router   *router.Router
 	Admitter *admitter.Admitter
+	Suspects *accuser.Accuser
 	Watches  Watches
 	Entry    string // this entry's inner address
 	Log      *log.Logger
@@ -127,6 +134,9 @@
 	if config.Admitter == nil {
 		config.Admitter = admitter.New(admitter.Config{})
 	}
+	if config.Suspects == nil {
+		config.Suspects = accuser.New(accuser.Config{})
+	}
 	if config.Watches.Accept <= 0 {
 		config.Watches.Accept = defaultAccept
 	}
@@ -145,6 +155,14 @@
 	ran    bool // some attempt may have run
 	free   int  // retries left that cost no budget: the entry's own view was old
 	left   bool // the caller has gone
+	solo   int  // tries left to get a backend server alone
+	cache  cache
+}
+
+// cache is what a backend server that leaves has exported of a request.
+type cache struct {
+	handle string
+	tokens int64
 }
 
 // freeRetries is how many tries a request gets that are owed to the entry's
@@ -158,8 +176,10 @@
 	q.Job.Deadline = q.Deadline
 	if q.Job.Kind == wire.Kind_KIND_MODEL {
 		q.Job.Chain = hinter.Read(q.Payload)
+		hash := sha256.Sum256(q.Payload)
+		q.fingerprint = convictor.Fingerprint(q.Account.GetName(), hash[:])
 	}
-	c := &course{free: freeRetries}
+	c := &course{free: freeRetries, solo: soloTries}
 	c.result.Outcome = wire.Outcome_OUTCOME_NOT_RUN
 	d.config.Retrier.First(ider.Account(q.Account.GetName()))
 	for {
@@ -172,7 +192,7 @@
 		}
 		c.result.Known = true
 		c.result.Attempts++
-		step := d.attempt(ctx, q, choice, c.result.Position, sink)
+		step := d.attempt(ctx, q, choice, c, sink)
 		if c.take(step) {
 			return c.final()
 		}
@@ -185,7 +205,8 @@
 // step is the end of one attempt.
 type step struct {
 	Result
-	left bool // the caller has gone
+	left  bool // the caller has gone
+	cache cache
 }
 
 // take adds an attempt's end to the course and reports whether that is final.
@@ -194,6 +215,7 @@
 	s.Known = true
 	c.result = s.Result
 	c.left = s.left
+	c.cache = s.cache
 	c.ran = c.ran || s.Outcome != wire.Outcome_OUTCOME_NOT_RUN
 	return s.Outcome == wire.Outcome_OUTCOME_ANSWERED || s.left
 }
@@ -215,6 +237,9 @@
 	if final(reason) {
 		return false
 	}
+	if alone(reason) {
+		return d.waitAlone(ctx, c)
+	}
 	if c.free > 0 && (reason == wire.Reason_REASON_STALE || reason == wire.Reason_REASON_BOOT) {
 		c.free--
 		if reason == wire.Reason_REASON_STALE {
@@ -223,6 +248,9 @@
 		return ctx.Err() == nil
 	}
 	q.Job.Excluded = append(q.Job.Excluded, ider.Server(server.GetServer()))
+	if reason == wire.Reason_REASON_MOVED {
+		return true // handed over: the budget is for failures
+	}
 	return d.pause(ctx, q, c)
 }
 
--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -202,3 +202,45 @@
 		is.Equal([]int64{s.attempts[0].GetPosition(), s.attempts[1].GetPosition(), s.attempts[2].GetPosition()}, []int64{0, 2, 3})
 	})
 }
+
+func TestSuspectRunsAloneThenIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &scripted{}
+		crash := func(server string) answer {
+			return func(w *framer.Writer) {
+				w.Accept(nil)
+				w.Refuse(&wire.Refused{
+					Reason: wire.Reason_REASON_CRASH, Outcome: wire.Outcome_OUTCOME_FAILED,
+					Suspects: []*wire.Accusation{{Fingerprint: s.attempts[0].GetFingerprint(), Server: server, Boot: 1}},
+				})
+			}
+		}
+		s.answers = []answer{crash("a"), refuse(wire.Reason_REASON_ALONE), crash("b"), rest(4)}
+		result, _ := run(t, s, wire.Call_CALL_REPEATABLE, &sink{})
+		is.Equal(len(s.attempts), 3) // two crashes and one wait for an empty server
+		is.Equal([]bool{s.attempts[0].GetAlone(), s.attempts[1].GetAlone(), s.attempts[2].GetAlone()}, []bool{false, true, true})
+		is.Equal(s.servers[1], s.servers[2]) // one place
+		is.Equal(result.Outcome, wire.Outcome_OUTCOME_UNKNOWN)
+		is.Equal(result.Reason, wire.Reason_REASON_SUSPECT)
+		is.True(result.Retry > time.Minute)
+	})
+}
+
+func TestHandedOverCacheIsImported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &scripted{answers: []answer{func(w *framer.Writer) {
+			w.Accept(nil)
+			w.Tokens([]string{"a"})
+			w.Refuse(&wire.Refused{Reason: wire.Reason_REASON_MOVED, Outcome: wire.Outcome_OUTCOME_FAILED, Exported: "cache", Tokens: 10})
+		}, rest(4)}}
+		out := &sink{}
+		result, _ := run(t, s, wire.Call_CALL_REPEATABLE, out)
+		is.Equal(result.Outcome, wire.Outcome_OUTCOME_ANSWERED)
+		is.Equal(out.text.String(), "abcd")
+		is.Equal(s.attempts[1].GetImported(), "cache")
+		is.Equal(s.attempts[1].GetCarried(), int64(10))
+		is.True(s.servers[0] != s.servers[1])
+	})
+}
--- a/entry/internal/dispatcher/place.go
+++ b/entry/internal/dispatcher/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bamboohill/core/admitter"
+	"bamboohill/core/convictor"
 	"bamboohill/core/router"
 	"bamboohill/wire"
 )
@@ -15,6 +16,12 @@
 func (d *Dispatcher) place(q *Request, c *course) (router.Choice, error) {
 	now := time.Now()
 	servers := d.config.Watcher.View().Servers
+	if q.fingerprint != "" {
+		var err error
+		if servers, err = d.judge(q, servers); err != nil {
+			return router.Choice{}, err
+		}
+	}
 	choice, err := d.config.Router.Pick(q.Job, servers, now)
 	if err != nil || c.result.Attempts > 0 || q.Job.Kind == wire.Kind_KIND_SERVICE {
 		return choice, err
@@ -44,6 +51,12 @@
 		c.result.Known = c.result.Known || none.Known
 		c.result.Retry = max(c.result.Retry, none.Retry)
 	}
+	var convicted *convictor.ConvictedError
+	if errors.As(err, &convicted) {
+		c.result.Known = true
+		c.result.Reason = wire.Reason_REASON_SUSPECT
+		c.result.Retry = convicted.Retry
+	}
 	var late *admitter.LateError
 	if errors.As(err, &late) {
 		c.result.Known = true
--- /dev/null
+++ b/entry/internal/dispatcher/suspect.go
@@ -0,0 +1,74 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"bamboohill/core/convictor"
+	"bamboohill/core/router"
+	"bamboohill/core/watcher"
+	"bamboohill/wire"
+)
+
+// Tries of a suspect to get its backend server alone.
+const (
+	soloTries = 40
+	soloPause = 100 * time.Millisecond
+)
+
+// judge returns the servers that a request may use: all of them, the one place
+// where a suspect runs alone, or a *convictor.ConvictedError.
+func (d *Dispatcher) judge(q *Request, servers []watcher.Server) ([]watcher.Server, error) {
+	v := d.config.Suspects.Judge(q.fingerprint)
+	q.alone = v.Ruling == convictor.Alone
+	switch v.Ruling {
+	case convictor.Convicted:
+		return nil, &convictor.ConvictedError{Fingerprint: q.fingerprint, Retry: time.Until(v.Until)}
+	case convictor.Alone:
+		q.Job.Excluded = nil
+		return soloPlace(q, servers), nil
+	default:
+		return servers, nil
+	}
+}
+
+// soloPlace returns the server at which a suspect runs alone, none if no open
+// one offers what it asks for.
+func soloPlace(q *Request, servers []watcher.Server) []watcher.Server {
+	var names []string
+	byName := map[string]watcher.Server{}
+	for _, s := range servers {
+		if s.GetState() == wire.State_STATE_OPEN && router.Offers(&q.Job, s.Report) {
+			names = append(names, s.GetServer())
+			byName[s.GetServer()] = s
+		}
+	}
+	name, found := convictor.Place(q.fingerprint, names)
+	if !found {
+		return nil
+	}
+	return []watcher.Server{byName[name]}
+}
+
+// alone reports whether a refusal means that a suspect has to wait for its
+// backend server to be empty, or that the entry has just learnt of it.
+func alone(reason wire.Reason) bool {
+	return reason == wire.Reason_REASON_ALONE || reason == wire.Reason_REASON_SUSPECT
+}
+
+// waitAlone waits for the next try of a suspect. Such tries run nothing, so
+// they have a count of their own in place of the retry budget.
+func (d *Dispatcher) waitAlone(ctx context.Context, c *course) bool {
+	if c.solo == 0 {
+		return false
+	}
+	c.solo--
+	t := time.NewTimer(max(soloPause, c.result.Retry))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/sidecar/internal/server/crash.go
+++ b/sidecar/internal/server/crash.go
@@ -71,7 +71,7 @@
 func (s *Server) accuse(address string, accusations []*wire.Accusation) {
 	ctx, cancel := context.WithTimeout(context.Background(), tellLimit)
 	defer cancel()
-	peer := wire.NewPeersProtobufClient("http://"+address, s.client)
+	peer := wire.NewPeersProtobufClient(s.peer.URL(address), s.peer.Client)
 	for _, a := range accusations {
 		if _, err := peer.Accuse(ctx, a); err != nil {
 			return
@@ -92,8 +92,7 @@
 }
 
 // refuseSuspect keeps the rules for suspects whatever the entry knows of them:
-// a suspect runs only alone, a convict not at all. An entry that did not know
-// is told.
+// a suspect runs only alone, a convict not at all.
 func (s *Server) refuseSuspect(p *wire.Proposal) *wire.Refused {
 	if s.engine == nil {
 		return nil
@@ -108,14 +107,17 @@
 		refused.Detail = "crashed backend servers"
 		refused.RetryMs = time.Until(v.Until).Milliseconds()
 	}
+	return refused
+}
+
+// against returns the accusations in force against a fingerprint. They ride on
+// every refusal, so that the entry which tries again knows them at once.
+func (s *Server) against(fingerprint string) []*wire.Accusation {
 	var known []*wire.Accusation
 	for _, a := range s.suspects.Suspects() {
-		if a.GetFingerprint() == p.GetFingerprint() {
+		if a.GetFingerprint() == fingerprint {
 			known = append(known, a)
 		}
 	}
-	if p.GetEntry() != "" {
-		go s.accuse(p.GetEntry(), known)
-	}
-	return refused
+	return known
 }
--- a/sidecar/internal/server/propose.go
+++ b/sidecar/internal/server/propose.go
@@ -44,11 +44,13 @@
 	}
 	if refused := s.enter(p); refused != nil {
 		refused.Report = s.Report()
+		refused.Suspects = s.against(p.GetFingerprint())
 		frames.Refuse(refused)
 		return
 	}
 	if refused := s.run(w, q, p, frames); refused != nil {
 		refused.Report = s.Report()
+		refused.Suspects = s.against(p.GetFingerprint())
 		frames.Refuse(refused)
 	}
 }
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -52,6 +52,7 @@
 	config   Config
 	boot     uint64
 	certs    *certifier.Store // towards entries, nil if plain
+	peer     *certifier.Peer
 	serial   atomic.Uint64
 	gate     *gatekeeper.Gate
 	engine   *engine // nil beside a plain service
@@ -87,6 +88,7 @@
 	s := &Server{
 		config:   config,
 		certs:    certs,
+		peer:     certifier.NewPeer(certs, certifier.Entry),
 		boot:     uint64(time.Now().UnixMicro()),
 		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleLimit}},
 		gate:     gatekeeper.New(gatekeeper.Config{Cold: set.Gate.Cold, Warm: set.Gate.Warm}),
@@ -108,7 +110,7 @@
 	s.runner = runner.New(run)
 	s.reporter = reporter.New(reporter.Config{
 		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Report: s.Report, Heard: s.heard,
-		Peer: certifier.NewPeer(s.certs, certifier.Entry),
+		Peer: s.peer,
 	})
 	return s, nil
 }
