Entries find each other, push changes, and judge who is gone

Cause: a committed change reached other processes only by their own polling of the table service; entries knew the others from settings alone; a server that was silent for a minute was dropped even by an entry that was itself cut off.

Sidecars take changes from entries first and poll the table every 30 s in place of every second. A server is gone only when it is silent and calls to it failed; silent ones are asked (wire.Gate.Inspect), so a cut that goes one way does not count; flaps are held out for a growing while; nobody of a failure domain of which most are gone is forgotten. Heartbeats go to the next entry by rendezvous when one fails three times in a row. An entry or sidecar without a configuration refuses, and is not ready. Past a plan's staleness bound the entry refuses or marks the answer (Bamboohill-Stale), as the plan says.

Ruled out: direct greetings of everybody by everybody (at 340 entries 340 greetings a round each); polling of the table by sidecars (12,000 reads a second at the target with one second, against 2,000).

--- a/core/puller/puller.go
+++ b/core/puller/puller.go
@@ -14,11 +14,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
 
+	"bamboohill/core/certifier"
 	"bamboohill/core/keeper"
 	"bamboohill/wire"
 )
@@ -29,13 +29,13 @@
 	defaultTimeout = time.Second
 )
 
-// Config describes a Puller. The zero Timeout is one second a call; Client may
-// be nil.
+// Config describes a Puller. The zero Timeout is one second a call, the nil Peer
+// connects without TLS.
 type Config struct {
 	Addresses func() []string // of known entries, this process not among them
 	Self      string          // never asked
 	Timeout   time.Duration
-	Client    *http.Client
+	Peer      *certifier.Peer
 }
 
 // Puller implements keeper.Peers.
@@ -51,14 +51,14 @@
 	if config.Timeout <= 0 {
 		config.Timeout = defaultTimeout
 	}
-	if config.Client == nil {
-		config.Client = http.DefaultClient
+	if config.Peer == nil {
+		config.Peer = certifier.NewPeer(nil)
 	}
 	return &Puller{config: config}
 }
 
 func (p *Puller) peer(address string) wire.Peers {
-	return wire.NewPeersProtobufClient("http://"+address, p.config.Client)
+	return wire.NewPeersProtobufClient(p.config.Peer.URL(address), p.config.Peer.Client)
 }
 
 // Ask implements keeper.Peers. An entry that does not answer counts as known.
--- a/core/watcher/watcher.go
+++ b/core/watcher/watcher.go
@@ -8,11 +8,17 @@
 //	w.Hear(report)
 //	for _, s := range w.View().Servers { ... }
 //
+// A server is gone when it is both silent and calls to it failed. Gone ones,
+// and for a while those that come and go, are kept apart from those that are
+// offered work; when nobody else is left they are offered work all the same,
+// and none of a failure domain is forgotten while most of it is gone. An entry
+// that is cut off so keeps using what it reaches, and tells nobody otherwise.
+//
 // The view is a proposal's ground, never a promise's: the gate decides.
 package watcher
 
 import (
-	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -33,7 +39,7 @@
 // Forget a minute; Now is the clock, time.Now if nil.
 type Config struct {
 	Silence time.Duration // without a report until a server counts as silent
-	Forget  time.Duration // without a report until a server is dropped
+	Forget  time.Duration // gone until a server is dropped
 	Now     func() time.Time
 }
 
@@ -41,12 +47,16 @@
 type Server struct {
 	*wire.Report
 	Heard  time.Time // of the newest report
-	Failed int       // proposals failed since then
+	Failed int       // calls failed since then
 }
 
+// ID returns the server's id.
+func (s Server) ID() ider.Server { return ider.Server(s.GetServer()) }
+
 // View is what is known at one moment. It is never changed after it is made.
 type View struct {
-	Servers []Server // in order of id
+	Servers []Server // offered work, in order of id
+	Gone    []Server // not offered work, in order of id
 	Made    time.Time
 }
 
@@ -55,7 +65,7 @@
 	config Config
 	view   atomic.Pointer[View]
 	owner  *spawner.Ref[message]
-	known  map[ider.Server]*Server // owner's goroutine alone
+	known  map[ider.Server]*record // owner's goroutine alone
 }
 
 type message struct {
@@ -75,7 +85,7 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
-	w := &Watcher{config: config, known: map[ider.Server]*Server{}}
+	w := &Watcher{config: config, known: map[ider.Server]*record{}}
 	w.view.Store(&View{})
 	w.owner = spawner.Spawn(spawner.Config[message]{Name: "watcher", Receive: w.receive})
 	return w
@@ -94,7 +104,7 @@
 // Fail notes that a proposal to a server got no answer.
 func (w *Watcher) Fail(server ider.Server) { w.owner.Tell(message{failed: server}) }
 
-// Tick drops the servers that were silent for too long.
+// Tick judges who is gone and drops those that were gone for too long.
 func (w *Watcher) Tick() { w.owner.Offer(message{tick: true}) }
 
 // View returns the newest view.
@@ -116,19 +126,23 @@
 			return
 		}
 		s.Failed++
-	case m.tick:
-		maps.DeleteFunc(w.known, func(_ ider.Server, s *Server) bool { return now.Sub(s.Heard) > w.config.Forget })
 	}
+	w.judge(now)
 	w.publish(now)
 }
 
 func (w *Watcher) hear(report *wire.Report, now time.Time) bool {
 	id := ider.Server(report.GetServer())
-	old, found := w.known[id]
-	if found && !newer(report, old.Report) {
+	r, found := w.known[id]
+	if found && !newer(report, r.Report) {
 		return false
 	}
-	w.known[id] = &Server{Report: report, Heard: now}
+	if !found {
+		r = &record{}
+		w.known[id] = r
+	}
+	w.back(r, now)
+	r.Server = Server{Report: report, Heard: now}
 	return true
 }
 
@@ -140,10 +154,32 @@
 }
 
 func (w *Watcher) publish(now time.Time) {
-	view := &View{Made: now, Servers: make([]Server, 0, len(w.known))}
-	for _, s := range w.known {
-		view.Servers = append(view.Servers, *s)
+	view := &View{Made: now}
+	for _, r := range w.known {
+		if !r.gone.IsZero() || now.Before(r.held) {
+			view.Gone = append(view.Gone, r.Server)
+		} else {
+			view.Servers = append(view.Servers, r.Server)
+		}
+	}
+	if len(view.Servers) == 0 {
+		view.Servers, view.Gone = view.Gone, nil
 	}
-	slices.SortFunc(view.Servers, func(a, b Server) int { return strings.Compare(a.GetServer(), b.GetServer()) })
+	order := func(a, b Server) int { return strings.Compare(a.GetServer(), b.GetServer()) }
+	slices.SortFunc(view.Servers, order)
+	slices.SortFunc(view.Gone, order)
 	w.view.Store(view)
 }
+
+// Quiet returns at most n of the servers that are silent, drawn at random.
+func (w *Watcher) Quiet(n int) []Server {
+	view := w.View()
+	var all []Server
+	for _, s := range slices.Concat(view.Servers, view.Gone) {
+		if w.Silent(s) {
+			all = append(all, s)
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(n, len(all))]
+}
--- /dev/null
+++ b/core/watcher/watcher_test.go
@@ -0,0 +1,153 @@
+package watcher
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bamboohill/core/ider"
+	"bamboohill/wire"
+
+	"github.com/matryer/is"
+)
+
+func TestJudge(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, test := range map[string]struct {
+		silent time.Duration
+		failed int
+		want   Health
+	}{
+		"heard":            {time.Second, 0, Alive},
+		"at the bound":     {3 * time.Second, 0, Alive},
+		"silent alone":     {time.Hour, 0, Suspect},
+		"failures alone":   {time.Second, 9, Suspect},
+		"silent and fails": {4 * time.Second, 1, Gone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := Judge(now.Add(-test.silent), test.failed, now, 3*time.Second); got != test.want {
+				t.Errorf("Judge = %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// bench is a watcher with some servers that report each second.
+type bench struct {
+	*Watcher
+	serial uint64
+}
+
+func newBench(servers int) *bench {
+	b := &bench{Watcher: New(Config{})}
+	b.beat(servers)
+	return b
+}
+
+// beat lets servers 0 to n-1 report.
+func (b *bench) beat(n int) {
+	b.serial++
+	for i := range n {
+		b.Hear(&wire.Report{Server: fmt.Sprint("s", i), Domain: "ikeja", Boot: 1, Serial: b.serial})
+	}
+	b.Tick()
+	synctest.Wait()
+}
+
+// second lets a second pass in which servers 0 to n-1 report and calls to the
+// others fail.
+func (b *bench) second(n, all int) {
+	time.Sleep(time.Second)
+	for i := n; i < all; i++ {
+		b.Fail(ider.Server(fmt.Sprint("s", i)))
+	}
+	b.beat(n)
+}
+
+func TestGoneServerIsNotOffered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(4)
+		defer b.Stop()
+		for range 5 {
+			b.second(3, 4)
+		}
+		is.Equal(len(b.View().Servers), 3)
+		is.Equal(len(b.View().Gone), 1)
+		for range 70 {
+			b.second(3, 4)
+		}
+		is.Equal(len(b.View().Gone), 0) // forgotten
+	})
+}
+
+func TestSilenceWithoutProofKeepsAServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(4)
+		defer b.Stop()
+		for range 100 {
+			time.Sleep(time.Second)
+			b.beat(3)
+		}
+		is.Equal(len(b.View().Servers), 4)
+		is.Equal(len(b.Quiet(9)), 1) // it is asked
+	})
+}
+
+func TestCutEntryForgetsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(4)
+		defer b.Stop()
+		for range 100 {
+			b.second(0, 4)
+		}
+		is.Equal(len(b.View().Servers), 4) // all are gone: all are offered
+		b.second(1, 4)
+		is.Equal(len(b.View().Servers), 1) // it uses what it reaches, at once
+		is.Equal(len(b.View().Gone), 3)
+	})
+}
+
+func TestFlappingServerIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(4)
+		defer b.Stop()
+		offered := 0
+		for range 10 {
+			for range 5 {
+				b.second(3, 4)
+			}
+			for range 2 {
+				b.second(4, 4)
+				offered += len(b.View().Servers) - 3
+			}
+		}
+		is.True(offered <= 4) // of the 20 seconds in which it reported
+		for range 40 {
+			b.second(4, 4)
+		}
+		is.Equal(len(b.View().Servers), 4) // calm again, it serves
+	})
+}
+
+func TestNewerBootWins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := New(Config{})
+		defer w.Stop()
+		for _, r := range []*wire.Report{
+			{Server: "s", Boot: 2, Serial: 1, Running: 7},
+			{Server: "s", Boot: 1, Serial: 99, Running: 1}, // late word of the old boot
+			{Server: "s", Boot: 2, Serial: 1, Running: 2},  // again
+		} {
+			w.Hear(r)
+		}
+		synctest.Wait()
+		is.Equal(w.View().Servers[0].GetRunning(), int32(7))
+		is.Equal(w.View().Servers[0].Failed, 0)
+	})
+}
--- a/entry/internal/administrator/administrator.go
+++ b/entry/internal/administrator/administrator.go
@@ -11,6 +11,7 @@
 package administrator
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -26,6 +27,7 @@
 	"bamboohill/core/keeper"
 	"bamboohill/core/storer"
 	"bamboohill/core/watcher"
+	"bamboohill/entry/internal/gossiper"
 	"bamboohill/entry/internal/settings"
 	"bamboohill/wire"
 
@@ -40,11 +42,9 @@
 type Config struct {
 	Keeper    *keeper.Keeper
 	Watcher   *watcher.Watcher
-	Table     storer.Table
+	Gossiper  *gossiper.Gossiper
 	Operators []settings.Operator
 	Log       *log.Logger
-	// Spread sends a committed change on.
-	Spread func(*wire.Change)
 }
 
 // Administrator serves operators.
@@ -161,20 +161,31 @@
 		fail(w, http.StatusBadRequest, Failure{Code: "bad_row", Message: err.Error()})
 		return
 	}
-	change, err := keeper.Commit(q.Context(), a.config.Table, p)
+	change, err := a.config.Keeper.Commit(q.Context(), p)
 	if err != nil {
 		refuse(w, err)
 		return
 	}
 	a.config.Log.Info().Str("event", "audit").Str("operator", operator.Name).Str("key", p.Key).Str("change", p.ID).
 		Uint64("sequence", change.GetSequence()).Msg("")
-	a.config.Keeper.Refresh(q.Context())
-	if a.config.Spread != nil {
-		a.config.Spread(change)
-	}
+	go a.spread(change.GetSequence())
 	answer(w, Committed{Sequence: change.GetSequence(), Version: change.GetVersion(), ID: change.GetId()})
 }
 
+// spread tells the other processes of a change and writes the snapshot that
+// has come due.
+func (a *Administrator) spread(sequence uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), spreadLimit)
+	defer cancel()
+	a.config.Gossiper.Spread(ctx)
+	if err := a.config.Keeper.Archive(ctx, sequence); err != nil {
+		a.config.Log.Warn().Str("event", "archive").Err(err).Msg("")
+	}
+}
+
+// spreadLimit bounds the work that follows a change.
+const spreadLimit = 30 * time.Second
+
 var errKind = errors.New("administrator: kind must be account, plan, domain, vm or pardon, and the record of that kind")
 
 func proposal(w http.ResponseWriter, q *http.Request, author string) (keeper.Proposal, error) {
--- a/entry/internal/gossiper/gossiper.go
+++ b/entry/internal/gossiper/gossiper.go
@@ -3,17 +3,15 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"bamboohill/core/certifier"
 	"bamboohill/core/keeper"
 	"bamboohill/core/storer"
 	"bamboohill/core/watcher"
 	"bamboohill/wire"
-
-	"github.com/phuslu/log"
 )
 
 // Defaults of Config.
@@ -33,7 +31,8 @@
 
 // Config describes a Gossiper. The zero Every greets each second, the zero
 // Limit gives a call one second, the zero Copies pushes changes to every
-// sidecar heard. List, Client, Log, Accuse and Borrow may be nil.
+// sidecar heard. List, Accuse and Borrow may be nil; nil Entries and Sidecars
+// connect without TLS.
 type Config struct {
 	Address string // this entry's inner address
 	Boot    uint64
@@ -45,9 +44,9 @@
 	Limit   time.Duration
 	// Copies is how many of the entries that hear a sidecar push to it, by
 	// rendezvous rank among live entries; 0 means all.
-	Copies int
-	Client *http.Client
-	Log    *log.Logger
+	Copies   int
+	Entries  *certifier.Peer
+	Sidecars *certifier.Peer
 	// Accuse takes a crash suspect that another entry tells of.
 	Accuse func(*wire.Accusation)
 	// Borrow lends a share of an account's limits to another entry.
@@ -56,15 +55,30 @@
 
 // Gossiper joins one entry to the others.
 type Gossiper struct {
-	config  Config
-	leaving atomic.Bool
-	wake    chan struct{}
+	config   Config
+	leaving  atomic.Bool
+	catching atomic.Bool
+	wake     chan struct{}
 
 	mu     sync.Mutex
 	roster *roster
 	random *rand.Rand
 	peers  map[string]uint64 // sequence number that each entry last said
-	sent   map[string]uint64 // sequence number that each server last took
+	sent   map[string]mark   // what each server last took
+}
+
+// mark is the sequence number in force at one boot of a sidecar.
+type mark struct {
+	boot     uint64
+	sequence uint64
+}
+
+// taken returns the sequence number in force at a server; the lock is held.
+func (g *Gossiper) taken(s watcher.Server) uint64 {
+	if m := g.sent[s.GetServer()]; m.boot == s.GetBoot() {
+		return max(m.sequence, s.GetSequence())
+	}
+	return s.GetSequence()
 }
 
 // New returns a gossiper that does not greet yet. It panics without a keeper
@@ -79,13 +93,16 @@
 	if config.Limit <= 0 {
 		config.Limit = defaultLimit
 	}
-	if config.Client == nil {
-		config.Client = http.DefaultClient
+	if config.Entries == nil {
+		config.Entries = certifier.NewPeer(nil)
+	}
+	if config.Sidecars == nil {
+		config.Sidecars = certifier.NewPeer(nil)
 	}
 	g := &Gossiper{
 		config: config, wake: make(chan struct{}, 1), roster: newRoster(config.Address),
 		random: rand.New(rand.NewPCG(config.Boot, uint64(len(config.Address)))),
-		peers:  map[string]uint64{}, sent: map[string]uint64{},
+		peers:  map[string]uint64{}, sent: map[string]mark{},
 	}
 	g.roster.fix(config.Seeds)
 	return g
@@ -195,8 +212,12 @@
 	all.Wait()
 }
 
+func (g *Gossiper) gate(address string) wire.Gate {
+	return wire.NewGateProtobufClient(g.config.Sidecars.URL(address), g.config.Sidecars.Client)
+}
+
 func (g *Gossiper) peer(address string) wire.Peers {
-	return wire.NewPeersProtobufClient("http://"+address, g.config.Client)
+	return wire.NewPeersProtobufClient(g.config.Entries.URL(address), g.config.Entries.Client)
 }
 
 // greet exchanges greetings with one entry; ask wants its sidecars' standings.
@@ -240,19 +261,22 @@
 	}
 	g.peers[w.GetAddress()] = w.GetSequence()
 	g.mu.Unlock()
-	if w.GetReady() && g.config.Keeper.Heard(w.GetSequence()) {
-		g.catchUp(w.GetSequence())
+	if w.GetReady() {
+		g.Behind(w.GetSequence())
 	}
 }
 
-// catchUp brings the keeper to a sequence number beside the caller's work.
-func (g *Gossiper) catchUp(sequence uint64) {
+// Behind notes that some process has a sequence number in force, and catches
+// up beside the caller's work if this entry is behind it.
+func (g *Gossiper) Behind(sequence uint64) {
+	if !g.config.Keeper.Heard(sequence) || !g.catching.CompareAndSwap(false, true) {
+		return
+	}
 	go func() {
+		defer g.catching.Store(false)
 		ctx, cancel := context.WithTimeout(context.Background(), 2*g.config.Limit)
 		defer cancel()
-		if g.config.Keeper.CatchUp(ctx, sequence) == nil {
-			g.Wake()
-		}
+		g.config.Keeper.CatchUp(ctx, g.config.Keeper.Known())
 	}()
 }
 
@@ -268,7 +292,7 @@
 		addresses = append(addresses, s.GetAddress())
 	}
 	g.each(ctx, addresses, func(ctx context.Context, a string) {
-		report, err := wire.NewGateProtobufClient("http://"+a, g.config.Client).Inspect(ctx, &wire.InspectRequest{})
+		report, err := g.gate(a).Inspect(ctx, &wire.InspectRequest{})
 		if err != nil {
 			g.config.Watcher.Fail(reached[a].ID())
 			return
--- /dev/null
+++ b/entry/internal/gossiper/roster_test.go
@@ -0,0 +1,172 @@
+package gossiper
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bamboohill/wire"
+
+	"github.com/matryer/is"
+)
+
+// clock is a roster with its time.
+type clock struct {
+	*roster
+	now time.Time
+}
+
+func newClock(addresses ...string) *clock {
+	c := &clock{roster: newRoster("me"), now: time.Unix(1000, 0)}
+	for _, a := range addresses {
+		c.heard(a, 1)
+	}
+	return c
+}
+
+func (c *clock) heard(address string, boot uint64) {
+	c.hear(&wire.Member{Address: address, Boot: boot}, c.now, c.now)
+}
+
+// second lets a second pass: some are heard, greetings to the others fail if
+// asked is set.
+func (c *clock) second(asked bool, heard ...string) {
+	c.now = c.now.Add(time.Second)
+	for _, a := range heard {
+		c.heard(a, 1)
+	}
+	for _, a := range c.known() {
+		if asked && c.all[a].heard.Before(c.now) {
+			c.fail(a, c.now)
+		}
+	}
+	c.judge(c.now)
+}
+
+func TestRosterSilenceNeedsProof(t *testing.T) {
+	is := is.New(t)
+	c := newClock("a", "b", "c")
+	for range 20 {
+		c.second(false, "a", "b")
+	}
+	is.Equal(c.live(c.now), []string{"a", "b", "c"}) // silent, but never asked
+	c.second(true, "a", "b")
+	is.Equal(c.live(c.now), []string{"a", "b"})
+	for range 70 {
+		c.second(true, "a", "b")
+	}
+	is.Equal(c.known(), []string{"a", "b"}) // forgotten
+}
+
+func TestRosterKeepsAllWhenCutOff(t *testing.T) {
+	is := is.New(t)
+	c := newClock("a", "b", "c")
+	for range 200 {
+		c.second(true)
+	}
+	is.Equal(len(c.live(c.now)), 0)
+	is.Equal(c.known(), []string{"a", "b", "c"}) // whom to try when the cut heals
+	is.Equal(len(c.sample(9, c.now, rand.New(rand.NewPCG(1, 1)))), 0)
+}
+
+func TestRosterFlapsAreHeld(t *testing.T) {
+	is := is.New(t)
+	c := newClock("a", "b", "c")
+	live := 0
+	for range 10 {
+		for range 7 {
+			c.second(true, "a", "b")
+		}
+		for range 3 {
+			c.second(true, "a", "b", "c")
+			live += len(c.live(c.now)) - 2
+		}
+	}
+	is.True(live <= 6) // of the 30 seconds in which it was heard
+	for range 40 {
+		c.second(true, "a", "b", "c")
+	}
+	is.Equal(len(c.live(c.now)), 3)
+}
+
+func TestRosterHear(t *testing.T) {
+	at := time.Unix(1000, 0)
+	for name, test := range map[string]struct {
+		reports []*wire.Member
+		live    bool
+	}{
+		"heard":                    {[]*wire.Member{{Address: "a", Boot: 1}}, true},
+		"leaving":                  {[]*wire.Member{{Address: "a", Boot: 1}, {Address: "a", Boot: 1, Leaving: true}}, false},
+		"late word before leaving": {[]*wire.Member{{Address: "a", Boot: 1, Leaving: true}, {Address: "a", Boot: 1}}, false},
+		"new boot after leaving":   {[]*wire.Member{{Address: "a", Boot: 1, Leaving: true}, {Address: "a", Boot: 2}}, true},
+		"old boot's leaving":       {[]*wire.Member{{Address: "a", Boot: 2}, {Address: "a", Boot: 1, Leaving: true}}, true},
+		"itself":                   {[]*wire.Member{{Address: "me", Boot: 1}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRoster("me")
+			now := at
+			for _, w := range test.reports {
+				now = now.Add(time.Second)
+				r.hear(w, now, now)
+			}
+			if got := len(r.live(now)) == 1; got != test.live {
+				t.Errorf("live = %v, want %v", got, test.live)
+			}
+		})
+	}
+}
+
+// TestRosterSpreads lets many rosters exchange samples and counts the rounds
+// until each holds all the others live, and whether they stay so.
+func TestRosterSpreads(t *testing.T) {
+	const size = 60
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(3, 4))
+	now := time.Unix(1000, 0)
+	names := make([]string, size)
+	all := map[string]*roster{}
+	for i := range names {
+		names[i] = string(rune('A'+i/26)) + string(rune('a'+i%26))
+		all[names[i]] = newRoster(names[i])
+		if i > 0 {
+			all[names[i]].fix(names[i/2 : i/2+1])
+		}
+	}
+	exchange := func(from, to string) {
+		all[to].hear(&wire.Member{Address: from, Boot: 1}, now, now)
+		for _, m := range all[from].sample(sampleSize, now, random) {
+			all[to].hear(m, now.Add(-time.Duration(m.GetAgeMs())*time.Millisecond), now)
+		}
+	}
+	least := func() int {
+		n := size
+		for _, r := range all {
+			n = min(n, len(r.live(now)))
+		}
+		return n
+	}
+	rounds := 0
+	for ; rounds < 60 && least() < size-1; rounds++ {
+		now = now.Add(time.Second)
+		for _, a := range names {
+			for _, b := range all[a].targets(fanout, random) {
+				exchange(a, b)
+				exchange(b, a)
+			}
+			all[a].judge(now)
+		}
+	}
+	t.Logf("entries=%d rounds=%d", size, rounds)
+	is.True(rounds < 60)
+	for range 30 {
+		now = now.Add(time.Second)
+		for _, a := range names {
+			for _, b := range all[a].targets(fanout, random) {
+				exchange(a, b)
+				exchange(b, a)
+			}
+			all[a].judge(now)
+		}
+	}
+	is.Equal(least(), size-1)
+}
--- a/entry/internal/gossiper/spread.go
+++ b/entry/internal/gossiper/spread.go
@@ -51,8 +51,7 @@
 	var addresses []string
 	g.mu.Lock()
 	for _, s := range g.config.Watcher.View().Servers {
-		taken := max(g.sent[s.GetServer()], s.GetSequence())
-		if taken < state.Sequence && g.mine(s.GetServer(), entries) {
+		if g.taken(s) < state.Sequence && g.mine(s.GetServer(), entries) {
 			behind[s.GetAddress()] = s
 			addresses = append(addresses, s.GetAddress())
 		}
@@ -65,11 +64,11 @@
 			// It is far behind: tell it so, and let it pull.
 			batch = &wire.Batch{Sequence: state.Sequence}
 		}
-		reply, err := wire.NewGateProtobufClient("http://"+a, g.config.Client).Push(ctx, batch)
+		reply, err := g.gate(a).Push(ctx, batch)
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if err == nil {
-			g.sent[s.GetServer()] = reply.GetSequence()
+			g.sent[s.GetServer()] = mark{boot: s.GetBoot(), sequence: reply.GetSequence()}
 		}
 	})
 }
@@ -105,16 +104,15 @@
 // Survey asks every known entry what is in force there and at the sidecars
 // that it hears.
 func (g *Gossiper) Survey(ctx context.Context) (entries, servers []Standing) {
-	newest := map[string]Standing{}
-	mine := g.standings()
+	newest := map[string]*wire.Standing{}
 	add := func(all []*wire.Standing) {
 		for _, w := range all {
-			if old, found := newest[w.GetServer()]; !found || w.GetSequence() > old.Sequence {
-				newest[w.GetServer()] = Standing{Name: w.GetServer(), Sequence: w.GetSequence()}
+			if old := newest[w.GetServer()]; old == nil || later(w, old) {
+				newest[w.GetServer()] = w
 			}
 		}
 	}
-	add(mine)
+	add(g.standings())
 	entries = []Standing{{Name: g.config.Address, Sequence: g.config.Keeper.State().Sequence}}
 	known := g.surveyed()
 	answers := make(chan *wire.Greeting, len(known))
@@ -137,8 +135,8 @@
 		entries = append(entries, Standing{Name: a, Sequence: g.peers[a], Silent: true})
 	}
 	g.mu.Unlock()
-	for _, s := range newest {
-		servers = append(servers, s)
+	for _, w := range newest {
+		servers = append(servers, Standing{Name: w.GetServer(), Sequence: w.GetSequence()})
 	}
 	order := func(a, b Standing) int { return cmp.Compare(a.Name, b.Name) }
 	slices.SortFunc(entries, order)
@@ -146,14 +144,22 @@
 	return entries, servers
 }
 
+// later reports whether a says more than b: of a newer boot, or more in force.
+func later(a, b *wire.Standing) bool {
+	if a.GetBoot() != b.GetBoot() {
+		return a.GetBoot() > b.GetBoot()
+	}
+	return a.GetSequence() > b.GetSequence()
+}
+
 // surveyed returns the entries whose configuration counts: all that were ever
-// heard and do not leave.
+// heard or that settings or the list of VMs name, but those that leave.
 func (g *Gossiper) surveyed() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var all []string
 	for address, m := range g.roster.all {
-		if !m.heard.IsZero() && !m.leaving {
+		if (m.fixed || !m.heard.IsZero()) && !m.leaving {
 			all = append(all, address)
 		}
 	}
@@ -165,10 +171,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var all []*wire.Standing
-	for _, s := range g.config.Watcher.View().Servers {
-		all = append(all, &wire.Standing{
-			Server: s.GetServer(), Boot: s.GetBoot(), Sequence: max(s.GetSequence(), g.sent[s.GetServer()]),
-		})
+	view := g.config.Watcher.View()
+	for _, s := range slices.Concat(view.Servers, view.Gone) {
+		all = append(all, &wire.Standing{Server: s.GetServer(), Boot: s.GetBoot(), Sequence: g.taken(s)})
 	}
 	return all
 }
--- a/entry/internal/receiver/failure.go
+++ b/entry/internal/receiver/failure.go
@@ -14,6 +14,9 @@
 	OutcomeHeader = "Bamboohill-Outcome"
 	TimeoutHeader = "Bamboohill-Timeout"
 	KeyHeader     = "Idempotency-Key"
+	// StaleHeader says that the configuration is past the plan's bound on being
+	// unconfirmed, and that the plan wants to be served all the same.
+	StaleHeader = "Bamboohill-Stale"
 )
 
 // Values of OutcomeHeader.
--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -54,7 +54,7 @@
 func (r *Receiver) open(w http.ResponseWriter, q *http.Request) (*dispatcher.Request, *Failure) {
 	id := ider.New[ider.Request]()
 	w.Header().Set(RequestHeader, string(id))
-	account, plan, f := r.identify(q)
+	account, plan, f := r.identify(w, q)
 	if f != nil {
 		return nil, f
 	}
@@ -65,18 +65,31 @@
 	return &dispatcher.Request{ID: id, Account: account, Plan: plan, Deadline: time.Now().Add(timeout)}, nil
 }
 
-func (r *Receiver) identify(q *http.Request) (*wire.Account, *wire.Plan, *Failure) {
+func (r *Receiver) identify(w http.ResponseWriter, q *http.Request) (*wire.Account, *wire.Plan, *Failure) {
 	key, found := strings.CutPrefix(q.Header.Get("Authorization"), "Bearer ")
 	if !found {
 		return nil, nil, denied(http.StatusUnauthorized, "no_key", "want Authorization: Bearer KEY")
 	}
+	if !r.config.Keeper.Ready() {
+		return nil, nil, busy("not_ready", "this entry has no configuration yet", time.Second)
+	}
 	account, plan, err := r.config.Keeper.State().Identify(key)
 	if err != nil {
 		return nil, nil, denied(http.StatusUnauthorized, "bad_key", "key is not in force")
 	}
+	if !keeper.Fresh(plan, r.config.Keeper.Confirmed(), time.Now()) {
+		if plan.GetRefuseStale() {
+			return nil, nil, busy("stale_configuration", "the plan's bound on an unconfirmed configuration has passed", staleRetry)
+		}
+		w.Header().Set(StaleHeader, "true")
+	}
 	return account, plan, nil
 }
 
+// staleRetry is when a caller comes back whose plan refuses an unconfirmed
+// configuration.
+const staleRetry = 5 * time.Second
+
 // timeout returns how long a request may take: the caller's header in seconds,
 // else the plan's default, else the entry's.
 func (r *Receiver) timeout(q *http.Request, plan *wire.Plan) (time.Duration, *Failure) {
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -17,10 +17,12 @@
 
 	"bamboohill/core/certifier"
 	"bamboohill/core/keeper"
+	"bamboohill/core/puller"
 	"bamboohill/core/storer"
 	"bamboohill/core/watcher"
 	"bamboohill/entry/internal/administrator"
 	"bamboohill/entry/internal/dispatcher"
+	"bamboohill/entry/internal/gossiper"
 	"bamboohill/entry/internal/proposer"
 	"bamboohill/entry/internal/receiver"
 	"bamboohill/entry/internal/settings"
@@ -45,16 +47,17 @@
 
 // Server is one entry.
 type Server struct {
-	config  Config
-	boot    uint64
-	certs   *certifier.Store // towards other processes, nil if plain
-	front   *certifier.Store // towards callers, nil if plain
-	table   storer.Table
-	keeper  *keeper.Keeper
-	watcher *watcher.Watcher
-	ready   atomic.Bool
-	outer   http.Handler
-	inner   http.Handler
+	config   Config
+	boot     uint64
+	certs    *certifier.Store // towards other processes, nil if plain
+	front    *certifier.Store // towards callers, nil if plain
+	table    storer.Table
+	keeper   *keeper.Keeper
+	watcher  *watcher.Watcher
+	gossiper *gossiper.Gossiper
+	stopping atomic.Bool
+	outer    http.Handler
+	inner    http.Handler
 }
 
 // New returns an entry that does not run yet. The error is that of reading the
@@ -70,8 +73,8 @@
 		return nil, err
 	}
 	s.table = storer.NewTable(storer.Config{Address: set.Platform.Table})
-	s.keeper = keeper.New(keeper.Config{Table: s.table})
 	s.watcher = watcher.New(watcher.Config{})
+	s.join()
 	proposals := proposer.New(proposer.Config{Peer: certifier.NewPeer(s.certs, certifier.Sidecar)})
 	d := dispatcher.New(dispatcher.Config{
 		Watcher: s.watcher, Keeper: s.keeper, Entry: set.Inner, Log: config.Log,
@@ -84,13 +87,36 @@
 		Timeout: time.Duration(set.Bounds.Timeout) * time.Millisecond,
 	})
 	admin := administrator.New(administrator.Config{
-		Keeper: s.keeper, Watcher: s.watcher, Table: s.table, Operators: set.Operators, Log: config.Log,
+		Keeper: s.keeper, Watcher: s.watcher, Gossiper: s.gossiper, Operators: set.Operators, Log: config.Log,
 	})
 	s.outer = s.route(calls.Handler(), admin.Handler())
 	s.inner = s.routeInner()
 	return s, nil
 }
 
+// join sets up the configuration and the other entries.
+func (s *Server) join() {
+	set := s.config.Settings
+	entries := certifier.NewPeer(s.certs, certifier.Entry)
+	config := keeper.Config{
+		Table:   s.table,
+		Peers:   puller.New(puller.Config{Addresses: func() []string { return s.gossiper.Known() }, Self: set.Inner, Peer: entries}),
+		Changed: func(*keeper.State) { s.gossiper.Wake() },
+	}
+	if set.Platform.Objects != "" {
+		config.Objects = storer.NewObjects(storer.Config{Address: set.Platform.Objects})
+	}
+	s.keeper = keeper.New(config)
+	members := gossiper.Config{
+		Address: set.Inner, Boot: s.boot, Seeds: set.Entries, Keeper: s.keeper, Watcher: s.watcher,
+		Entries: entries, Sidecars: certifier.NewPeer(s.certs, certifier.Sidecar),
+	}
+	if set.Platform.List != "" {
+		members.List = storer.NewVMs(storer.Config{Address: set.Platform.List})
+	}
+	s.gossiper = gossiper.New(members)
+}
+
 // reloaded logs that certificate files have changed.
 func (s *Server) reloaded(err error) {
 	s.config.Log.Info().Str("event", "certificates").Err(err).Msg("")
@@ -108,12 +134,13 @@
 func (s *Server) routeInner() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wire.HeartbeatsPathPrefix, wire.NewHeartbeatsServer(beats{s}))
+	mux.Handle(wire.PeersPathPrefix, s.gossiper.Handler())
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	return mux
 }
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !s.ready.Load() {
+	if s.stopping.Load() || !s.keeper.Ready() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
@@ -135,12 +162,14 @@
 	if err != nil {
 		return err
 	}
-	go s.poll(background)
+	go s.gossiper.Run(background)
+	go s.keeper.Poll(background, time.Duration(s.config.Settings.Poll)*time.Millisecond, nil)
 	for _, c := range []*certifier.Store{s.certs, s.front} {
 		go c.Watch(background)
 	}
 	<-ctx.Done()
-	s.ready.Store(false)
+	s.stopping.Store(true)
+	s.gossiper.Leave(background)
 	last, cancel := context.WithTimeout(background, stopLimit)
 	defer cancel()
 	err = outer.Shutdown(last)
@@ -164,23 +193,6 @@
 	return web, nil
 }
 
-// poll reads the configuration's head until the context ends.
-func (s *Server) poll(ctx context.Context) {
-	t := time.NewTicker(time.Duration(s.config.Settings.Poll) * time.Millisecond)
-	defer t.Stop()
-	for {
-		if err := s.keeper.Refresh(ctx); err == nil {
-			s.ready.Store(ctx.Err() == nil)
-		}
-		s.watcher.Tick()
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
-}
-
 // beats serves the calls of wire.Heartbeats.
 type beats struct {
 	s *Server
@@ -189,6 +201,10 @@
 // Beat implements wire.Heartbeats.
 func (b beats) Beat(_ context.Context, report *wire.Report) (*wire.BeatReply, error) {
 	b.s.watcher.Hear(report)
-	set := b.s.config.Settings
-	return &wire.BeatReply{Sequence: b.s.keeper.State().Sequence, Entries: append([]string{set.Inner}, set.Entries...)}, nil
+	reply := &wire.BeatReply{Entries: append(b.s.gossiper.Live(), b.s.config.Settings.Inner)}
+	if b.s.keeper.Ready() {
+		reply.Sequence = b.s.keeper.State().Sequence
+	}
+	b.s.gossiper.Behind(report.GetSequence())
+	return reply, nil
 }
--- a/sidecar/internal/reporter/reporter.go
+++ b/sidecar/internal/reporter/reporter.go
@@ -6,12 +6,15 @@
 //	r.Run(ctx)
 //
 // Each report goes to the entries that rendezvous hashing picks for this
-// backend server among those known; replies name more entries.
+// backend server among those known; replies name more entries. One that fails
+// some beats in a row is replaced by the next and asked again now and then.
 package reporter
 
 import (
 	"cmp"
 	"context"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -25,6 +28,18 @@
 // Width is how many entries hear one backend server.
 const Width = 4
 
+// Failed beats in a row.
+const (
+	restAfter   = 3  // until an entry is replaced by the next
+	forgetAfter = 30 // until one that only replies named is forgotten
+)
+
+// entry is one entry that may hear this server.
+type entry struct {
+	fixed  bool // named by settings
+	failed int  // beats in a row
+}
+
 // Config describes a Reporter.
 type Config struct {
 	Entries []string // addresses to start from, ip:port
@@ -39,12 +54,23 @@
 type Reporter struct {
 	config Config
 	mu     sync.Mutex
-	known  []string
+	known  map[string]*entry
 }
 
 // New returns a reporter.
 func New(config Config) *Reporter {
-	return &Reporter{config: config, known: slices.Clone(config.Entries)}
+	r := &Reporter{config: config, known: map[string]*entry{}}
+	for _, a := range config.Entries {
+		r.known[a] = &entry{fixed: true}
+	}
+	return r
+}
+
+// Known returns the addresses of the entries that are known, in order.
+func (r *Reporter) Known() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Sorted(maps.Keys(r.known))
 }
 
 // Run sends heartbeats until the context ends.
@@ -75,6 +101,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.config.Every)
 	defer cancel()
 	reply, err := wire.NewHeartbeatsProtobufClient(r.config.Peer.URL(address), r.config.Peer.Client).Beat(ctx, report)
+	r.note(address, err == nil)
 	if err != nil {
 		return
 	}
@@ -84,23 +111,51 @@
 	}
 }
 
+// note counts an entry's failed beats in a row.
+func (r *Reporter) note(address string, answered bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.known[address]
+	switch {
+	case e == nil:
+	case answered:
+		e.failed = 0
+	default:
+		e.failed++
+		if e.failed >= forgetAfter && !e.fixed {
+			delete(r.known, address)
+		}
+	}
+}
+
 func (r *Reporter) learn(entries []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, e := range entries {
-		if !slices.Contains(r.known, e) {
-			r.known = append(r.known, e)
+	for _, a := range entries {
+		if r.known[a] == nil {
+			r.known[a] = &entry{}
 		}
 	}
 }
 
-// pick returns the entries that hear a server, by rendezvous hashing.
+// pick returns the entries that hear a server: the first by rendezvous hashing
+// of those that answer, and one of those before them that don't.
 func (r *Reporter) pick(server string) []string {
 	r.mu.Lock()
-	known := slices.Clone(r.known)
-	r.mu.Unlock()
-	slices.SortFunc(known, func(a, b string) int {
+	defer r.mu.Unlock()
+	known := slices.SortedFunc(maps.Keys(r.known), func(a, b string) int {
 		return cmp.Compare(xxhash.Sum64String(server+a), xxhash.Sum64String(server+b))
 	})
-	return known[:min(Width, len(known))]
+	var picked, resting []string
+	for _, a := range known {
+		if r.known[a].failed >= restAfter {
+			resting = append(resting, a)
+		} else if len(picked) < Width {
+			picked = append(picked, a)
+		}
+	}
+	if len(resting) > 0 {
+		picked = append(picked, resting[rand.IntN(len(resting))])
+	}
+	return picked
 }
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -20,6 +20,7 @@
 	"bamboohill/core/framer"
 	"bamboohill/core/generator"
 	"bamboohill/core/keeper"
+	"bamboohill/core/puller"
 	"bamboohill/core/storer"
 	"bamboohill/sidecar/internal/gatekeeper"
 	"bamboohill/sidecar/internal/reporter"
@@ -36,6 +37,7 @@
 	maxBody     = 64 << 20 // bytes of one payload
 	statusEvery = 100 * time.Millisecond
 	statusLimit = time.Second
+	pollEvery   = 30 * time.Second // of the table service; changes come by push and heartbeat
 	idleLimit   = time.Minute
 )
 
@@ -56,6 +58,7 @@
 	engine  *generator.Engine
 	runner  *runner.Runner
 	keeper  *keeper.Keeper
+	beats   *reporter.Reporter
 	client  *http.Client
 	leaving atomic.Bool
 	serial  atomic.Uint64
@@ -80,8 +83,12 @@
 		boot:   uint64(time.Now().UnixMicro()),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleLimit}},
 		gate:   gatekeeper.New(gatekeeper.Config{Cold: set.Gate.Cold, Warm: set.Gate.Warm}),
-		keeper: keeper.New(keeper.Config{Table: storer.NewTable(storer.Config{Address: set.Platform.Table})}),
 	}
+	entries := certifier.NewPeer(certs, certifier.Entry)
+	s.beats = reporter.New(reporter.Config{
+		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Peer: entries, Report: s.Report, Heard: s.heard,
+	})
+	s.keeper = keeper.New(s.configuration(entries))
 	if set.Kind == settings.Model {
 		s.engine = generator.New(generator.Config{Address: set.Backend})
 	}
@@ -89,6 +96,35 @@
 	return s, nil
 }
 
+// configuration says where the configuration comes from: from entries first,
+// since sidecars are too many to read the table service for each change.
+func (s *Server) configuration(entries *certifier.Peer) keeper.Config {
+	set := s.config.Settings
+	config := keeper.Config{
+		Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Near: true,
+		Peers: puller.New(puller.Config{Addresses: s.beats.Known, Peer: entries}),
+	}
+	if set.Platform.Objects != "" {
+		config.Objects = storer.NewObjects(storer.Config{Address: set.Platform.Objects})
+	}
+	return config
+}
+
+// heard takes a heartbeat's reply; an entry that has a newer configuration is
+// asked for it.
+func (s *Server) heard(reply *wire.BeatReply) {
+	if s.keeper.Heard(reply.GetSequence()) {
+		s.catchUp(reply.GetSequence())
+	}
+}
+
+// catchUp brings this sidecar to a sequence number, within a bound.
+func (s *Server) catchUp(sequence uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), statusLimit)
+	defer cancel()
+	s.keeper.CatchUp(ctx, sequence)
+}
+
 // Run serves until the context ends, then leaves: it refuses new work, waits
 // for what runs, at most the drain time, and returns.
 func (s *Server) Run(ctx context.Context) error {
@@ -111,17 +147,11 @@
 }
 
 func (s *Server) start(ctx context.Context) {
-	set := s.config.Settings
 	s.probe(ctx)
 	go s.certs.Watch(ctx)
-	s.keeper.Refresh(ctx)
+	go s.keeper.Poll(ctx, pollEvery, nil)
 	go s.loop(ctx, statusEvery, s.probe)
-	go s.loop(ctx, time.Second, func(ctx context.Context) { s.keeper.Refresh(ctx) })
-	beats := reporter.New(reporter.Config{
-		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Peer: certifier.NewPeer(s.certs, certifier.Entry),
-		Report: s.Report, Heard: func(reply *wire.BeatReply) { s.keeper.Heard(reply.GetSequence()) },
-	})
-	go beats.Run(ctx)
+	go s.beats.Run(ctx)
 }
 
 func (s *Server) loop(ctx context.Context, every time.Duration, do func(context.Context)) {
@@ -180,7 +210,7 @@
 		Request: p.GetRequest(), Attempt: p.GetAttempt(), Position: p.GetPosition(), Sink: w, Flush: func() { flusher.Flush() },
 	})
 	if s.keeper.Heard(p.GetSequence()) {
-		s.keeper.Refresh(q.Context())
+		s.catchUp(p.GetSequence())
 	}
 	if refused := s.enter(p); refused != nil {
 		refused.Report = s.Report()
@@ -220,6 +250,10 @@
 
 func (s *Server) enter(p *wire.Proposal) *wire.Refused {
 	set := s.config.Settings
+	if !s.keeper.Ready() {
+		// Nobody here knows what the operators took out.
+		return &wire.Refused{Reason: wire.Reason_REASON_ENGINE, Outcome: wire.Outcome_OUTCOME_NOT_RUN, RetryMs: statusLimit.Milliseconds(), Detail: "no configuration yet"}
+	}
 	state := s.keeper.State()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -280,7 +314,7 @@
 		return wire.State_STATE_LEAVING
 	case out:
 		return wire.State_STATE_OUT
-	case !s.alive:
+	case !s.alive || !s.keeper.Ready():
 		return wire.State_STATE_DOWN
 	}
 	return wire.State_STATE_OPEN
