--- a/entry/internal/dispatcher/attempt.go
+++ b/entry/internal/dispatcher/attempt.go
@@ -103,7 +103,9 @@
 	case *wire.Frame_Refused:
 		d.config.Watcher.Hear(b.Refused.GetReport())
 		for _, a := range b.Refused.GetSuspects() {
-			d.config.Suspects.Hear(a)
+			if d.config.Suspects.Hear(a) && d.config.Accuse != nil {
+				go d.config.Accuse(a)
+			}
 		}
 		return refused(b.Refused, position), true
 	}
@@ -114,7 +116,7 @@
 }
 
 func refused(r *wire.Refused, position int64) step {
-	s := step{cache: cache{handle: r.GetExported(), tokens: r.GetTokens()}}
+	s := step{cache: cache{handle: r.GetExported(), tokens: r.GetTokens()}, sequence: r.GetReport().GetSequence()}
 	s.Outcome = r.GetOutcome()
 	s.Reason = r.GetReason()
 	s.Retry = time.Duration(r.GetRetryMs()) * time.Millisecond
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -109,6 +109,7 @@
 	Router   *router.Router
 	Admitter *admitter.Admitter
 	Suspects *accuser.Accuser
+	Accuse   func(*wire.Accusation) // tells the other entries; may be nil
 	Watches  Watches
 	Entry    string // this entry's inner address
 	Log      *log.Logger
@@ -151,12 +152,13 @@
 
 // course is what has become of a request so far.
 type course struct {
-	result Result
-	ran    bool // some attempt may have run
-	free   int  // retries left that cost no budget: the entry's own view was old
-	left   bool // the caller has gone
-	solo   int  // tries left to get a backend server alone
-	cache  cache
+	result   Result
+	ran      bool // some attempt may have run
+	free     int  // retries left that cost no budget: the entry's own view was old
+	left     bool // the caller has gone
+	solo     int  // tries left to get a backend server alone
+	cache    cache
+	sequence uint64 // configuration in force at the gate that refused last
 }
 
 // cache is what a backend server that leaves has exported of a request.
@@ -205,8 +207,9 @@
 // step is the end of one attempt.
 type step struct {
 	Result
-	left  bool // the caller has gone
-	cache cache
+	left     bool // the caller has gone
+	cache    cache
+	sequence uint64 // configuration in force at the gate
 }
 
 // take adds an attempt's end to the course and reports whether that is final.
@@ -216,6 +219,7 @@
 	c.result = s.Result
 	c.left = s.left
 	c.cache = s.cache
+	c.sequence = s.sequence
 	c.ran = c.ran || s.Outcome != wire.Outcome_OUTCOME_NOT_RUN
 	return s.Outcome == wire.Outcome_OUTCOME_ANSWERED || s.left
 }
@@ -243,7 +247,7 @@
 	if c.free > 0 && (reason == wire.Reason_REASON_STALE || reason == wire.Reason_REASON_BOOT) {
 		c.free--
 		if reason == wire.Reason_REASON_STALE {
-			d.config.Keeper.Refresh(ctx)
+			d.config.Keeper.CatchUp(ctx, c.sequence)
 		}
 		return ctx.Err() == nil
 	}
--- a/sidecar/internal/server/crash.go
+++ b/sidecar/internal/server/crash.go
@@ -82,7 +82,9 @@
 // heard takes an entry's answer to a heartbeat: what that entry knows of
 // suspects comes here, what it lacks goes there.
 func (s *Server) heard(address string, reply *wire.BeatReply) {
-	s.keeper.Heard(reply.GetSequence())
+	if s.keeper.Heard(reply.GetSequence()) {
+		s.catchUp(reply.GetSequence())
+	}
 	for _, a := range reply.GetSuspects() {
 		s.suspects.Hear(a)
 	}
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -23,6 +23,7 @@
 	"bamboohill/core/certifier"
 	"bamboohill/core/generator"
 	"bamboohill/core/keeper"
+	"bamboohill/core/puller"
 	"bamboohill/core/storer"
 	"bamboohill/sidecar/internal/gatekeeper"
 	"bamboohill/sidecar/internal/reporter"
@@ -38,6 +39,7 @@
 	maxBody     = 64 << 20 // bytes of one payload
 	statusEvery = 100 * time.Millisecond
 	statusLimit = time.Second
+	pollEvery   = 30 * time.Second // of the table service; changes come by push and heartbeat
 	idleLimit   = time.Minute
 )
 
@@ -95,7 +97,6 @@
 		attempts: newAttempts(),
 		suspects: accuser.New(accuser.Config{}),
 	}
-	s.keeper = keeper.New(keeper.Config{Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Changed: s.suspects.Pardon})
 	if set.Platform.List != "" {
 		s.list = storer.NewVMs(storer.Config{Address: set.Platform.List})
 	}
@@ -112,9 +113,31 @@
 		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Report: s.Report, Heard: s.heard,
 		Peer: s.peer,
 	})
+	s.keeper = keeper.New(s.configuration())
 	return s, nil
 }
 
+// configuration says where the configuration comes from: from entries first,
+// since sidecars are too many to read the table service for each change.
+func (s *Server) configuration() keeper.Config {
+	set := s.config.Settings
+	config := keeper.Config{
+		Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Near: true, Changed: s.suspects.Pardon,
+		Peers: puller.New(puller.Config{Addresses: s.reporter.Known, Peer: s.peer}),
+	}
+	if set.Platform.Objects != "" {
+		config.Objects = storer.NewObjects(storer.Config{Address: set.Platform.Objects})
+	}
+	return config
+}
+
+// catchUp brings this sidecar to a sequence number, within a bound.
+func (s *Server) catchUp(sequence uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), statusLimit)
+	defer cancel()
+	s.keeper.CatchUp(ctx, sequence)
+}
+
 // Run serves until the context ends, then leaves; see leave.
 func (s *Server) Run(ctx context.Context) error {
 	listener, err := s.certs.Listen(ctx, s.config.Settings.Address, certifier.Entry)
@@ -136,7 +159,7 @@
 // until the first audit, which frees what an earlier sidecar left there.
 func (s *Server) start(ctx context.Context) {
 	go s.certs.Watch(ctx)
-	s.keeper.Refresh(ctx)
+	go s.keeper.Poll(ctx, pollEvery, nil)
 	if s.engine != nil {
 		s.engine.fresh(ctx)
 		s.recover(ctx)
@@ -145,7 +168,6 @@
 	}
 	go loop(ctx, statusEvery, s.watchLeaving)
 	go loop(ctx, statusEvery, func(context.Context) { s.attempts.end(s.gate.Expire(time.Now())) })
-	go loop(ctx, time.Second, func(ctx context.Context) { s.keeper.Refresh(ctx) })
 	go loop(ctx, time.Second, s.readList)
 	go s.reporter.Run(ctx)
 }
