--- a/prover/commands.go
+++ b/prover/commands.go
@@ -19,6 +19,7 @@
 	Stage *stager.Stage
 
 	services int
+	engines  int
 	mu       sync.Mutex
 	calls    map[string]chan error
 }
@@ -50,6 +51,7 @@
 		"book":     {4, s.book},
 		"join":     {1, s.join},
 		"runs":     {2, s.runs},
+		"crashes":  {1, s.crashes},
 		"counts":   {2, func(w []string) (string, error) { return s.Stage.Counts(w[0], w[1]) }},
 	}
 	if name == "until" && len(words) > 0 {
@@ -104,6 +106,7 @@
 		}
 	}
 	s.services = h.Services
+	s.engines = max(1, h.Engines)
 	return "", s.Stage.Up(h)
 }
 
@@ -255,6 +258,32 @@
 
 var errOutcome = errors.New("prover: another outcome")
 
+// crashes checks how often the engines have crashed, all together, at most.
+func (s *Script) crashes(w []string) (string, error) {
+	most, err := stager.Number(w[0])
+	if err != nil {
+		return "", err
+	}
+	total := 0
+	for n := range s.engines {
+		text, err := s.Stage.Counts(fmt.Sprintf("engine%d", n), "/counts")
+		if err != nil {
+			return "", err
+		}
+		var counts struct {
+			Crashes int `json:"crashes"`
+		}
+		if err := json.Unmarshal([]byte(text), &counts); err != nil {
+			return "", err
+		}
+		total += counts.Crashes
+	}
+	if total > most {
+		return "", fmt.Errorf("prover: engines crashed %d times, want at most %d", total, most)
+	}
+	return "", nil
+}
+
 func (s *Script) runs(w []string) (string, error) {
 	want, err := stager.Number(w[1])
 	if err != nil {
--- a/prover/doc.go
+++ b/prover/doc.go
@@ -21,13 +21,14 @@
 //	fault STANDIN NAME VALUE set a fault (see bamboohill/standin/faulter)
 //	put ENTRY KIND/NAME JSON write a configuration row through an entry
 //	admin ENTRY METHOD PATH  call the administration API; the answer is stdout
-//	ask ENTRY OUTCOME WORDS TOKENS [whole] [timeout=S] [model=M] [as=NAME]
+//	ask ENTRY OUTCOME WORDS TOKENS [whole] [timeout=S] [model=M] [text=T] [key=K] [as=NAME]
 //	                         send a prompt of so many words; OUTCOME is answered,
 //	                         not-run, unknown, some of them as A|B, or any; the text is always checked
 //	book ENTRY OUTCOME KEY BODY [as=NAME]
 //	                         make a booking; OUTCOME as above
 //	join NAME                wait for a call that was started with as=NAME
 //	runs KEY N               check that a booking ran N times in all services
+//	crashes N                check that the engines crashed N times at most
 //	counts STANDIN PATH      what a stand-in counted; the answer is stdout
 //	until CMD ...            repeat a command until it succeeds, 20 s at most
 //
