The administration API checked and complete, and the command bamboohill

Cause: the API took negative rates, plans that do not exist and misspelt failure domains; nothing told where a change is in force; the command was empty.

Outside the folder: prover's stage puts plans before the accounts that name them, since an account of an unknown plan is refused now.

Ruled out: keys made by the entry (a lost answer would lose the key, and the secret would cross the wire).

--- /dev/null
+++ b/operator/internal/runner/runner_test.go
@@ -0,0 +1,99 @@
+package runner
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// serve returns the address of an entry that gives the same answer to every
+// change and knows no row.
+func serve(t *testing.T, status int, body string) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		switch {
+		case q.Header.Get("Authorization") != "Bearer secret":
+			w.WriteHeader(http.StatusUnauthorized)
+			w.Write([]byte(`{"error":{"code":"bad_key","message":"no"}}`))
+		case q.URL.Path == "/admin/in-force":
+			w.Write([]byte(`{"sequence":3,"entries":{"in_force":2,"total":2,"behind":[]},` +
+				`"sidecars":{"in_force":6,"total":7,"behind":[{"name":"engine4","sequence":2,"silent":false}]}}`))
+		case q.Method == http.MethodGet:
+			w.WriteHeader(http.StatusNotFound)
+			w.Write([]byte(`{"error":{"code":"no_row","message":"there is no such row"}}`))
+		default:
+			w.WriteHeader(status)
+			w.Write([]byte(body))
+		}
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// closed returns an address where nobody listens.
+func closed(t *testing.T) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func TestExitStatus(t *testing.T) {
+	ok := serve(t, 200, `{"sequence":3,"version":1,"id":"x"}`)
+	conflict := serve(t, 409, `{"error":{"code":"conflict","message":"another change went before","version":4,"author":"tui","row":{"domain":{"name":"ikeja"}}}}`)
+	bad := serve(t, 400, `{"error":{"code":"bad_row","message":"rate must be from 0"}}`)
+	down := serve(t, 503, `{"error":{"code":"store_down","message":"nothing was changed"}}`)
+	doubt := serve(t, 504, `{"error":{"code":"unknown","message":"ask again"}}`)
+	role := serve(t, 403, `{"error":{"code":"bad_role","message":"may only read"}}`)
+	out := "domain out ikeja"
+	for name, test := range map[string]struct {
+		entries string
+		key     string
+		words   string
+		want    int
+		says    string
+	}{
+		"done":                    {ok, "secret", out, ExitOK, "accepted as change 3"},
+		"first entry is away":     {closed(t) + "," + ok, "secret", out, ExitOK, "accepted as change 3"},
+		"first entry can't write": {down + "," + ok, "secret", out, ExitOK, "accepted"},
+		"doubt, then resolved":    {doubt + "," + ok, "secret", out, ExitOK, "accepted"},
+		"behind":                  {ok, "secret", out + " --wait --timeout 1ms", ExitBehind, "in force 2/2 entries, 6/7 sidecars\nbehind: sidecar engine4 at change 2"},
+		"in force":                {ok, "secret", "in-force", ExitBehind, "6/7 sidecars"},
+		"json":                    {ok, "secret", "--output json in-force", ExitBehind, `"in_force":6`},
+		"conflict":                {conflict, "secret", out, ExitConflict, "version 4 by tui"},
+		"refused row":             {bad, "secret", out, ExitUsage, "rate must be"},
+		"store down":              {down, "secret", out, ExitStore, "nothing was changed"},
+		"nobody there":            {closed(t), "secret", out, ExitStore, "no entry answered"},
+		"unknown":                 {doubt, "secret", out, ExitUnknown, "--id "},
+		"role":                    {role, "secret", out, ExitDenied, "may only read"},
+		"wrong key":               {ok, "other", out, ExitDenied, "bad_key"},
+		"no key":                  {ok, "", out, ExitUsage, "BAMBOOHILL_KEY"},
+		"no entry":                {"", "secret", out, ExitUsage, "--entry"},
+		"no name":                 {ok, "secret", "domain out", ExitUsage, "wants NAME"},
+		"two names":               {ok, "secret", out + " lekki", ExitUsage, "wants NAME"},
+		"unknown flag":            {ok, "secret", out + " --fast", ExitUsage, "fast"},
+		"unknown output":          {ok, "secret", "--output xml status", ExitUsage, "table or json"},
+		"key made":                {ok, "secret", "key create balloon", ExitOK, "key    bh-"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			t.Setenv("BAMBOOHILL_ENTRIES", test.entries)
+			t.Setenv("BAMBOOHILL_KEY", test.key)
+			var text bytes.Buffer
+			got := Main(context.Background(), append([]string{"bamboohill"}, strings.Fields(test.words)...), &text, &text)
+			is.Equal(got, test.want)
+			if !strings.Contains(text.String(), test.says) {
+				t.Errorf("printed %q, want %q in it", text.String(), test.says)
+			}
+		})
+	}
+}
--- a/operator/main.go
+++ b/operator/main.go
@@ -1,4 +1,18 @@
-// Command bamboohill drives the administration API.
+// Command bamboohill drives the administration API of the entries.
+//
+// # Usage
+//
+//	export BAMBOOHILL_ENTRIES=127.0.0.1:21010,127.0.0.1:21011 BAMBOOHILL_KEY=...
+//	bamboohill domain out ikeja --wait
+//	bamboohill in-force
+//	bamboohill --help
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"bamboohill/operator/internal/runner"
+)
+
+func main() { os.Exit(runner.Main(context.Background(), os.Args, os.Stdout, os.Stderr)) }
--- a/prover/internal/stager/stager.go
+++ b/prover/internal/stager/stager.go
@@ -79,8 +79,10 @@
 			return err
 		}
 	}
-	for key, record := range lists() {
-		if err := s.Put(0, key, record); err != nil {
+	rows := lists()
+	// Plans go before the accounts that name them.
+	for _, key := range slices.Backward(slices.Sorted(maps.Keys(rows))) {
+		if err := s.Put(0, key, rows[key]); err != nil {
 			return err
 		}
 	}
