--- a/operator/internal/runner/runner.go
+++ b/operator/internal/runner/runner.go
@@ -63,7 +63,9 @@
 
 // blame makes the wrong use of a command, or of one below it, a *UsageError.
 func blame(c *cli.Command) {
-	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return &UsageError{Text: err.Error()} }
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return &UsageError{Text: err.Error()}
+	}
 	for _, below := range c.Commands {
 		blame(below)
 	}
