Experiment rig: the real decisions against small fake engines

Cause: no policy could be compared with another.

Choosing a server and admitting stand together in chooser, behind an interface that the baselines share. Hints count cache events, so a lost report is a gap.

--- /dev/null
+++ b/core/chooser/chooser.go
@@ -0,0 +1,90 @@
+// Package chooser joins placement and admission: it chooses a server for a
+// request that can finish in time, or says when to come back.
+//
+// # Usage
+//
+//	c := chooser.New(chooser.Config{Picker: router.New(router.Config{}), Admitter: admitter.New(admitter.Config{})})
+//	choice, err := c.Choose(job, view.Servers, time.Now())
+//	c.Placed(choice, time.Now())
+//	...                                 // first token
+//	c.Begun(choice, job.Prompt, took)
+//	...                                 // end, or refusal
+//	c.Done(choice)
+//
+// The placement policy stands behind the interface Picker, so that policies
+// can be swapped and compared.
+package chooser
+
+import (
+	"time"
+
+	"bamboohill/core/admitter"
+	"bamboohill/core/router"
+	"bamboohill/core/watcher"
+	"bamboohill/wire"
+)
+
+// Picker is a placement policy. *router.Router is one.
+type Picker interface {
+	// Pick returns the choice for a job among the servers, or an error.
+	Pick(job router.Job, servers []watcher.Server, now time.Time) (router.Choice, error)
+	// Placed notes that a choice is being proposed.
+	Placed(choice router.Choice, now time.Time)
+	// Begun notes the first token of a placed choice.
+	Begun(choice router.Choice)
+	// Done notes the end of a placed choice.
+	Done(choice router.Choice)
+}
+
+// Config describes a Chooser. A nil Admitter admits everything.
+type Config struct {
+	Picker   Picker
+	Admitter *admitter.Admitter
+}
+
+// Chooser chooses servers. It is safe for concurrent use if its Picker is.
+type Chooser struct {
+	Picker
+	admitter *admitter.Admitter
+}
+
+// New returns a chooser. It panics without a Picker.
+func New(config Config) *Chooser {
+	if config.Picker == nil {
+		panic("chooser: nil picker")
+	}
+	return &Chooser{Picker: config.Picker, admitter: config.Admitter}
+}
+
+// Choose returns the server for a request's first attempt. If the best of a
+// few candidates is too slow for the deadline it looks at all servers, and
+// then returns an *admitter.LateError.
+func (c *Chooser) Choose(job router.Job, servers []watcher.Server, now time.Time) (router.Choice, error) {
+	choice, err := c.Pick(job, servers, now)
+	if err != nil || c.admit(job, choice, now) == nil {
+		return choice, err
+	}
+	job.Wide = true
+	choice, err = c.Pick(job, servers, now)
+	if err != nil {
+		return choice, err
+	}
+	return choice, c.admit(job, choice, now)
+}
+
+func (c *Chooser) admit(job router.Job, choice router.Choice, now time.Time) error {
+	if c.admitter == nil || job.Kind != wire.Kind_KIND_MODEL || job.Deadline.IsZero() {
+		return nil
+	}
+	return c.admitter.Admit(admitter.Ask{
+		Prompt: job.Prompt, First: choice.First, Whole: choice.Whole, Left: job.Deadline.Sub(now),
+	})
+}
+
+// Begun notes the first token of a request, which took so long.
+func (c *Chooser) Begun(choice router.Choice, prompt int64, took time.Duration) {
+	c.Picker.Begun(choice)
+	if c.admitter != nil {
+		c.admitter.Learn(prompt, choice.First, took)
+	}
+}
--- a/core/hinter/chain.go
+++ b/core/hinter/chain.go
@@ -23,6 +23,27 @@
 // million tokens has 22.
 type Chain []Mark
 
+// Of returns the marks of a prompt of so many tokens whose block i, counted from
+// 1, ends under the hash name(i).
+func Of(tokens int64, name func(block int64) uint64) Chain {
+	var chain Chain
+	for block := int64(1); block*BlockTokens <= tokens; block = next(block) {
+		chain = append(chain, Mark{Hash: name(block), Tokens: block * BlockTokens})
+	}
+	return chain
+}
+
+// next returns the marked block after one that is marked.
+func next(block int64) int64 {
+	if block&(block-1) == 0 && block > 1 {
+		return block / 2 * 3
+	}
+	if block == 1 {
+		return 2
+	}
+	return block / 3 * 4
+}
+
 // Read returns the marks of a prompt. Two prompts that share their first n
 // tokens share every mark up to n. A prompt of less than one block has none.
 func Read(prompt []byte) Chain {
@@ -30,25 +51,18 @@
 	var chain Chain
 	var previous [8]byte
 	var digest xxhash.Digest
-	for block := 1; len(prompt) >= size; block++ {
+	due := int64(1)
+	for block := int64(1); len(prompt) >= size; block++ {
 		digest.Reset()
 		digest.Write(previous[:])
 		digest.Write(prompt[:size])
 		hash := digest.Sum64()
 		binary.LittleEndian.PutUint64(previous[:], hash)
-		if marked(block) {
-			chain = append(chain, Mark{Hash: hash, Tokens: int64(block) * BlockTokens})
+		if block == due {
+			chain = append(chain, Mark{Hash: hash, Tokens: block * BlockTokens})
+			due = next(block)
 		}
 		prompt = prompt[size:]
 	}
 	return chain
 }
-
-// marked reports whether a block, counted from 1, is 2^n or 3 times 2^n.
-func marked(block int) bool {
-	odd := block
-	for odd%2 == 0 {
-		odd /= 2
-	}
-	return odd == 1 || odd == 3
-}
--- a/core/hinter/hinter.go
+++ b/core/hinter/hinter.go
@@ -61,7 +61,7 @@
 // cache is what is known of one server's cache as a whole.
 type cache struct {
 	boot       uint64
-	serial     uint64
+	noted      uint64 // events up to the newest report
 	generation uint64 // rises when all hints are dropped
 }
 
@@ -75,21 +75,25 @@
 	}
 }
 
-// Hear takes the cache events of a report. A report that is not newer than
-// the last one of that server is ignored; one that skips a serial number
-// counts as a gap only if the report says so.
+// Hear takes the cache events of a report, if it carries any. Events missing
+// between two reports, by their count, are a gap too. Reports of an earlier
+// boot, and events that are already known, are ignored.
 func (h *Hinter) Hear(report *wire.Report) {
+	if report.GetNoted() == 0 && !report.GetGap() {
+		return
+	}
 	server := ider.Server(report.GetServer())
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	c := h.cacheOf(server)
-	if report.GetBoot() < c.boot || report.GetBoot() == c.boot && report.GetSerial() <= c.serial {
+	if report.GetBoot() < c.boot || report.GetBoot() == c.boot && report.GetNoted() <= c.noted && !report.GetGap() {
 		return
 	}
-	if report.GetGap() || report.GetBoot() != c.boot && c.boot != 0 {
+	before := report.GetNoted() - uint64(len(report.GetCached())+len(report.GetDropped()))
+	if report.GetGap() || report.GetBoot() != c.boot || before != c.noted {
 		c.generation++
 	}
-	c.boot, c.serial = report.GetBoot(), report.GetSerial()
+	c.boot, c.noted = report.GetBoot(), report.GetNoted()
 	for _, hash := range report.GetDropped() {
 		h.remove(hash, server)
 	}
--- a/core/hinter/hinter_test.go
+++ b/core/hinter/hinter_test.go
@@ -43,29 +43,31 @@
 func TestHear(t *testing.T) {
 	chain := hinter.Read(prompt(8, 0))
 	all := hashes(chain)
-	heard := func(serial uint64, r *wire.Report) *wire.Report {
-		r.Server, r.Serial = "a", serial
-		r.Boot = max(1, r.Boot)
-		return r
-	}
+	const tokens = hinter.BlockTokens
+	n := uint64(len(all))
+	add := &wire.Report{Boot: 1, Noted: n, Cached: all}
 	tests := map[string]struct {
 		reports []*wire.Report
 		want    int64
 	}{
-		"nothing":         {},
-		"whole":           {reports: []*wire.Report{heard(1, &wire.Report{Cached: all})}, want: 8 * hinter.BlockTokens},
-		"start":           {reports: []*wire.Report{heard(1, &wire.Report{Cached: all[:2]})}, want: 2 * hinter.BlockTokens},
-		"dropped":         {reports: []*wire.Report{heard(1, &wire.Report{Cached: all}), heard(2, &wire.Report{Dropped: all[3:]})}, want: 3 * hinter.BlockTokens},
-		"gap":             {reports: []*wire.Report{heard(1, &wire.Report{Cached: all}), heard(2, &wire.Report{Gap: true})}},
-		"gap and more":    {reports: []*wire.Report{heard(1, &wire.Report{Cached: all}), heard(2, &wire.Report{Gap: true, Cached: all[:1]})}, want: hinter.BlockTokens},
-		"new boot":        {reports: []*wire.Report{heard(1, &wire.Report{Cached: all}), heard(1, &wire.Report{Boot: 2})}},
-		"late old report": {reports: []*wire.Report{heard(2, &wire.Report{Gap: true}), heard(1, &wire.Report{Cached: all})}},
+		"nothing":       {},
+		"whole":         {reports: []*wire.Report{add}, want: 8 * tokens},
+		"start":         {reports: []*wire.Report{{Boot: 1, Noted: 2, Cached: all[:2]}}, want: 2 * tokens},
+		"dropped":       {reports: []*wire.Report{add, {Boot: 1, Noted: 2*n - 3, Dropped: all[3:]}}, want: 3 * tokens},
+		"no events":     {reports: []*wire.Report{add, {Boot: 1}}, want: 8 * tokens},
+		"known already": {reports: []*wire.Report{add, {Boot: 1, Noted: 2*n - 3, Dropped: all[3:]}, add}, want: 3 * tokens},
+		"gap":           {reports: []*wire.Report{add, {Boot: 1, Noted: n, Gap: true}}},
+		"gap and more":  {reports: []*wire.Report{add, {Boot: 1, Noted: n + 1, Gap: true, Cached: all[:1]}}, want: tokens},
+		"lost report":   {reports: []*wire.Report{add, {Boot: 1, Noted: n + 9, Cached: all[:1]}}, want: tokens},
+		"new boot":      {reports: []*wire.Report{add, {Boot: 2, Noted: 1, Cached: []uint64{7}}}},
+		"old boot":      {reports: []*wire.Report{{Boot: 2, Noted: 1, Cached: []uint64{7}}, add}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			h := hinter.New(hinter.Config{})
 			for _, r := range test.reports {
+				r.Server = "a"
 				h.Hear(r)
 			}
 			is.Equal(h.Cached("a", chain), test.want)
--- a/core/router/estimate.go
+++ b/core/router/estimate.go
@@ -45,6 +45,10 @@
 // maxPriority keeps priorities within the schema's int32.
 const maxPriority = math.MaxInt32
 
+// classGap keeps the length classes apart where priorities do not age, in
+// milliseconds.
+const classGap = 500_000_000
+
 // stretch is how many times its own work a request may wait before it counts
 // as urgent as any.
 const stretch = 20
@@ -162,7 +166,7 @@
 		return 0
 	}
 	if !s.r.on(Aging) {
-		return int32(s.class)
+		return int32(s.class) * classGap
 	}
 	wait := e.alone * stretch
 	if !s.job.Deadline.IsZero() {
--- /dev/null
+++ b/load/internal/experimenter/policy.go
@@ -0,0 +1,159 @@
+package experimenter
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bamboohill/core/admitter"
+	"bamboohill/core/chooser"
+	"bamboohill/core/hinter"
+	"bamboohill/core/ider"
+	"bamboohill/core/router"
+	"bamboohill/core/watcher"
+)
+
+// Policy names a policy of placement and admission.
+type Policy string
+
+// Policies. Those after Full are Full with one part switched off.
+const (
+	RoundRobin    Policy = "round-robin"
+	LeastConns    Policy = "least-connections"
+	PrefixOnly    Policy = "prefix-only"
+	ShortestQueue Policy = "shortest-queue"
+	Full          Policy = "full"
+	NoPrefix      Policy = "no-prefix"
+	NoOwn         Policy = "no-own"
+	NoShare       Policy = "no-share"
+	NoBound       Policy = "no-bound"
+	NoPriority    Policy = "no-priority"
+	NoAging       Policy = "no-aging"
+	NoAdmission   Policy = "no-admission"
+	NoChoices     Policy = "no-choices" // every server is a candidate
+	AllKnowing    Policy = "all-knowing"
+)
+
+// Baselines holds the policies to compare with.
+var Baselines = []Policy{RoundRobin, LeastConns, PrefixOnly, ShortestQueue}
+
+// Parts holds the policies that lack one part.
+var Parts = []Policy{NoPrefix, NoOwn, NoShare, NoBound, NoPriority, NoAging, NoAdmission, NoChoices}
+
+// off holds the part of the router that a policy switches off.
+var off = map[Policy]router.Parts{
+	NoPrefix: router.Prefix, NoOwn: router.Own, NoShare: router.Share, NoBound: router.Bound,
+	NoPriority: router.Priority, NoAging: router.Aging,
+}
+
+// everyone is more candidates than there are servers.
+const everyone = 1 << 20
+
+// newChooser returns the chooser of one entry. The hints are the entry's.
+func newChooser(policy Policy, seed uint64, hints router.Hints) *chooser.Chooser {
+	b := &baseline{policy: policy, random: rand.New(rand.NewPCG(seed, 2)), own: map[ider.Server]int{}}
+	if slices.Contains(Baselines, policy) {
+		return chooser.New(chooser.Config{Picker: b})
+	}
+	config := router.Config{Hints: hints, Seed: seed, Off: off[policy]}
+	if policy == NoChoices {
+		config.Candidates = everyone
+	}
+	c := chooser.Config{Picker: router.New(config), Admitter: admitter.New(admitter.Config{})}
+	if policy == NoAdmission {
+		c.Admitter = nil
+	}
+	return chooser.New(c)
+}
+
+// baseline is one of the policies to compare with. It knows which servers are
+// in service and large enough, as every policy must.
+type baseline struct {
+	policy Policy
+	random *rand.Rand
+	turn   int
+	own    map[ider.Server]int // requests of this entry in work
+}
+
+// Pick implements chooser.Picker.
+func (b *baseline) Pick(job router.Job, servers []watcher.Server, _ time.Time) (router.Choice, error) {
+	n := len(servers)
+	start := b.random.IntN(n)
+	if b.policy == RoundRobin {
+		b.turn++
+		start = b.turn % n
+	}
+	if b.policy == PrefixOnly && len(job.Chain) > 0 {
+		start = router.Home(job.Chain[0].Hash, servers)
+	}
+	best := -1
+	for i := range n {
+		s := &servers[(start+i)%n]
+		if slices.Contains(job.Excluded, ider.Server(s.GetServer())) {
+			continue
+		}
+		if best < 0 || b.load(s) < b.load(&servers[best]) {
+			best = (start + i) % n
+		}
+	}
+	if best < 0 {
+		return router.Choice{}, &router.NoneError{Known: true, Retry: time.Second}
+	}
+	return router.Choice{Server: servers[best]}, nil
+}
+
+func (b *baseline) load(s *watcher.Server) float64 {
+	switch b.policy {
+	case LeastConns:
+		return float64(b.own[ider.Server(s.GetServer())])
+	case ShortestQueue:
+		return float64(s.GetQueued())
+	default:
+		return 0
+	}
+}
+
+// Placed implements chooser.Picker.
+func (b *baseline) Placed(c router.Choice, _ time.Time) { b.own[ider.Server(c.Server.GetServer())]++ }
+
+// Begun implements chooser.Picker.
+func (b *baseline) Begun(router.Choice) {}
+
+// Done implements chooser.Picker.
+func (b *baseline) Done(c router.Choice) { b.own[ider.Server(c.Server.GetServer())]-- }
+
+// oracle gives hints from the engines themselves.
+type oracle struct {
+	engines map[ider.Server]*engine
+	list    []*engine
+}
+
+// Cached implements router.Hints.
+func (o *oracle) Cached(server ider.Server, chain hinter.Chain) int64 {
+	return cachedIn(o.engines[server], chain)
+}
+
+func cachedIn(e *engine, chain hinter.Chain) int64 {
+	var n int64
+	for _, m := range chain {
+		if !e.marks[m.Hash] {
+			break
+		}
+		n = m.Tokens
+	}
+	return n
+}
+
+// Holders implements router.Hints.
+func (o *oracle) Holders(list []hinter.Holder, chain hinter.Chain, most int) []hinter.Holder {
+	for _, e := range o.list {
+		if n := cachedIn(e, chain); n > 0 {
+			list = append(list, hinter.Holder{Server: ider.Server(e.id), Tokens: n})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b hinter.Holder) int { return int(b.Tokens - a.Tokens) })
+	return list[:min(len(list), most)]
+}
+
+// Expect implements router.Hints.
+func (o *oracle) Expect(ider.Server, hinter.Chain) {}
