Priorities age by patience and towards the deadline

Cause: a request counted as urgent after 20 times its own prefill. Above capacity a middle prompt became urgent within seconds and went before the short ones of that moment.

Tried and dropped: urgency by the deadline alone.

Conclusion: short at once; others after a patience by class plus ten times their own prefill, never later than their deadline allows.

--- a/core/router/estimate.go
+++ b/core/router/estimate.go
@@ -42,16 +42,19 @@
 // queue, in tokens: a short prompt waits for half of it if a longer one runs.
 const chunk = 2048
 
-// maxPriority keeps priorities within the schema's int32.
-const maxPriority = math.MaxInt32
-
 // classGap keeps the length classes apart where priorities do not age, in
 // milliseconds.
 const classGap = 500_000_000
 
-// stretch is how many times its own work a request may wait before it counts
-// as urgent as any.
-const stretch = 20
+// urgent is how many times its own prefill a request has left before its
+// deadline when it counts as urgent.
+const urgent = 2
+
+// patience is how long a request of a class waits at least before it counts as
+// urgent, in seconds; to it comes a multiple of its own prefill.
+var patience = [...]float64{brief: 0, middle: 5, long: 20}
+
+const stretch = 10
 
 // estimate is what a job would meet on one server. Times are in seconds.
 type estimate struct {
@@ -157,20 +160,24 @@
 	return p
 }
 
-// priority returns when the request turns urgent, in milliseconds from now:
-// after a multiple of its own work, and early enough to meet its deadline. The
-// sidecar adds its clock to it, so that an engine which serves the smallest
-// number first serves the short ones first, and a long one once it is due.
+// priority returns when the request turns urgent, in milliseconds from now: a
+// short one at once, a longer one after a time that grows with its own prefill,
+// and in any case when half of what is left until its deadline, its answer's
+// time taken off, is its own prefill. The sidecar adds its clock to it, so that
+// an engine which serves the smallest number first serves the short ones
+// first, and a long one once it is due.
 func (s *search) priority(e estimate) int32 {
 	if !s.r.on(Priority) {
 		return 0
 	}
-	if !s.r.on(Aging) {
+	if !s.r.on(Aging) || s.job.Deadline.IsZero() {
 		return int32(s.class) * classGap
 	}
-	wait := e.alone * stretch
-	if !s.job.Deadline.IsZero() {
-		wait = min(wait, s.job.Deadline.Sub(s.now).Seconds()-2*e.whole)
+	if s.class == brief {
+		return 0
 	}
-	return int32(min(max(0, wait*1000), maxPriority))
+	answer := e.whole - e.first
+	slack := s.job.Deadline.Sub(s.now).Seconds() - answer - urgent*e.alone
+	wait := patience[s.class] + stretch*e.alone
+	return int32(max(0, min(wait, slack)) * 1000)
 }
