Chunk-wise estimate, two candidates for short prompts, softer share

Cause: (1) beside a longer prefill a short prompt waits for whole chunks, which the estimate did not count; (2) with four candidates the short ones of several entries still met at the same few servers near capacity; (3) one long prompt in thirty was refused at load 0.8 for lack of memory in the servers of the elastic share while others had room.

Conclusion: all three kept.

--- a/core/router/estimate.go
+++ b/core/router/estimate.go
@@ -35,7 +35,7 @@
 	penaltyFailed = 5
 	penaltyMemory = 30
 	penaltyBound  = 60
-	penaltyShare  = 120
+	penaltyShare  = 20
 )
 
 // chunk is the prefill work that an engine does between two looks at its
@@ -91,10 +91,11 @@
 	limit := float64(max(1, server.GetLimit()))
 	ahead, behind := s.ahead(server, &o, speed)
 	slow := 1 + min(1, running/limit)/2
-	e.first = slow * (ahead/speed + e.alone)
+	prefill := ahead + float64(e.work)
 	if behind > 0 {
-		e.first += min(behind, chunk) / speed / 2
+		prefill = math.Ceil(prefill/chunk)*chunk + chunk/2
 	}
+	e.first = slow * prefill / speed
 	e.whole = e.first + float64(s.job.Answer)/max(1, server.GetDecode())*slow
 	e.cost = e.first + s.penalty(server, &o, running, limit)
 	return e
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -44,13 +44,17 @@
 
 // Defaults of Config.
 const (
-	defaultCandidates = 4
+	defaultCandidates = 2
 	defaultHolders    = 3
 	defaultBound      = 600_000 // tokens
 	defaultLag        = 150 * time.Millisecond
 	defaultSpeed      = 50_000.0 // tokens a second
 )
 
+// widen is how many times more candidates a longer prompt gets than a short
+// one: its choice matters more, and there are fewer of them to crowd together.
+const widen = 2
+
 // retryNone is when to come back if no server can take a job.
 const retryNone = time.Second
 
@@ -77,7 +81,7 @@
 // Config describes a Router. Zero values mean the defaults.
 type Config struct {
 	Hints      Hints         // none if nil
-	Candidates int           // servers drawn at random, 4
+	Candidates int           // servers drawn at random for a short prompt, 2
 	Holders    int           // servers tried for their prefix cache, 3
 	Bound      int64         // tokens of a server's backlog of long prompts, 600,000
 	Lag        time.Duration // age of a report when it is heard, 150 ms
@@ -223,6 +227,9 @@
 func (s *search) draw() {
 	const tries = 4
 	left := s.r.config.Candidates
+	if s.class != brief {
+		left *= widen
+	}
 	for range left * tries {
 		if s.consider(s.r.random.IntN(len(s.servers))) {
 			left--
