Test and measure the gate's ramp with the real stand-in engine

Cause: the gate raised its limit with finished work whatever the engine said of itself, knew of a cold turn only at its next probe, forgot work that it gave up on while the engine still ran it, and knew nothing of what an earlier sidecar had left in the engine.

Ruled out: an actor as the owner of the gate.

--- a/sidecar/internal/server/attempts.go
+++ b/sidecar/internal/server/attempts.go
@@ -50,6 +50,15 @@
 	}
 }
 
+// endAll cancels every attempt.
+func (a *attempts) endAll() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, t := range a.live {
+		t.cancel()
+	}
+}
+
 // streams returns the ids of the attempts that can be handed over: a member of
 // a gang can't.
 func (a *attempts) streams() []string {
--- a/sidecar/internal/server/leaving.go
+++ b/sidecar/internal/server/leaving.go
@@ -143,11 +143,16 @@
 		time.Sleep(leavePause)
 	}
 	s.dropExports(ctx, start)
-	s.leaving.ended.Store(true)
+	cut := s.attempts.len()
+	s.attempts.endAll()
 	last, cancel := context.WithTimeout(ctx, finishLimit)
 	defer cancel()
 	err := web.Shutdown(last)
-	s.config.Log.Info().Str("event", "left").Dur("took", time.Since(start)).Int("cut", s.attempts.len()).Msg("")
+	for s.gate.Running() > 0 && last.Err() == nil {
+		time.Sleep(leavePause)
+	}
+	s.leaving.ended.Store(true)
+	s.config.Log.Info().Str("event", "left").Dur("took", time.Since(start)).Int("cut", cut).Msg("")
 	return err
 }
 
--- a/sidecar/internal/server/propose.go
+++ b/sidecar/internal/server/propose.go
@@ -191,7 +191,7 @@
 // the engine confirms it, the attempt counts against the limit and the memory.
 func (s *Server) free(id string) {
 	pause := cancelPause
-	for {
+	for !s.leaving.over() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelLimit)
 		err := s.engine.Cancel(ctx, id)
 		cancel()
@@ -199,9 +199,6 @@
 			s.gate.Leave(id, false)
 			return
 		}
-		if s.leaving.over() {
-			return
-		}
 		time.Sleep(pause)
 		pause = min(2*pause, cancelMost)
 	}
--- /dev/null
+++ b/sidecar/internal/server/rig_test.go
@@ -0,0 +1,210 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bamboohill/core/framer"
+	"bamboohill/core/generator"
+	"bamboohill/core/ider"
+	"bamboohill/sidecar/internal/settings"
+	"bamboohill/standin/answerer"
+	"bamboohill/standin/transactor"
+	"bamboohill/wire"
+
+	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
+)
+
+// rig is one stand-in engine with a sidecar before it, in this process.
+type rig struct {
+	t       testing.TB
+	engine  *answerer.Engine
+	port    *generator.Engine
+	backend *httptest.Server
+	table   *httptest.Server
+	entry   *peer
+	server  *Server
+	web     *httptest.Server
+	stop    context.CancelFunc
+}
+
+// peer stands in for an entry: it takes heartbeats and accusations.
+type peer struct {
+	wire.Peers
+	mu       sync.Mutex
+	accused  []*wire.Accusation
+	reports  []*wire.Report
+	suspects []*wire.Accusation
+}
+
+func (p *peer) Accuse(_ context.Context, a *wire.Accusation) (*wire.AccuseReply, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.accused = append(p.accused, a)
+	return &wire.AccuseReply{}, nil
+}
+
+func (p *peer) Beat(_ context.Context, r *wire.Report) (*wire.BeatReply, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reports = append(p.reports, r)
+	return &wire.BeatReply{Suspects: p.suspects}, nil
+}
+
+func (p *peer) heard() []*wire.Accusation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]*wire.Accusation(nil), p.accused...)
+}
+
+func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+
+// newRig starts an engine and its sidecar.
+func newRig(t testing.TB, config answerer.Config) *rig {
+	t.Helper()
+	r := &rig{t: t, engine: answerer.New(config), entry: &peer{}}
+	r.backend = httptest.NewServer(r.engine.Faults.Wrap(r.engine.Handler()))
+	r.backend.Config.ErrorLog = quiet().Std("", 0)
+	table := transactor.New()
+	r.table = httptest.NewServer(table.Faults.Wrap(table.Handler()))
+	mux := http.NewServeMux()
+	mux.Handle(wire.HeartbeatsPathPrefix, wire.NewHeartbeatsServer(r.entry))
+	mux.Handle(wire.PeersPathPrefix, wire.NewPeersServer(r.entry))
+	entry := httptest.NewServer(mux)
+	r.port = generator.New(generator.Config{Address: address(r.backend)})
+	r.begin(address(entry))
+	t.Cleanup(func() {
+		r.end()
+		r.engine.Close()
+		r.backend.CloseClientConnections()
+		r.backend.Close()
+		r.table.Close()
+		entry.CloseClientConnections()
+		entry.Close()
+	})
+	return r
+}
+
+func quiet() *log.Logger { return &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}} }
+
+// begin starts a sidecar before the engine.
+func (r *rig) begin(entry string) {
+	set := settings.Settings{
+		Server: "m0", VM: "vm-m0", Domain: "ikeja", Kind: settings.Model, Backend: address(r.backend), Entries: []string{entry},
+		Address: "127.0.0.1:25000", Platform: settings.Platform{Table: address(r.table)}, Beat: 50, Drain: 2000,
+		Gate: settings.Gate{Cold: 2, Warm: 64},
+	}
+	r.server = New(Config{Settings: set, Log: quiet()})
+	var ctx context.Context
+	ctx, r.stop = context.WithCancel(context.Background())
+	r.server.start(ctx)
+	r.web = httptest.NewServer(r.server.Handler())
+	r.web.Config.ErrorLog = quiet().Std("", 0)
+}
+
+// end stops the sidecar as if it had been killed.
+func (r *rig) end() {
+	r.stop()
+	r.server.leaving.ended.Store(true)
+	r.web.CloseClientConnections()
+	r.web.Close()
+	r.server.keeper.Stop()
+}
+
+// result is how one proposal ended.
+type result struct {
+	end     *wire.End
+	refused *wire.Refused
+	next    int64
+	err     error
+}
+
+// proposal returns one for a prompt of about the given tokens.
+func proposal(tokens, answer int64) *wire.Proposal {
+	return &wire.Proposal{
+		Request: string(ider.New[ider.Request]()), Attempt: string(ider.New[ider.Attempt]()), Model: "base",
+		RemainingMs: 20_000, Prompt: tokens, Answer: answer,
+	}
+}
+
+// send proposes and reads to the end.
+func (r *rig) send(ctx context.Context, p *wire.Proposal, prompt string) result {
+	data, _ := proto.Marshal(p)
+	q, _ := http.NewRequestWithContext(ctx, http.MethodPost, r.web.URL+"/propose", strings.NewReader(prompt))
+	q.Header.Set(ProposalHeader, base64.StdEncoding.EncodeToString(data))
+	reply, err := r.web.Client().Do(q)
+	if err != nil {
+		return result{err: err}
+	}
+	defer reply.Body.Close()
+	frames := framer.NewReader(framer.ReaderConfig{
+		Request: ider.Request(p.GetRequest()), Attempt: ider.Attempt(p.GetAttempt()), Source: reply.Body, Position: p.GetPosition(),
+	})
+	for {
+		f, err := frames.Next()
+		if err != nil {
+			return result{err: err, next: frames.Position()}
+		}
+		if f.GetEnd() != nil || f.GetRefused() != nil {
+			return result{end: f.GetEnd(), refused: f.GetRefused(), next: frames.Position()}
+		}
+	}
+}
+
+// ask sends a prompt of the given tokens.
+func (r *rig) ask(tokens, answer int64) result {
+	return r.send(context.Background(), proposal(tokens, answer), text(tokens))
+}
+
+func text(tokens int64) string { return string(bytes.Repeat([]byte("word"), int(tokens))) }
+
+func (r *rig) counts() answerer.Counts {
+	q, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, r.backend.URL+"/counts", nil)
+	reply, err := http.DefaultClient.Do(q)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer reply.Body.Close()
+	var c answerer.Counts
+	json.NewDecoder(reply.Body).Decode(&c)
+	return c
+}
+
+// until waits for a condition, at most ten seconds.
+func (r *rig) until(what string, holds func() bool) time.Duration {
+	r.t.Helper()
+	start := time.Now()
+	for !holds() {
+		if time.Since(start) > 10*time.Second {
+			r.t.Fatalf("never: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// load keeps n callers asking until the context ends.
+func (r *rig) load(ctx context.Context, n int, answer int64) *sync.WaitGroup {
+	var all sync.WaitGroup
+	for range n {
+		all.Go(func() {
+			for ctx.Err() == nil {
+				if got := r.send(ctx, proposal(50, answer), text(50)); got.end == nil {
+					time.Sleep(5 * time.Millisecond)
+				}
+			}
+		})
+	}
+	return &all
+}
+
