--- a/sidecar/internal/server/propose.go
+++ b/sidecar/internal/server/propose.go
@@ -40,15 +40,17 @@
 		Request: p.GetRequest(), Attempt: p.GetAttempt(), Position: p.GetPosition(), Sink: w, Flush: func() { flusher.Flush() },
 	})
 	if s.keeper.Heard(p.GetSequence()) {
-		s.keeper.Refresh(q.Context())
+		s.catchUp(p.GetSequence())
 	}
 	if refused := s.enter(p); refused != nil {
 		refused.Report = s.Report()
+		refused.Suspects = s.against(p.GetFingerprint())
 		frames.Refuse(refused)
 		return
 	}
 	if refused := s.run(w, q, p, frames); refused != nil {
 		refused.Report = s.Report()
+		refused.Suspects = s.against(p.GetFingerprint())
 		frames.Refuse(refused)
 	}
 }
@@ -63,6 +65,13 @@
 }
 
 func (s *Server) enter(p *wire.Proposal) *wire.Refused {
+	if !s.keeper.Ready() {
+		// Nobody here knows what the operators took out.
+		return &wire.Refused{
+			Reason: wire.Reason_REASON_ENGINE, Outcome: wire.Outcome_OUTCOME_NOT_RUN, RetryMs: statusLimit.Milliseconds(),
+			Detail: "no configuration yet",
+		}
+	}
 	if refused := s.refuseSuspect(p); refused != nil {
 		return refused
 	}
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -15,14 +15,15 @@
 	"context"
 	"expvar"
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"bamboohill/core/accuser"
+	"bamboohill/core/certifier"
 	"bamboohill/core/generator"
 	"bamboohill/core/keeper"
+	"bamboohill/core/puller"
 	"bamboohill/core/storer"
 	"bamboohill/sidecar/internal/gatekeeper"
 	"bamboohill/sidecar/internal/reporter"
@@ -38,6 +39,7 @@
 	maxBody     = 64 << 20 // bytes of one payload
 	statusEvery = 100 * time.Millisecond
 	statusLimit = time.Second
+	pollEvery   = 30 * time.Second // of the table service; changes come by push and heartbeat
 	idleLimit   = time.Minute
 )
 
@@ -51,6 +53,8 @@
 type Server struct {
 	config   Config
 	boot     uint64
+	certs    *certifier.Store // towards entries, nil if plain
+	peer     *certifier.Peer
 	serial   atomic.Uint64
 	gate     *gatekeeper.Gate
 	engine   *engine // nil beside a plain service
@@ -75,18 +79,24 @@
 	slow    expvar.Int // first tokens taken for a sign of a cold start
 }
 
-// New returns a sidecar that does not run yet.
-func New(config Config) *Server {
+// New returns a sidecar that does not run yet. The error is that of reading
+// the certificates.
+func New(config Config) (*Server, error) {
 	set := config.Settings
+	certs, err := set.TLS.Store(func(err error) { config.Log.Info().Str("event", "certificates").Err(err).Msg("") })
+	if err != nil {
+		return nil, err
+	}
 	s := &Server{
 		config:   config,
+		certs:    certs,
+		peer:     certifier.NewPeer(certs, certifier.Entry),
 		boot:     uint64(time.Now().UnixMicro()),
 		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleLimit}},
 		gate:     gatekeeper.New(gatekeeper.Config{Cold: set.Gate.Cold, Warm: set.Gate.Warm}),
 		attempts: newAttempts(),
 		suspects: accuser.New(accuser.Config{}),
 	}
-	s.keeper = keeper.New(keeper.Config{Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Changed: s.suspects.Pardon})
 	if set.Platform.List != "" {
 		s.list = storer.NewVMs(storer.Config{Address: set.Platform.List})
 	}
@@ -100,14 +110,37 @@
 	}
 	s.runner = runner.New(run)
 	s.reporter = reporter.New(reporter.Config{
-		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Client: s.client, Report: s.Report, Heard: s.heard,
+		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Report: s.Report, Heard: s.heard,
+		Peer: s.peer,
 	})
-	return s
+	s.keeper = keeper.New(s.configuration())
+	return s, nil
+}
+
+// configuration says where the configuration comes from: from entries first,
+// since sidecars are too many to read the table service for each change.
+func (s *Server) configuration() keeper.Config {
+	set := s.config.Settings
+	config := keeper.Config{
+		Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Near: true, Changed: s.suspects.Pardon,
+		Peers: puller.New(puller.Config{Addresses: s.reporter.Known, Peer: s.peer}),
+	}
+	if set.Platform.Objects != "" {
+		config.Objects = storer.NewObjects(storer.Config{Address: set.Platform.Objects})
+	}
+	return config
+}
+
+// catchUp brings this sidecar to a sequence number, within a bound.
+func (s *Server) catchUp(sequence uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), statusLimit)
+	defer cancel()
+	s.keeper.CatchUp(ctx, sequence)
 }
 
 // Run serves until the context ends, then leaves; see leave.
 func (s *Server) Run(ctx context.Context) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.config.Settings.Address)
+	listener, err := s.certs.Listen(ctx, s.config.Settings.Address, certifier.Entry)
 	if err != nil {
 		return err
 	}
@@ -125,7 +158,8 @@
 // start begins the sidecar's own work. Beside an engine the gate stays shut
 // until the first audit, which frees what an earlier sidecar left there.
 func (s *Server) start(ctx context.Context) {
-	s.keeper.Refresh(ctx)
+	go s.certs.Watch(ctx)
+	go s.keeper.Poll(ctx, pollEvery, nil)
 	if s.engine != nil {
 		s.engine.fresh(ctx)
 		s.recover(ctx)
@@ -134,7 +168,6 @@
 	}
 	go loop(ctx, statusEvery, s.watchLeaving)
 	go loop(ctx, statusEvery, func(context.Context) { s.attempts.end(s.gate.Expire(time.Now())) })
-	go loop(ctx, time.Second, func(ctx context.Context) { s.keeper.Refresh(ctx) })
 	go loop(ctx, time.Second, s.readList)
 	go s.reporter.Run(ctx)
 }
