--- a/sidecar/internal/server/rig_test.go
+++ b/sidecar/internal/server/rig_test.go
@@ -104,7 +104,10 @@
 		Address: "127.0.0.1:25000", Platform: settings.Platform{Table: address(r.table)}, Beat: 50, Drain: 2000,
 		Gate: settings.Gate{Cold: 2, Warm: 64},
 	}
-	r.server = New(Config{Settings: set, Log: quiet()})
+	var err error
+	if r.server, err = New(Config{Settings: set, Log: quiet()}); err != nil {
+		r.t.Fatal(err)
+	}
 	var ctx context.Context
 	ctx, r.stop = context.WithCancel(context.Background())
 	r.server.start(ctx)
