--- a/core/certifier/certifier.go
+++ b/core/certifier/certifier.go
@@ -121,11 +121,17 @@
 }
 
 // Listen listens at an ip:port for clients of the given roles; with a nil store
-// connections are plain.
+// connections are plain. With roles, the bytes count as InnerBytes.
 func (s *Store) Listen(ctx context.Context, address string, roles ...string) (net.Listener, error) {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
-	if err != nil || s == nil {
-		return listener, err
+	if err != nil {
+		return nil, err
+	}
+	if len(roles) > 0 {
+		listener = meteredListener{listener}
+	}
+	if s == nil {
+		return listener, nil
 	}
 	return tls.NewListener(listener, s.Server(roles...)), nil
 }
--- a/core/certifier/peer.go
+++ b/core/certifier/peer.go
@@ -22,6 +22,7 @@
 // store connections are plain.
 func NewPeer(s *Store, roles ...string) *Peer {
 	t := &http.Transport{
+		DialContext:         dialMetered,
 		MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleLimit, ExpectContinueTimeout: continueLimit, DisableCompression: true,
 	}
 	if s == nil {
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -199,6 +199,9 @@
 // those of several sidecars in one test process.
 func (s *Server) serveVars(w http.ResponseWriter, _ *http.Request) {
 	m := new(expvar.Map).Init()
+	bytes := new(expvar.Int)
+	bytes.Set(certifier.InnerBytes())
+	m.Set("inner_bytes", bytes)
 	m.Set("memory_mended", &s.counts.mended)
 	m.Set("memory_strange", &s.counts.strange)
 	m.Set("attempts_lost", &s.counts.lost)
