--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -20,10 +20,14 @@
 
 import (
 	"context"
-	"errors"
+	"crypto/sha256"
 	"math/rand/v2"
 	"time"
 
+	"bamboohill/core/accuser"
+	"bamboohill/core/admitter"
+	"bamboohill/core/convictor"
+	"bamboohill/core/hinter"
 	"bamboohill/core/ider"
 	"bamboohill/core/keeper"
 	"bamboohill/core/retrier"
@@ -48,7 +52,9 @@
 	Payload  []byte
 	Hash     []byte
 	Deadline time.Time
-	Priority int32
+
+	fingerprint string // of account and body, for crash suspects
+	alone       bool   // the next attempt has to run alone
 }
 
 // Sink takes the answer as it comes. An error from it means that the caller
@@ -96,14 +102,18 @@
 
 // Config describes a Dispatcher. Random is rand.Float64 if nil.
 type Config struct {
-	Watcher *watcher.Watcher
-	Propose func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (Attempt, error)
-	Keeper  *keeper.Keeper
-	Retrier *retrier.Retrier
-	Watches Watches
-	Entry   string // this entry's inner address
-	Log     *log.Logger
-	Random  func() float64
+	Watcher  *watcher.Watcher
+	Propose  func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (Attempt, error)
+	Keeper   *keeper.Keeper
+	Retrier  *retrier.Retrier
+	Router   *router.Router
+	Admitter *admitter.Admitter
+	Suspects *accuser.Accuser
+	Accuse   func(*wire.Accusation) // tells the other entries; may be nil
+	Watches  Watches
+	Entry    string // this entry's inner address
+	Log      *log.Logger
+	Random   func() float64
 }
 
 // Dispatcher runs requests.
@@ -119,6 +129,15 @@
 	if config.Retrier == nil {
 		config.Retrier = retrier.New(retrier.Config{})
 	}
+	if config.Router == nil {
+		config.Router = router.New(router.Config{Seed: rand.Uint64()})
+	}
+	if config.Admitter == nil {
+		config.Admitter = admitter.New(admitter.Config{})
+	}
+	if config.Suspects == nil {
+		config.Suspects = accuser.New(accuser.Config{})
+	}
 	if config.Watches.Accept <= 0 {
 		config.Watches.Accept = defaultAccept
 	}
@@ -133,10 +152,19 @@
 
 // course is what has become of a request so far.
 type course struct {
-	result Result
-	ran    bool // some attempt may have run
-	free   int  // retries left that cost no budget: the entry's own view was old
-	left   bool // the caller has gone
+	result   Result
+	ran      bool // some attempt may have run
+	free     int  // retries left that cost no budget: the entry's own view was old
+	left     bool // the caller has gone
+	solo     int  // tries left to get a backend server alone
+	cache    cache
+	sequence uint64 // configuration in force at the gate that refused last
+}
+
+// cache is what a backend server that leaves has exported of a request.
+type cache struct {
+	handle string
+	tokens int64
 }
 
 // freeRetries is how many tries a request gets that are owed to the entry's
@@ -147,11 +175,17 @@
 func (d *Dispatcher) Do(ctx context.Context, q *Request, sink Sink) Result {
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
-	c := &course{free: freeRetries}
+	q.Job.Deadline = q.Deadline
+	if q.Job.Kind == wire.Kind_KIND_MODEL {
+		q.Job.Chain = hinter.Read(q.Payload)
+		hash := sha256.Sum256(q.Payload)
+		q.fingerprint = convictor.Fingerprint(q.Account.GetName(), hash[:])
+	}
+	c := &course{free: freeRetries, solo: soloTries}
 	c.result.Outcome = wire.Outcome_OUTCOME_NOT_RUN
 	d.config.Retrier.First(ider.Account(q.Account.GetName()))
 	for {
-		server, err := router.Pick(q.Job, d.config.Watcher.View().Servers)
+		choice, err := d.place(q, c)
 		if err != nil {
 			if !d.comeBack(ctx, q, c, err) {
 				return c.final()
@@ -160,11 +194,11 @@
 		}
 		c.result.Known = true
 		c.result.Attempts++
-		step := d.attempt(ctx, q, server, c.result.Position, sink)
+		step := d.attempt(ctx, q, choice, c, sink)
 		if c.take(step) {
 			return c.final()
 		}
-		if !d.again(ctx, q, c, server) {
+		if !d.again(ctx, q, c, choice.Server) {
 			return c.final()
 		}
 	}
@@ -173,7 +207,9 @@
 // step is the end of one attempt.
 type step struct {
 	Result
-	left bool // the caller has gone
+	left     bool // the caller has gone
+	cache    cache
+	sequence uint64 // configuration in force at the gate
 }
 
 // take adds an attempt's end to the course and reports whether that is final.
@@ -182,6 +218,8 @@
 	s.Known = true
 	c.result = s.Result
 	c.left = s.left
+	c.cache = s.cache
+	c.sequence = s.sequence
 	c.ran = c.ran || s.Outcome != wire.Outcome_OUTCOME_NOT_RUN
 	return s.Outcome == wire.Outcome_OUTCOME_ANSWERED || s.left
 }
@@ -203,14 +241,20 @@
 	if final(reason) {
 		return false
 	}
+	if alone(reason) {
+		return d.waitAlone(ctx, c)
+	}
 	if c.free > 0 && (reason == wire.Reason_REASON_STALE || reason == wire.Reason_REASON_BOOT) {
 		c.free--
 		if reason == wire.Reason_REASON_STALE {
-			d.config.Keeper.Refresh(ctx)
+			d.config.Keeper.CatchUp(ctx, c.sequence)
 		}
 		return ctx.Err() == nil
 	}
 	q.Job.Excluded = append(q.Job.Excluded, ider.Server(server.GetServer()))
+	if reason == wire.Reason_REASON_MOVED {
+		return true // handed over: the budget is for failures
+	}
 	return d.pause(ctx, q, c)
 }
 
@@ -229,11 +273,7 @@
 // that nothing has been done for is given up at once, one that is under way
 // tries all servers anew.
 func (d *Dispatcher) comeBack(ctx context.Context, q *Request, c *course, err error) bool {
-	var none *router.NoneError
-	if errors.As(err, &none) {
-		c.result.Known = c.result.Known || none.Known
-		c.result.Retry = max(c.result.Retry, none.Retry)
-	}
+	c.refuse(err)
 	if !c.ran || len(q.Job.Excluded) == 0 {
 		return false
 	}
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"bamboohill/core/accuser"
 	"bamboohill/core/certifier"
 	"bamboohill/core/keeper"
 	"bamboohill/core/puller"
@@ -37,6 +38,7 @@
 	headerBytes = 64 << 10
 	idleLimit   = 2 * time.Minute
 	stopLimit   = 2 * time.Minute
+	accuseLimit = 2 * time.Second
 )
 
 // Config describes a Server.
@@ -54,6 +56,7 @@
 	table    storer.Table
 	keeper   *keeper.Keeper
 	watcher  *watcher.Watcher
+	suspects *accuser.Accuser
 	gossiper *gossiper.Gossiper
 	stopping atomic.Bool
 	outer    http.Handler
@@ -74,10 +77,11 @@
 	}
 	s.table = storer.NewTable(storer.Config{Address: set.Platform.Table})
 	s.watcher = watcher.New(watcher.Config{})
+	s.suspects = accuser.New(accuser.Config{})
 	s.join()
 	proposals := proposer.New(proposer.Config{Peer: certifier.NewPeer(s.certs, certifier.Sidecar)})
 	d := dispatcher.New(dispatcher.Config{
-		Watcher: s.watcher, Keeper: s.keeper, Entry: set.Inner, Log: config.Log,
+		Watcher: s.watcher, Keeper: s.keeper, Entry: set.Inner, Log: config.Log, Suspects: s.suspects, Accuse: s.accuse,
 		Propose: func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (dispatcher.Attempt, error) {
 			return proposals.Propose(ctx, address, p, payload)
 		},
@@ -99,9 +103,12 @@
 	set := s.config.Settings
 	entries := certifier.NewPeer(s.certs, certifier.Entry)
 	config := keeper.Config{
-		Table:   s.table,
-		Peers:   puller.New(puller.Config{Addresses: func() []string { return s.gossiper.Known() }, Self: set.Inner, Peer: entries}),
-		Changed: func(*keeper.State) { s.gossiper.Wake() },
+		Table: s.table,
+		Peers: puller.New(puller.Config{Addresses: func() []string { return s.gossiper.Known() }, Self: set.Inner, Peer: entries}),
+		Changed: func(state *keeper.State) {
+			s.suspects.Pardon(state)
+			s.gossiper.Wake()
+		},
 	}
 	if set.Platform.Objects != "" {
 		config.Objects = storer.NewObjects(storer.Config{Address: set.Platform.Objects})
@@ -109,6 +116,7 @@
 	s.keeper = keeper.New(config)
 	members := gossiper.Config{
 		Address: set.Inner, Boot: s.boot, Seeds: set.Entries, Keeper: s.keeper, Watcher: s.watcher,
+		Accuse:  func(a *wire.Accusation) { s.suspects.Hear(a) },
 		Entries: entries, Sidecars: certifier.NewPeer(s.certs, certifier.Sidecar),
 	}
 	if set.Platform.List != "" {
@@ -117,6 +125,13 @@
 	s.gossiper = gossiper.New(members)
 }
 
+// accuse tells the other entries of a crash suspect.
+func (s *Server) accuse(a *wire.Accusation) {
+	ctx, cancel := context.WithTimeout(context.Background(), accuseLimit)
+	defer cancel()
+	s.gossiper.Accuse(ctx, a)
+}
+
 // reloaded logs that certificate files have changed.
 func (s *Server) reloaded(err error) {
 	s.config.Log.Info().Str("event", "certificates").Err(err).Msg("")
@@ -201,7 +216,7 @@
 // Beat implements wire.Heartbeats.
 func (b beats) Beat(_ context.Context, report *wire.Report) (*wire.BeatReply, error) {
 	b.s.watcher.Hear(report)
-	reply := &wire.BeatReply{Entries: append(b.s.gossiper.Live(), b.s.config.Settings.Inner)}
+	reply := &wire.BeatReply{Suspects: b.s.suspects.Suspects(), Entries: append(b.s.gossiper.Live(), b.s.config.Settings.Inner)}
 	if b.s.keeper.Ready() {
 		reply.Sequence = b.s.keeper.State().Sequence
 	}
--- a/sidecar/internal/reporter/reporter.go
+++ b/sidecar/internal/reporter/reporter.go
@@ -46,8 +46,8 @@
 	Every   time.Duration
 	Peer    *certifier.Peer
 	Report  func() *wire.Report
-	// Heard is called with every reply.
-	Heard func(*wire.BeatReply)
+	// Heard is called with the address of an entry and its reply.
+	Heard func(string, *wire.BeatReply)
 }
 
 // Reporter sends heartbeats.
@@ -107,7 +107,7 @@
 	}
 	r.learn(reply.GetEntries())
 	if r.config.Heard != nil {
-		r.config.Heard(reply)
+		r.config.Heard(address, reply)
 	}
 }
 
