Look again whether a caller is permitted before each attempt

Cause: an entry that is behind identifies a caller under the old configuration; the gate refuses it as stale, it catches up and tries again, with the new sequence number but the old permission. A key revoked meanwhile was served.

Change: a request carries a look at the configuration in force (Permitted); the dispatcher takes it before each attempt and names its sequence number in the proposal, so a permission and a proposal always belong together.

Small edits in entry/internal/dispatcher and entry/internal/receiver.

--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -52,6 +52,9 @@
 	Payload  []byte
 	Hash     []byte
 	Deadline time.Time
+	// Permitted tells, of the configuration in force now, its sequence number
+	// and whether the caller may still have this. Nil permits always.
+	Permitted func() (uint64, bool)
 
 	fingerprint string // of account and body, for crash suspects
 	alone       bool   // the next attempt has to run alone
@@ -152,13 +155,14 @@
 
 // course is what has become of a request so far.
 type course struct {
-	result   Result
-	ran      bool // some attempt may have run
-	free     int  // retries left that cost no budget: the entry's own view was old
-	left     bool // the caller has gone
-	solo     int  // tries left to get a backend server alone
-	cache    cache
-	sequence uint64 // configuration in force at the gate that refused last
+	permitted uint64 // sequence number under which the caller was permitted last
+	result    Result
+	ran       bool // some attempt may have run
+	free      int  // retries left that cost no budget: the entry's own view was old
+	left      bool // the caller has gone
+	solo      int  // tries left to get a backend server alone
+	cache     cache
+	sequence  uint64 // configuration in force at the gate that refused last
 }
 
 // cache is what a backend server that leaves has exported of a request.
@@ -185,6 +189,9 @@
 	c.result.Outcome = wire.Outcome_OUTCOME_NOT_RUN
 	d.config.Retrier.First(ider.Account(q.Account.GetName()))
 	for {
+		if !d.permit(q, c) {
+			return c.final()
+		}
 		choice, err := d.place(q, c)
 		if err != nil {
 			if !d.comeBack(ctx, q, c, err) {
@@ -232,6 +239,23 @@
 	return c.result
 }
 
+// permit looks before each attempt whether the caller may still have what was
+// asked for: the configuration may have changed since the last one, or this
+// entry may have learnt that it was behind. The proposal names the sequence
+// number of the look.
+func (d *Dispatcher) permit(q *Request, c *course) bool {
+	if q.Permitted == nil {
+		c.permitted = d.config.Keeper.State().Sequence
+		return true
+	}
+	sequence, ok := q.Permitted()
+	c.permitted = sequence
+	if !ok {
+		c.result.Reason = wire.Reason_REASON_DENIED
+	}
+	return ok
+}
+
 // again decides on one more try after a failed one and waits for its turn.
 func (d *Dispatcher) again(ctx context.Context, q *Request, c *course, server watcher.Server) bool {
 	if ctx.Err() != nil || c.ran && q.Call != wire.Call_CALL_REPEATABLE {
--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -86,6 +86,17 @@
 	return account, plan, nil
 }
 
+// permitted returns a look at whether a caller's key is still in force and its
+// plan still allows what was asked for.
+func (r *Receiver) permitted(q *http.Request, allows func(*wire.Plan) bool) func() (uint64, bool) {
+	key, _ := strings.CutPrefix(q.Header.Get("Authorization"), "Bearer ")
+	return func() (uint64, bool) {
+		s := r.config.Keeper.State()
+		_, plan, err := s.Identify(key)
+		return s.Sequence, err == nil && allows(plan)
+	}
+}
+
 // staleRetry is when a caller comes back whose plan refuses an unconfirmed
 // configuration.
 const staleRetry = 5 * time.Second
@@ -136,6 +147,7 @@
 		Kind: wire.Kind_KIND_MODEL, Model: p.model, Version: p.version, Adapter: p.adapter,
 		Prompt: int64(len(p.prompt)+tokenBytes-1) / tokenBytes, Answer: p.answer,
 	}
+	request.Permitted = r.permitted(q, func(plan *wire.Plan) bool { return keeper.Allows(plan, p.model, p.version, p.adapter) })
 	sink := newModelSink(w, p, completion{ID: string(request.ID), Created: time.Now().Unix(), Model: p.model})
 	result := r.config.Dispatcher.Do(q.Context(), request, sink)
 	r.log(request, result)
@@ -178,6 +190,7 @@
 	if request.Key != "" {
 		w.Header().Set(KeyHeader, request.Key)
 	}
+	request.Permitted = r.permitted(q, func(plan *wire.Plan) bool { return allowsService(plan, service) })
 	sink := &plainSink{w: w}
 	result := r.config.Dispatcher.Do(q.Context(), request, sink)
 	r.log(request, result)
