Admission learns answers' times; urgency has a floor

Change: the admitter learns the stretch of answers as it does that of first tokens; a request is urgent at the earliest after half of its class's patience plus its own prefill.

Tried and dropped: letting early first tokens and answers lower the allowance (ratios down to 0.5).

Conclusion: an allowance that errs towards refusing is kept.

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -3,9 +3,9 @@
 // would take the place of requests that can.
 //
 // Expectations come from the router and know nothing of the requests that will
-// overtake this one, so an Admitter learns for each class of priority by how
-// much the real time to the first token exceeds the expected one, and allows
-// for it.
+// overtake this one, so an Admitter learns for each length class by how much
+// the real time to the first token exceeds the expected one, and by how much
+// the answer's, and allows for both.
 //
 // # Usage
 //
@@ -13,6 +13,8 @@
 //	err := a.Admit(admitter.Ask{Prompt: tokens, First: choice.First, Whole: choice.Whole, Left: left})
 //	...                 // first token
 //	a.Learn(tokens, choice.First, took)
+//	...                 // last token, so long after the first
+//	a.LearnAnswer(choice.Whole-choice.First, took)
 //
 // An Admitter is safe for concurrent use.
 package admitter
@@ -71,7 +73,8 @@
 type Admitter struct {
 	config  Config
 	mu      sync.Mutex
-	stretch [classes]float64
+	stretch [classes]float64 // of the first token, by length class
+	answer  float64          // stretch of the rest
 }
 
 // New returns an admitter that has learnt nothing.
@@ -88,7 +91,7 @@
 	if config.Latest <= 0 {
 		config.Latest = defaultLatest
 	}
-	a := &Admitter{config: config}
+	a := &Admitter{config: config, answer: 1}
 	for c := range a.stretch {
 		a.stretch[c] = 1
 	}
@@ -103,9 +106,9 @@
 // allowance.
 func (a *Admitter) Needs(q Ask) time.Duration {
 	a.mu.Lock()
-	s := a.stretch[classOf(q.Prompt)]
+	first, answer := a.stretch[classOf(q.Prompt)], a.answer
 	a.mu.Unlock()
-	return time.Duration(float64(q.First)*s) + max(0, q.Whole-q.First) + a.config.Margin
+	return time.Duration(float64(q.First)*first+float64(max(0, q.Whole-q.First))*answer) + a.config.Margin
 }
 
 // Admit returns nil for a request that can finish in time and a *LateError for
@@ -121,12 +124,24 @@
 
 // Learn takes the real time to the first token of an admitted request.
 func (a *Admitter) Learn(prompt int64, expected, took time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.learn(&a.stretch[classOf(prompt)], expected, took)
+}
+
+// LearnAnswer takes the real time from the first to the last token of an
+// admitted request.
+func (a *Admitter) LearnAnswer(expected, took time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.learn(&a.answer, expected, took)
+}
+
+func (a *Admitter) learn(s *float64, expected, took time.Duration) {
 	if expected <= 0 || took <= 0 {
 		return
 	}
+	// That it came early teaches nothing: the next one may be overtaken.
 	ratio := min(max(float64(took)/float64(expected), 1), a.config.Most)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	s := &a.stretch[classOf(prompt)]
 	*s += learning * (ratio - *s)
 }
--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -8,7 +8,9 @@
 //	c.Placed(choice, time.Now())
 //	...                                 // first token
 //	c.Begun(choice, job.Prompt, took)
-//	...                                 // end, or refusal
+//	...                                 // last token
+//	c.Ended(choice, took)
+//	...                                 // any end, or refusal
 //	c.Done(choice)
 //
 // The placement policy stands behind the interface Picker, so that policies
@@ -88,3 +90,10 @@
 		c.admitter.Learn(prompt, choice.First, took)
 	}
 }
+
+// Ended notes the last token of a request, which came so long after the first.
+func (c *Chooser) Ended(choice router.Choice, took time.Duration) {
+	if c.admitter != nil {
+		c.admitter.LearnAnswer(choice.Whole-choice.First, took)
+	}
+}
--- a/core/router/estimate.go
+++ b/core/router/estimate.go
@@ -180,5 +180,6 @@
 	answer := e.whole - e.first
 	slack := s.job.Deadline.Sub(s.now).Seconds() - answer - urgent*e.alone
 	wait := patience[s.class] + stretch*e.alone
-	return int32(max(0, min(wait, slack)) * 1000)
+	least := patience[s.class]/2 + e.alone
+	return int32(max(least, min(wait, slack)) * 1000)
 }
--- a/load/experiment.go
+++ b/load/experiment.go
@@ -23,6 +23,7 @@
 			&cli.DurationFlag{Name: "length", Value: 5 * time.Minute, Usage: "length of the arrivals"},
 			&cli.DurationFlag{Name: "lag", Value: 100 * time.Millisecond, Usage: "time that reports are on their way"},
 			&cli.DurationFlag{Name: "every", Value: 500 * time.Millisecond, Usage: "time between reports"},
+			&cli.FloatFlag{Name: "patience", Value: 1, Usage: "multiply the callers' timeouts by this"},
 			&cli.BoolFlag{Name: "no-ride", Usage: "answers carry no reports"},
 			&cli.BoolFlag{Name: "calm", Usage: "run each trace without long prompts too, for the slowdown"},
 			&cli.StringFlag{Name: "csv", Usage: "write the results to this file too"},
@@ -43,7 +44,7 @@
 func experiment(_ context.Context, c *cli.Command) error {
 	plan := experimenter.Plan{
 		Name: c.String("name"), Engines: c.IntSlice("engines"), Loads: c.FloatSlice("load"), Seed: c.Uint64("seed"),
-		Length: c.Duration("length"), Calm: c.Bool("calm"),
+		Length: c.Duration("length"), Calm: c.Bool("calm"), Patience: c.Float("patience"),
 		Setup: experimenter.Setup{Lag: c.Duration("lag"), Every: c.Duration("every"), NoRide: c.Bool("no-ride")},
 	}
 	for _, p := range c.StringSlice("policy") {
--- a/load/internal/experimenter/fleet.go
+++ b/load/internal/experimenter/fleet.go
@@ -269,6 +269,9 @@
 	}
 	j.engine.leave(j)
 	j.engine.wasted += j.done
+	if j.tally.first > 0 {
+		j.entry.chooser.Ended(j.choice, f.now-j.At-j.tally.first)
+	}
 	j.entry.chooser.Done(j.choice)
 	j.release(false, f.clock())
 }
@@ -282,6 +285,7 @@
 // finished notes a job's last token.
 func (n *entry) finished(j *job) {
 	j.tally.whole = n.fleet.now - j.At
+	n.chooser.Ended(j.choice, j.tally.whole-j.tally.first)
 	n.chooser.Done(j.choice)
 	j.release(true, n.fleet.clock())
 	n.ride(j.engine)
--- a/load/internal/experimenter/plan.go
+++ b/load/internal/experimenter/plan.go
@@ -14,6 +14,7 @@
 	Loads    []float64
 	Seed     uint64
 	Length   time.Duration // of the arrivals, 5 min if zero
+	Patience float64       // of the callers, see Mix
 	Calm     bool          // run each trace without long prompts too
 	Setup    Setup         // the rest of every run
 	Workers  int           // runs at once, half the processors if zero
@@ -53,7 +54,7 @@
 }
 
 func (p Plan) row(policy Policy, engines int, load float64) Row {
-	mix := Mix{Seed: p.Seed, Engines: engines, Load: load, Length: p.Length}
+	mix := Mix{Seed: p.Seed, Engines: engines, Load: load, Length: p.Length, Patience: p.Patience}
 	setup := p.Setup
 	setup.Policy, setup.Engines, setup.Seed = policy, engines, p.Seed
 	row := Row{Name: p.Name, Load: load, Seed: p.Seed, Result: Run(setup, Generate(mix))}
--- a/load/internal/experimenter/policy.go
+++ b/load/internal/experimenter/policy.go
@@ -31,6 +31,7 @@
 	NoAging       Policy = "no-aging"
 	NoAdmission   Policy = "no-admission"
 	NoChoices     Policy = "no-choices" // every server is a candidate
+	Herd          Policy = "no-own-no-choices"
 	AllKnowing    Policy = "all-knowing"
 )
 
@@ -43,7 +44,7 @@
 // off holds the part of the router that a policy switches off.
 var off = map[Policy]router.Parts{
 	NoPrefix: router.Prefix, NoOwn: router.Own, NoShare: router.Share, NoBound: router.Bound,
-	NoPriority: router.Priority, NoAging: router.Aging,
+	NoPriority: router.Priority, NoAging: router.Aging, Herd: router.Own,
 }
 
 // everyone is more candidates than there are servers.
@@ -56,7 +57,7 @@
 		return chooser.New(chooser.Config{Picker: b})
 	}
 	config := router.Config{Hints: hints, Seed: seed, Off: off[policy]}
-	if policy == NoChoices {
+	if policy == NoChoices || policy == Herd {
 		config.Candidates = everyone
 	}
 	c := chooser.Config{Picker: router.New(config), Admitter: admitter.New(admitter.Config{})}
--- a/load/internal/experimenter/trace.go
+++ b/load/internal/experimenter/trace.go
@@ -54,12 +54,13 @@
 // Mix describes a trace. Load 1 means that the work of the trace, each shared
 // prefix prefilled once, takes every engine all the time.
 type Mix struct {
-	Seed    uint64
-	Engines int
-	Load    float64
-	Length  time.Duration
-	NoLongs bool    // leave out the prompts of class Long; the others stay as they are
-	Surge   float64 // the first account sends so many times more from half of Length on
+	Seed     uint64
+	Engines  int
+	Load     float64
+	Length   time.Duration
+	Patience float64 // of callers: their timeouts are multiplied by it, 1 if zero
+	NoLongs  bool    // leave out the prompts of class Long; the others stay as they are
+	Surge    float64 // the first account sends so many times more from half of Length on
 }
 
 // shape is how prompts of one class look.
@@ -98,7 +99,10 @@
 
 // Generate returns a trace in order of arrival.
 func Generate(mix Mix) []*Request {
-	g := &generator{random: rand.New(rand.NewPCG(mix.Seed, 1)), seen: map[uint64]int64{}}
+	g := &generator{random: rand.New(rand.NewPCG(mix.Seed, 1)), seen: map[uint64]int64{}, patience: mix.Patience}
+	if g.patience <= 0 {
+		g.patience = 1
+	}
 	total := mix.Load * float64(mix.Engines) * mix.Length.Seconds()
 	var trace []*Request
 	for work := 0.0; work < total; {
@@ -134,9 +138,10 @@
 }
 
 type generator struct {
-	random *rand.Rand
-	next   uint64
-	seen   map[uint64]int64
+	random   *rand.Rand
+	next     uint64
+	seen     map[uint64]int64
+	patience float64
 }
 
 func (g *generator) request() *Request {
@@ -147,7 +152,7 @@
 	s := shapes[q.Class]
 	q.Prompt = int64(g.span(s.least, s.most))
 	q.Answer = int64(g.span(s.answer[0], s.answer[1]))
-	q.Timeout = s.timeout
+	q.Timeout = time.Duration(g.patience * float64(s.timeout))
 	g.next++
 	q.Prefix = hash(1, g.next)
 	if g.random.Float64() < sharing {
