--- a/standin/answerer/handler.go
+++ b/standin/answerer/handler.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -20,6 +19,7 @@
 	Crashes int     `json:"crashes"`
 	Worst   float64 `json:"worst"` // most jobs offered against what it bore
 	Orders  int     `json:"orders"`
+	Started int64   `json:"started"` // jobs that reached it, in all
 	Jobs    int     `json:"jobs"`
 	Used    int64   `json:"used"` // tokens of memory held
 }
@@ -74,7 +74,7 @@
 func (e *Engine) serveCounts(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	json.NewEncoder(w).Encode(Counts{Crashes: e.crashes, Worst: e.worst, Orders: e.orders, Jobs: len(e.jobs), Used: e.used()})
+	json.NewEncoder(w).Encode(Counts{Crashes: e.crashes, Worst: e.worst, Orders: e.orders, Started: e.arrived, Jobs: len(e.jobs), Used: e.used()})
 }
 
 func (e *Engine) serveJobs(w http.ResponseWriter, _ *http.Request) {
@@ -162,12 +162,12 @@
 }
 
 func (e *Engine) serveExport(w http.ResponseWriter, q *http.Request) {
-	handle, err := e.export(q.FormValue("id"))
+	cache, err := e.export(q.FormValue("id"))
 	if err != nil {
 		fail(w, err)
 		return
 	}
-	fmt.Fprintf(w, `{"handle":%q}`, handle)
+	json.NewEncoder(w).Encode(cache)
 }
 
 // serveImport takes a cache that another engine exported: its handle and its
