Sidecars that hardly any entry answers read the table each second

Cause: sidecars poll the table every 30 s and else learn of changes from entries; one whose only answering entry is itself cut off would run on for that long in a failure domain that is out.

Change: while fewer than two entries reply to a heartbeat the sidecar reads the configuration each second. Tests for the reporter's choice of entries.

Not covered: a sidecar and an entry that are cut off together from everything else; there the plan's staleness bound decides.

--- a/sidecar/internal/reporter/reporter.go
+++ b/sidecar/internal/reporter/reporter.go
@@ -55,6 +55,9 @@
 	config Config
 	mu     sync.Mutex
 	known  map[string]*entry
+
+	replies  int // to the beat under way
+	answered int // to the last beat
 }
 
 // New returns a reporter.
@@ -87,6 +90,13 @@
 	}
 }
 
+// Answered returns how many entries replied to the last beat.
+func (r *Reporter) Answered() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answered
+}
+
 // Beat sends one report to the chosen entries and waits for their replies.
 func (r *Reporter) Beat(ctx context.Context) {
 	report := r.config.Report()
@@ -95,6 +105,9 @@
 		all.Go(func() { r.send(ctx, address, report) })
 	}
 	all.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answered, r.replies = r.replies, 0
 }
 
 func (r *Reporter) send(ctx context.Context, address string, report *wire.Report) {
@@ -120,6 +133,7 @@
 	case e == nil:
 	case answered:
 		e.failed = 0
+		r.replies++
 	default:
 		e.failed++
 		if e.failed >= forgetAfter && !e.fixed {
--- /dev/null
+++ b/sidecar/internal/reporter/reporter_test.go
@@ -0,0 +1,110 @@
+package reporter
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"bamboohill/core/certifier"
+	"bamboohill/wire"
+
+	"github.com/matryer/is"
+)
+
+// entries are fake entries that count beats and may fail.
+type entries struct {
+	mu    sync.Mutex
+	beats map[string]int
+	down  map[string]bool
+	names []string // that every reply gives
+}
+
+type one struct {
+	all     *entries
+	address string
+}
+
+func (o one) Beat(context.Context, *wire.Report) (*wire.BeatReply, error) {
+	o.all.mu.Lock()
+	defer o.all.mu.Unlock()
+	o.all.beats[o.address]++
+	return &wire.BeatReply{Entries: o.all.names}, nil
+}
+
+func serve(t *testing.T, n int) *entries {
+	t.Helper()
+	all := &entries{beats: map[string]int{}, down: map[string]bool{}}
+	for range n {
+		var handler http.Handler
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			all.mu.Lock()
+			down := all.down[q.Host]
+			all.mu.Unlock()
+			if down {
+				http.Error(w, "down", http.StatusInternalServerError)
+				return
+			}
+			handler.ServeHTTP(w, q)
+		}))
+		t.Cleanup(s.Close)
+		address := s.Listener.Addr().String()
+		handler = wire.NewHeartbeatsServer(one{all: all, address: address})
+		all.names = append(all.names, address)
+	}
+	return all
+}
+
+func TestBeatsReachWidthEntries(t *testing.T) {
+	is := is.New(t)
+	all := serve(t, 8)
+	r := New(Config{
+		Entries: all.names[:1], Every: time.Second, Peer: certifier.NewPeer(nil),
+		Report: func() *wire.Report { return &wire.Report{Server: "s"} },
+	})
+	r.Beat(t.Context())
+	is.Equal(r.Answered(), 1)
+	is.Equal(len(r.Known()), 8) // the reply named the others
+	all.beats = map[string]int{}
+	r.Beat(t.Context())
+	is.Equal(r.Answered(), Width)
+	is.Equal(len(all.beats), Width)
+
+	// Of two that fail, both are replaced by the next, and one at a time is
+	// still asked.
+	n := 0
+	for address := range all.beats {
+		if n++; n <= 2 {
+			all.down[address] = true
+		}
+	}
+	for range restAfter {
+		r.Beat(t.Context())
+		is.Equal(r.Answered(), Width-2)
+	}
+	r.Beat(t.Context())
+	is.Equal(r.Answered(), Width)
+	all.down = map[string]bool{}
+	for range 20 {
+		r.Beat(t.Context())
+	}
+	is.Equal(r.Answered(), Width) // back at the first ones, and no wider
+}
+
+func TestDeadEntryIsForgotten(t *testing.T) {
+	is := is.New(t)
+	all := serve(t, 3)
+	r := New(Config{
+		Entries: all.names[:1], Every: time.Second, Peer: certifier.NewPeer(nil),
+		Report: func() *wire.Report { return &wire.Report{Server: "s"} },
+	})
+	r.Beat(t.Context())
+	all.down[all.names[2]] = true
+	all.names = all.names[:2]
+	for range forgetAfter {
+		r.Beat(t.Context())
+	}
+	is.Equal(len(r.Known()), 2)
+}
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -39,6 +39,7 @@
 	maxBody     = 64 << 20 // bytes of one payload
 	statusEvery = 100 * time.Millisecond
 	statusLimit = time.Second
+	lonelyEvery = time.Second      // of the table service while hardly any entry replies
 	pollEvery   = 30 * time.Second // of the table service; changes come by push and heartbeat
 	idleLimit   = time.Minute
 )
@@ -131,6 +132,14 @@
 	return config
 }
 
+// lonely reads the configuration often while fewer than two entries reply to
+// heartbeats: the one that does may itself be cut off.
+func (s *Server) lonely(ctx context.Context) {
+	if s.reporter.Answered() < 2 {
+		s.keeper.Refresh(ctx)
+	}
+}
+
 // catchUp brings this sidecar to a sequence number, within a bound.
 func (s *Server) catchUp(sequence uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), statusLimit)
@@ -168,6 +177,7 @@
 	}
 	go loop(ctx, statusEvery, s.watchLeaving)
 	go loop(ctx, statusEvery, func(context.Context) { s.attempts.end(s.gate.Expire(time.Now())) })
+	go loop(ctx, lonelyEvery, s.lonely)
 	go loop(ctx, time.Second, s.readList)
 	go s.reporter.Run(ctx)
 }
