--- /dev/null
+++ b/entry/internal/gossiper/gossiper_test.go
@@ -0,0 +1,231 @@
+package gossiper
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bamboohill/core/keeper"
+	"bamboohill/core/puller"
+	"bamboohill/core/storer"
+	"bamboohill/core/watcher"
+	"bamboohill/wire"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+)
+
+// hearers is how many entries hear one sidecar.
+const hearers = 4
+
+// fleet is a number of entries and sidecars in one process.
+type fleet struct {
+	net      *network
+	table    *memoryTable
+	entries  []*entry
+	sidecars []*sidecar
+	stops    []func()
+}
+
+type entry struct {
+	address string
+	keeper  *keeper.Keeper
+	watcher *watcher.Watcher
+	gossip  *Gossiper
+}
+
+// sidecar is what of a sidecar takes part in the spread of changes.
+type sidecar struct {
+	wire.Gate
+	name    string
+	address string
+	serial  uint64
+	keeper  *keeper.Keeper
+}
+
+func (s *sidecar) Push(ctx context.Context, batch *wire.Batch) (*wire.PushReply, error) {
+	if err := s.keeper.Offer(ctx, batch); err != nil || s.keeper.Heard(batch.GetSequence()) {
+		s.keeper.CatchUp(ctx, batch.GetSequence())
+	}
+	return &wire.PushReply{Sequence: s.keeper.State().Sequence}, nil
+}
+
+func (s *sidecar) Inspect(context.Context, *wire.InspectRequest) (*wire.Report, error) {
+	s.serial++
+	return &wire.Report{
+		Server: s.name, Address: s.address, Domain: "ikeja", Boot: 1, Serial: s.serial, Sequence: s.keeper.State().Sequence,
+	}, nil
+}
+
+func newFleet(entries, sidecars, copies int) *fleet {
+	f := &fleet{net: newNetwork(), table: &memoryTable{rows: map[string]storer.Row{}}}
+	var addresses []string
+	for i := range entries {
+		addresses = append(addresses, fmt.Sprintf("10.0.%d.%d:1", i/250, i%250))
+	}
+	for i, a := range addresses {
+		e := &entry{address: a, watcher: watcher.New(watcher.Config{Forget: time.Hour, Silence: time.Hour})}
+		peer := f.net.peer()
+		e.keeper = keeper.New(keeper.Config{
+			Table: f.table, Changed: func(*keeper.State) { e.gossip.Wake() },
+			Peers: puller.New(puller.Config{Addresses: func() []string { return e.gossip.Known() }, Self: a, Peer: peer}),
+		})
+		e.gossip = New(Config{
+			Address: a, Boot: uint64(i + 1), Seeds: addresses, Keeper: e.keeper, Watcher: e.watcher, Entries: peer, Sidecars: peer,
+			Copies: copies, Limit: 5 * time.Second,
+		})
+		mux := http.NewServeMux()
+		mux.Handle(wire.PeersPathPrefix, e.gossip.Handler())
+		f.entries = append(f.entries, e)
+		f.stops = append(f.stops, f.net.serve(a, mux), e.keeper.Stop, e.watcher.Stop)
+	}
+	for i := range sidecars {
+		f.add(fmt.Sprint("s", i), fmt.Sprintf("10.1.%d.%d:1", i/250, i%250), addresses)
+	}
+	return f
+}
+
+// add starts a sidecar and lets its entries hear it.
+func (f *fleet) add(name, address string, entries []string) {
+	peer := f.net.peer()
+	s := &sidecar{name: name, address: address}
+	s.keeper = keeper.New(keeper.Config{
+		Table: f.table, Near: true, Peers: puller.New(puller.Config{Addresses: func() []string { return entries }, Peer: peer}),
+	})
+	mux := http.NewServeMux()
+	mux.Handle(wire.GatePathPrefix, wire.NewGateServer(s))
+	f.sidecars = append(f.sidecars, s)
+	f.stops = append(f.stops, f.net.serve(address, mux), s.keeper.Stop)
+	ranked := slices.SortedFunc(slices.Values(entries), func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(name+a), xxhash.Sum64String(name+b))
+	})
+	for _, e := range f.entries {
+		if slices.Contains(ranked[:min(hearers, len(ranked))], e.address) {
+			report, _ := s.Inspect(context.Background(), nil)
+			e.watcher.Hear(report)
+		}
+	}
+}
+
+func (f *fleet) stop() {
+	for _, stop := range f.stops {
+		stop()
+	}
+}
+
+// start lets every process read the store, greet all, and push as it runs.
+func (f *fleet) start(ctx context.Context) {
+	now := time.Now()
+	for _, e := range f.entries {
+		e.keeper.Refresh(ctx)
+		for _, other := range f.entries {
+			e.gossip.roster.hear(&wire.Member{Address: other.address, Boot: 1}, now, now)
+		}
+		go e.gossip.spreadLoop(ctx)
+	}
+	for _, s := range f.sidecars {
+		s.keeper.Refresh(ctx)
+	}
+}
+
+// behind returns how many processes do not have a sequence number in force.
+func (f *fleet) behind(sequence uint64) int {
+	n := 0
+	for _, e := range f.entries {
+		if e.keeper.State().Sequence < sequence {
+			n++
+		}
+	}
+	for _, s := range f.sidecars {
+		if s.keeper.State().Sequence < sequence {
+			n++
+		}
+	}
+	return n
+}
+
+// change commits one change through an entry and spreads it.
+func (f *fleet) change(ctx context.Context, n int, e *entry) uint64 {
+	c, err := e.keeper.Commit(ctx, keeper.Proposal{
+		ID: fmt.Sprint("c", n), Author: "ana", Key: "domain/ikeja", Force: true,
+		Record: &wire.Record{Value: &wire.Record_Domain{Domain: &wire.Placement{Name: "ikeja", Out: n%2 == 0, Reason: "power work"}}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	e.gossip.Spread(ctx)
+	return c.GetSequence()
+}
+
+func TestChangeReachesAll(t *testing.T) {
+	for name, copies := range map[string]int{"by all that hear": 0, "by one": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(6, 17, copies)
+				ctx, cancel := context.WithCancel(t.Context())
+				f.start(ctx)
+				synctest.Wait()
+				for n := range 3 {
+					sequence := f.change(ctx, n, f.entries[n])
+					synctest.Wait()
+					is.Equal(f.behind(sequence), 0)
+				}
+				entries, sidecars := f.entries[5].gossip.Survey(ctx)
+				is.Equal(len(entries), 6)
+				is.Equal(len(sidecars), 17)
+				for _, s := range slices.Concat(entries, sidecars) {
+					is.Equal(s.Sequence, uint64(3))
+				}
+				cancel()
+				f.stop()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
+func TestCutEntryCatchesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(4, 6, 0)
+		ctx, cancel := context.WithCancel(t.Context())
+		f.start(ctx)
+		synctest.Wait()
+		lost := f.entries[3]
+		f.net.setCut(lost.address, true)
+		f.change(ctx, 1, f.entries[0])
+		f.change(ctx, 2, f.entries[0])
+		synctest.Wait()
+		is.Equal(lost.keeper.State().Sequence, uint64(0))
+		is.Equal(f.behind(2), 1) // its sidecars have other entries
+		_, sidecars := lost.gossip.Survey(ctx)
+		is.Equal(len(sidecars), 6)
+		entries, _ := f.entries[0].gossip.Survey(ctx)
+		silent := 0
+		for _, s := range entries {
+			if s.Silent {
+				silent++
+				is.Equal(s.Name, lost.address)
+			}
+		}
+		is.Equal(silent, 1) // it is named
+
+		f.net.setCut(lost.address, false)
+		f.table.setDown(true)
+		for range 3 {
+			lost.gossip.Round(ctx)
+			time.Sleep(time.Second)
+		}
+		synctest.Wait()
+		is.Equal(lost.keeper.State().Sequence, uint64(2)) // from its peers, the store is down
+		cancel()
+		f.stop()
+		time.Sleep(time.Minute)
+	})
+}
