Rendezvous ranks in one package, and spread that does not grow with entries

Cause: at 300 entries a change took 695 ms to be in force everywhere and the processor time for each process had grown eightfold: each entry sorted all entries, hashing two strings a comparison, for every sidecar it hears. A heartbeat's reply named every entry.

Change: core/ranker hashes once and finds in linear time whether an entry is among the first; replies name the six entries that rank first for the server; a push carries the changes that the receiver lacks, four at most to an entry; rounds of greetings come further apart as entries grow in number.

With 340 entries and 12,000 sidecars an entry hears 108 to 172 of them (go test ./core/ranker -run Even).

--- a/entry/internal/gossiper/gossiper.go
+++ b/entry/internal/gossiper/gossiper.go
@@ -20,6 +20,7 @@
 	defaultLimit = time.Second
 	listEvery    = 10 // greetings between two readings of the list of VMs
 	fanout       = 3  // entries greeted at once
+	gapEntries   = 64 // entries for which rounds come a multiple of Every apart
 	spreadWidth  = 32 // pushes under way at once
 	probeWidth   = 8  // silent servers asked at once
 )
@@ -145,7 +146,8 @@
 			g.readList(ctx)
 		}
 		g.Round(ctx)
-		t := time.NewTimer(g.config.Every/2 + g.jitter(g.config.Every))
+		gap := g.gap()
+		t := time.NewTimer(gap/2 + g.jitter(gap))
 		select {
 		case <-ctx.Done():
 		case <-t.C:
@@ -154,6 +156,14 @@
 	}
 }
 
+// gap is the mean time between two rounds. It grows with the number of entries,
+// so that the cost of a round stays a fixed share of an entry's budget.
+func (g *Gossiper) gap() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.config.Every * time.Duration(max(1, len(g.roster.all)/gapEntries))
+}
+
 func (g *Gossiper) jitter(most time.Duration) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/entry/internal/gossiper/gossiper_test.go
+++ b/entry/internal/gossiper/gossiper_test.go
@@ -1,7 +1,6 @@
 package gossiper
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -12,11 +11,11 @@
 
 	"bamboohill/core/keeper"
 	"bamboohill/core/puller"
+	"bamboohill/core/ranker"
 	"bamboohill/core/storer"
 	"bamboohill/core/watcher"
 	"bamboohill/wire"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 )
 
@@ -101,11 +100,9 @@
 	mux.Handle(wire.GatePathPrefix, wire.NewGateServer(s))
 	f.sidecars = append(f.sidecars, s)
 	f.stops = append(f.stops, f.net.serve(address, mux), s.keeper.Stop)
-	ranked := slices.SortedFunc(slices.Values(entries), func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(name+a), xxhash.Sum64String(name+b))
-	})
+	ranked := ranker.First(name, entries, hearers)
 	for _, e := range f.entries {
-		if slices.Contains(ranked[:min(hearers, len(ranked))], e.address) {
+		if slices.Contains(ranked, e.address) {
 			report, _ := s.Inspect(context.Background(), nil)
 			e.watcher.Hear(report)
 		}
--- a/entry/internal/gossiper/spread.go
+++ b/entry/internal/gossiper/spread.go
@@ -5,12 +5,16 @@
 	"context"
 	"slices"
 
+	"bamboohill/core/ranker"
 	"bamboohill/core/watcher"
 	"bamboohill/wire"
-
-	"github.com/cespare/xxhash/v2"
 )
 
+// pushedChanges is how many changes a push to another entry carries at most:
+// more than one, so that two that overtake each other leave no gap. An entry
+// that is further behind catches up by itself.
+const pushedChanges = 4
+
 // Spread pushes what is in force here to every live entry, at once. The
 // entries push it to the sidecars that they hear.
 func (g *Gossiper) Spread(ctx context.Context) {
@@ -18,7 +22,7 @@
 	state := g.config.Keeper.State()
 	g.each(ctx, g.Live(), func(ctx context.Context, a string) {
 		g.mu.Lock()
-		after := g.peers[a]
+		after := max(g.peers[a], state.Sequence-min(state.Sequence, pushedChanges))
 		g.mu.Unlock()
 		reply, err := g.peer(a).Push(ctx, state.Since(min(after, state.Sequence)))
 		g.mu.Lock()
@@ -48,18 +52,20 @@
 	state := g.config.Keeper.State()
 	entries := append(g.Live(), g.config.Address)
 	behind := map[string]watcher.Server{}
+	after := map[string]uint64{}
 	var addresses []string
 	g.mu.Lock()
 	for _, s := range g.config.Watcher.View().Servers {
 		if g.taken(s) < state.Sequence && g.mine(s.GetServer(), entries) {
 			behind[s.GetAddress()] = s
+			after[s.GetAddress()] = g.taken(s)
 			addresses = append(addresses, s.GetAddress())
 		}
 	}
 	g.mu.Unlock()
 	g.each(ctx, addresses, func(ctx context.Context, a string) {
 		s := behind[a]
-		batch := state.Since(s.GetSequence())
+		batch := state.Since(after[a])
 		if batch.Snapshot != nil {
 			// It is far behind: tell it so, and let it pull.
 			batch = &wire.Batch{Sequence: state.Sequence}
@@ -75,15 +81,18 @@
 
 // mine reports whether this entry is among those that push to a server.
 func (g *Gossiper) mine(server string, entries []string) bool {
-	if g.config.Copies <= 0 || len(entries) <= g.config.Copies {
-		return true
-	}
-	slices.SortFunc(entries, func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(server+a), xxhash.Sum64String(server+b))
-	})
-	return slices.Contains(entries[:g.config.Copies], g.config.Address)
+	return g.config.Copies <= 0 || ranker.Among(server, entries, g.config.Address, g.config.Copies)
 }
 
+// Named returns the entries that a heartbeat's reply names to a server: this
+// one and the others that rank first for it, a few more than it beats to.
+func (g *Gossiper) Named(server string) []string {
+	return ranker.First(server, append(g.Live(), g.config.Address), namedWidth)
+}
+
+// namedWidth is how many entries one reply names.
+const namedWidth = 6
+
 // Accuse tells every live entry of a crash suspect.
 func (g *Gossiper) Accuse(ctx context.Context, a *wire.Accusation) {
 	g.each(ctx, g.Live(), func(ctx context.Context, address string) { g.peer(address).Accuse(ctx, a) })
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -216,7 +216,7 @@
 // Beat implements wire.Heartbeats.
 func (b beats) Beat(_ context.Context, report *wire.Report) (*wire.BeatReply, error) {
 	b.s.watcher.Hear(report)
-	reply := &wire.BeatReply{Suspects: b.s.suspects.Suspects(), Entries: append(b.s.gossiper.Live(), b.s.config.Settings.Inner)}
+	reply := &wire.BeatReply{Suspects: b.s.suspects.Suspects(), Entries: b.s.gossiper.Named(report.GetServer())}
 	if b.s.keeper.Ready() {
 		reply.Sequence = b.s.keeper.State().Sequence
 	}
--- a/sidecar/internal/reporter/reporter.go
+++ b/sidecar/internal/reporter/reporter.go
@@ -11,7 +11,6 @@
 package reporter
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -20,9 +19,8 @@
 	"time"
 
 	"bamboohill/core/certifier"
+	"bamboohill/core/ranker"
 	"bamboohill/wire"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Width is how many entries hear one backend server.
@@ -157,9 +155,7 @@
 func (r *Reporter) pick(server string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := slices.SortedFunc(maps.Keys(r.known), func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(server+a), xxhash.Sum64String(server+b))
-	})
+	known := ranker.First(server, slices.Collect(maps.Keys(r.known)), len(r.known))
 	var picked, resting []string
 	for _, a := range known {
 		if r.known[a].failed >= restAfter {
