Push less to gates when entries are many, and catch up from the entry at hand

Change: from 32 entries on, changes that no gate decides by (accounts, plans) go to one sidecar at most each 6 s; failure domains, VMs and pardons go at once. Keeper.CatchUp takes addresses to ask first: the entry that proposed or replied. A report says how far apart its heartbeats come, and three may be missed. A start is tried again after 0.2 s. Rounds of greetings spread from 32 entries on.

--- a/core/keeper/fetch.go
+++ b/core/keeper/fetch.go
@@ -35,6 +35,9 @@
 // answers.
 const patience = 5 * time.Second
 
+// startPause lies between two tries to start.
+const startPause = 200 * time.Millisecond
+
 // Evidence is what a process that starts without the store knows.
 type Evidence struct {
 	Known   int           // peers
@@ -86,8 +89,10 @@
 }
 
 // CatchUp returns once this process has at least a sequence number in force.
-// Calls at the same time share the work. The error is a *BehindError.
-func (k *Keeper) CatchUp(ctx context.Context, sequence uint64) error {
+// It asks the peers at the given addresses first, which are likely to have it,
+// then store and peers at large. Calls at the same time share the work. The
+// error is a *BehindError.
+func (k *Keeper) CatchUp(ctx context.Context, sequence uint64, near ...string) error {
 	if k.State().Sequence >= sequence {
 		return nil
 	}
@@ -101,6 +106,11 @@
 		slices.Reverse(sources)
 	}
 	var cause error
+	for _, address := range near {
+		if k.config.Peers != nil && address != "" && k.State().Sequence < sequence {
+			cause = k.pull(ctx, address)
+		}
+	}
 	for _, source := range sources {
 		if k.State().Sequence >= sequence {
 			return nil
@@ -234,8 +244,8 @@
 
 // Poll refreshes until the context ends, at gaps drawn between half and one
 // and a half times every, so that processes started together drift apart.
-// Until the first success it tries at a tenth of that. After each try it calls
-// done with its error.
+// Until this process is ready it tries more often. After each try it calls done
+// with its error.
 func (k *Keeper) Poll(ctx context.Context, every time.Duration, done func(error)) {
 	for ctx.Err() == nil {
 		err := k.Refresh(ctx)
@@ -244,7 +254,7 @@
 		}
 		gap := every
 		if !k.Ready() {
-			gap = every / 10
+			gap = min(every, startPause)
 		}
 		if pause(ctx, gap/2+time.Duration(rand.Int64N(int64(gap)+1))) != nil {
 			return
--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -121,6 +121,23 @@
 	})
 }
 
+func TestCatchUpAsksTheNearFirst(t *testing.T) {
+	is := is.New(t)
+	f := newTable()
+	peer := New(Config{Table: f})
+	defer peer.Stop()
+	k := New(Config{Table: f, Near: true, Peers: &fakePeers{
+		all: map[string]*Keeper{"p": peer}, pick: func() []string { t.Error("peers at large were asked"); return nil },
+	}})
+	defer k.Stop()
+	put(t, f, 1)
+	is.NoErr(peer.Refresh(t.Context()))
+	reads := f.reads
+	is.NoErr(k.CatchUp(t.Context(), 1, "p"))
+	is.Equal(f.reads, reads) // nor the store
+	is.True(!k.Ready())      // one peer's word does not start a process
+}
+
 func TestGapIsFilled(t *testing.T) {
 	is := is.New(t)
 	f := newTable()
--- a/core/watcher/health.go
+++ b/core/watcher/health.go
@@ -69,7 +69,7 @@
 // failure domain of which most are gone.
 func (w *Watcher) judge(now time.Time) {
 	for _, r := range w.known {
-		gone := Judge(r.Heard, r.Failed, now, w.config.Silence) == Gone
+		gone := Judge(r.Heard, r.Failed, now, w.patience(r.Server)) == Gone
 		switch {
 		case gone && r.gone.IsZero():
 			r.gone = now
--- a/core/watcher/watcher.go
+++ b/core/watcher/watcher.go
@@ -38,7 +38,7 @@
 // Config describes a Watcher. The zero Silence is three seconds, the zero
 // Forget a minute; Now is the clock, time.Now if nil.
 type Config struct {
-	Silence time.Duration // without a report until a server counts as silent
+	Silence time.Duration // without a report until a server counts as silent, at least three heartbeats
 	Forget  time.Duration // gone until a server is dropped
 	Now     func() time.Time
 }
@@ -111,7 +111,16 @@
 func (w *Watcher) View() *View { return w.view.Load() }
 
 // Silent reports whether a server's heartbeats have stopped.
-func (w *Watcher) Silent(s Server) bool { return w.config.Now().Sub(s.Heard) > w.config.Silence }
+func (w *Watcher) Silent(s Server) bool { return w.config.Now().Sub(s.Heard) > w.patience(s) }
+
+// patience is how long a server may be silent: as Config says, or three of its
+// heartbeats if they come further apart.
+func (w *Watcher) patience(s Server) time.Duration {
+	return max(w.config.Silence, missedBeats*time.Duration(s.GetEveryMs())*time.Millisecond)
+}
+
+// missedBeats is how many heartbeats a server may miss.
+const missedBeats = 3
 
 func (w *Watcher) receive(m message) {
 	now := w.config.Now()
--- a/core/watcher/watcher_test.go
+++ b/core/watcher/watcher_test.go
@@ -151,3 +151,23 @@
 		is.Equal(w.View().Servers[0].Failed, 0)
 	})
 }
+
+func TestSlowHeartbeatsAreNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := New(Config{})
+		defer w.Stop()
+		w.Hear(&wire.Report{Server: "s", Boot: 1, Serial: 1, EveryMs: 10_000})
+		synctest.Wait()
+		for _, step := range []struct {
+			wait time.Duration
+			gone int
+		}{{25 * time.Second, 0}, {6 * time.Second, 1}} {
+			time.Sleep(step.wait)
+			w.Fail("s")
+			w.Hear(&wire.Report{Server: "other", Boot: 1, Serial: uint64(time.Now().UnixNano())})
+			synctest.Wait()
+			is.Equal(len(w.View().Gone), step.gone)
+		}
+	})
+}
--- a/entry/internal/gossiper/gossiper.go
+++ b/entry/internal/gossiper/gossiper.go
@@ -20,7 +20,7 @@
 	defaultLimit = time.Second
 	listEvery    = 10 // greetings between two readings of the list of VMs
 	fanout       = 3  // entries greeted at once
-	gapEntries   = 64 // entries for which rounds come a multiple of Every apart
+	gapEntries   = 32 // entries for which rounds come a multiple of Every apart
 	spreadWidth  = 32 // pushes under way at once
 	probeWidth   = 8  // silent servers asked at once
 )
@@ -72,6 +72,7 @@
 type mark struct {
 	boot     uint64
 	sequence uint64
+	at       time.Time // of the push
 }
 
 // taken returns the sequence number in force at a server; the lock is held.
--- a/entry/internal/gossiper/gossiper_test.go
+++ b/entry/internal/gossiper/gossiper_test.go
@@ -146,12 +146,15 @@
 	return n
 }
 
-// change commits one change through an entry and spreads it.
+// change commits one change of a failure domain through an entry and spreads
+// it.
 func (f *fleet) change(ctx context.Context, n int, e *entry) uint64 {
-	c, err := e.keeper.Commit(ctx, keeper.Proposal{
-		ID: fmt.Sprint("c", n), Author: "ana", Key: "domain/ikeja", Force: true,
-		Record: &wire.Record{Value: &wire.Record_Domain{Domain: &wire.Placement{Name: "ikeja", Out: n%2 == 0, Reason: "power work"}}},
-	})
+	place := &wire.Placement{Name: "ikeja", Out: n%2 == 0, Reason: "power work"}
+	return f.commit(ctx, n, e, "domain/ikeja", &wire.Record{Value: &wire.Record_Domain{Domain: place}})
+}
+
+func (f *fleet) commit(ctx context.Context, n int, e *entry, key string, record *wire.Record) uint64 {
+	c, err := e.keeper.Commit(ctx, keeper.Proposal{ID: fmt.Sprint("c", n), Author: "ana", Key: key, Force: true, Record: record})
 	if err != nil {
 		panic(err)
 	}
@@ -159,6 +162,36 @@
 	return c.GetSequence()
 }
 
+// TestManyEntriesPutOffWhatGatesDoNotNeed commits plans one after the other:
+// gates get the first at once, the second within the time allowed, and a
+// failure domain taken out at once.
+func TestManyEntriesPutOffWhatGatesDoNotNeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(gapEntries+2, 8, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		f.start(ctx)
+		synctest.Wait()
+		plan := &wire.Record{Value: &wire.Record_Plan{Plan: &wire.Plan{Name: "crew"}}}
+		sequence := f.commit(ctx, 1, f.entries[0], "plan/crew", plan)
+		synctest.Wait()
+		is.Equal(f.behind(sequence), 0)
+		sequence = f.commit(ctx, 2, f.entries[0], "plan/crew", plan)
+		synctest.Wait()
+		is.Equal(f.behind(sequence), 8) // entries have it, sidecars wait
+		time.Sleep(lazyAfter + time.Second)
+		synctest.Wait()
+		is.Equal(f.behind(sequence), 0)
+		f.commit(ctx, 3, f.entries[0], "plan/crew", plan)
+		sequence = f.change(ctx, 4, f.entries[0])
+		synctest.Wait()
+		is.Equal(f.behind(sequence), 0) // a gate needs this one
+		cancel()
+		f.stop()
+		time.Sleep(time.Minute)
+	})
+}
+
 func TestChangeReachesAll(t *testing.T) {
 	for name, copies := range map[string]int{"by all that hear": 0, "by one": 1} {
 		t.Run(name, func(t *testing.T) {
--- a/entry/internal/gossiper/spread.go
+++ b/entry/internal/gossiper/spread.go
@@ -4,7 +4,10 @@
 	"cmp"
 	"context"
 	"slices"
+	"strings"
+	"time"
 
+	"bamboohill/core/keeper"
 	"bamboohill/core/ranker"
 	"bamboohill/core/watcher"
 	"bamboohill/wire"
@@ -33,19 +36,42 @@
 	})
 }
 
+// lazyAfter lies between two pushes to one sidecar when entries are many,
+// unless a change is urgent. It is within the time that a change may take.
+const lazyAfter = 6 * time.Second
+
+// urgent reports whether a gate decides by one of the changes: what is in
+// service and who is pardoned. Accounts and plans are looked at by entries.
+func urgent(batch *wire.Batch) bool {
+	return slices.ContainsFunc(batch.GetChanges(), func(c *wire.Change) bool {
+		kind, _, _ := strings.Cut(c.GetKey(), "/")
+		return kind == keeper.KindDomain || kind == keeper.KindVM || kind == keeper.KindPardon
+	})
+}
+
 // spreadLoop pushes to sidecars whenever this entry's configuration or view
-// has changed.
+// has changed, and what was put off when its time has come.
 func (g *Gossiper) spreadLoop(ctx context.Context) {
+	t := time.NewTicker(g.config.Every)
+	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-t.C:
 		case <-g.wake:
-			g.pushServers(ctx)
 		}
+		g.pushServers(ctx)
 	}
 }
 
+// due reports whether a sidecar that is behind is to be pushed to now; the
+// lock is held.
+func (g *Gossiper) due(s watcher.Server, state *keeper.State, now time.Time) bool {
+	m := g.sent[s.GetServer()]
+	return len(g.roster.all) < gapEntries || m.boot != s.GetBoot() || now.Sub(m.at) >= lazyAfter || urgent(state.Since(g.taken(s)))
+}
+
 // pushServers pushes the configuration in force to the sidecars that are
 // behind it.
 func (g *Gossiper) pushServers(ctx context.Context) {
@@ -53,10 +79,11 @@
 	entries := append(g.Live(), g.config.Address)
 	behind := map[string]watcher.Server{}
 	after := map[string]uint64{}
+	now := time.Now()
 	var addresses []string
 	g.mu.Lock()
 	for _, s := range g.config.Watcher.View().Servers {
-		if g.taken(s) < state.Sequence && g.mine(s.GetServer(), entries) {
+		if g.taken(s) < state.Sequence && g.mine(s.GetServer(), entries) && g.due(s, state, now) {
 			behind[s.GetAddress()] = s
 			after[s.GetAddress()] = g.taken(s)
 			addresses = append(addresses, s.GetAddress())
@@ -74,7 +101,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if err == nil {
-			g.sent[s.GetServer()] = mark{boot: s.GetBoot(), sequence: reply.GetSequence()}
+			g.sent[s.GetServer()] = mark{boot: s.GetBoot(), sequence: reply.GetSequence(), at: now}
 		}
 	})
 }
--- a/sidecar/internal/reporter/reporter.go
+++ b/sidecar/internal/reporter/reporter.go
@@ -98,6 +98,7 @@
 // Beat sends one report to the chosen entries and waits for their replies.
 func (r *Reporter) Beat(ctx context.Context) {
 	report := r.config.Report()
+	report.EveryMs = r.config.Every.Milliseconds()
 	var all sync.WaitGroup
 	for _, address := range r.pick(report.GetServer()) {
 		all.Go(func() { r.send(ctx, address, report) })
--- a/sidecar/internal/server/crash.go
+++ b/sidecar/internal/server/crash.go
@@ -83,7 +83,7 @@
 // suspects comes here, what it lacks goes there.
 func (s *Server) heard(address string, reply *wire.BeatReply) {
 	if s.keeper.Heard(reply.GetSequence()) {
-		s.catchUp(reply.GetSequence())
+		s.catchUp(reply.GetSequence(), address)
 	}
 	for _, a := range reply.GetSuspects() {
 		s.suspects.Hear(a)
--- a/sidecar/internal/server/propose.go
+++ b/sidecar/internal/server/propose.go
@@ -40,7 +40,7 @@
 		Request: p.GetRequest(), Attempt: p.GetAttempt(), Position: p.GetPosition(), Sink: w, Flush: func() { flusher.Flush() },
 	})
 	if s.keeper.Heard(p.GetSequence()) {
-		s.catchUp(p.GetSequence())
+		s.catchUp(p.GetSequence(), p.GetEntry())
 	}
 	if refused := s.enter(p); refused != nil {
 		refused.Report = s.Report()
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -140,11 +140,12 @@
 	}
 }
 
-// catchUp brings this sidecar to a sequence number, within a bound.
-func (s *Server) catchUp(sequence uint64) {
+// catchUp brings this sidecar to a sequence number that an entry has in force,
+// within a bound.
+func (s *Server) catchUp(sequence uint64, entry string) {
 	ctx, cancel := context.WithTimeout(context.Background(), statusLimit)
 	defer cancel()
-	s.keeper.CatchUp(ctx, sequence)
+	s.keeper.CatchUp(ctx, sequence, entry)
 }
 
 // Run serves until the context ends, then leaves; see leave.
