--- a/operator/internal/runner/runner.go
+++ b/operator/internal/runner/runner.go
@@ -7,9 +7,12 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"strings"
 	"time"
@@ -136,6 +139,7 @@
 				Name: "entry", Usage: "an entry's `IP:PORT` or URL; tried in turn", Sources: cli.EnvVars("BAMBOOHILL_ENTRIES"),
 			},
 			&cli.StringFlag{Name: "key-file", Usage: "`FILE` with the operator key, else BAMBOOHILL_KEY", Sources: cli.EnvVars("BAMBOOHILL_KEY_FILE")},
+			&cli.StringFlag{Name: "ca-file", Usage: "`FILE` with the certificates that entries behind https are checked against", Sources: cli.EnvVars("BAMBOOHILL_CA_FILE")},
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Usage: "table or json", Value: printer.Table},
 		},
 		Commands: []*cli.Command{
@@ -172,11 +176,32 @@
 		if len(entries) == 0 {
 			return &UsageError{Text: "name an entry with --entry or BAMBOOHILL_ENTRIES"}
 		}
-		s := &session{Caller: caller.New(caller.Config{Entries: entries, Key: key}), Printer: p, command: c}
+		client, err := client(c.String("ca-file"))
+		if err != nil {
+			return err
+		}
+		s := &session{Caller: caller.New(caller.Config{Entries: entries, Key: key, Client: client}), Printer: p, command: c}
 		return do(ctx, s, c.Args().Slice())
 	}
 }
 
+// client returns an HTTP client that trusts the certificates in a file, or the
+// machine's own if none is named.
+func client(file string) (*http.Client, error) {
+	if file == "" {
+		return &http.Client{}, nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &UsageError{Text: err.Error()}
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, &UsageError{Text: file + " holds no certificate in PEM form"}
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}}, nil
+}
+
 // operatorKey reads the key from its file or the environment, never from the
 // command line, which other users of the machine can see.
 func operatorKey(c *cli.Command) (string, error) {
--- a/operator/internal/runner/runner_test.go
+++ b/operator/internal/runner/runner_test.go
@@ -81,6 +81,8 @@
 		"no name":                 {ok, "secret", "domain out", ExitUsage, "wants NAME"},
 		"two names":               {ok, "secret", out + " lekki", ExitUsage, "wants NAME"},
 		"unknown flag":            {ok, "secret", out + " --fast", ExitUsage, "fast"},
+		"ca file is none":         {ok, "secret", "--ca-file runner.go status", ExitUsage, "no certificate"},
+		"ca file is away":         {ok, "secret", "--ca-file absent.pem status", ExitUsage, "absent.pem"},
 		"unknown output":          {ok, "secret", "--output xml status", ExitUsage, "table or json"},
 		"key made":                {ok, "secret", "key create balloon", ExitOK, "key    bh-"},
 	} {
--- a/operator/internal/runner/status.go
+++ b/operator/internal/runner/status.go
@@ -54,21 +54,24 @@
 		return err
 	}
 	s.Say("in force %d/%d entries, %d/%d sidecars", f.Entries.InForce, f.Entries.Total, f.Sidecars.InForce, f.Sidecars.Total)
-	for role, t := range map[string]tally{"entry": f.Entries, "sidecar": f.Sidecars} {
-		for _, b := range t.Behind {
-			word := fmt.Sprintf("at change %d", b.Sequence)
-			if b.Silent {
-				word = "does not answer"
-			}
-			s.Say("behind: %s %s %s", role, b.Name, word)
-		}
-	}
+	s.sayBehind("entry", f.Entries)
+	s.sayBehind("sidecar", f.Sidecars)
 	if !f.all() {
 		return &BehindError{Sequence: f.Sequence}
 	}
 	return nil
 }
 
+func (s *session) sayBehind(role string, t tally) {
+	for _, b := range t.Behind {
+		word := fmt.Sprintf("at change %d", b.Sequence)
+		if b.Silent {
+			word = "does not answer"
+		}
+		s.Say("behind: %s %s %s", role, b.Name, word)
+	}
+}
+
 func inForceCommand() *cli.Command {
 	return &cli.Command{
 		Name: "in-force", Usage: "where a change is in force, the newest if none is named",
@@ -109,6 +112,17 @@
 	} `json:"servers"`
 }
 
+// unbounded is the least free memory in tokens that means none is counted, as
+// beside a plain service.
+const unbounded = 1 << 60
+
+func free(tokens int64) string {
+	if tokens >= unbounded {
+		return "-"
+	}
+	return strconv.FormatInt(tokens, 10)
+}
+
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name: "status", Usage: "what an entry knows of the system",
@@ -122,7 +136,7 @@
 			for _, v := range y.Servers {
 				state := strings.ToLower(strings.TrimPrefix(v.State, "STATE_"))
 				table = append(table, []string{
-					v.Server, v.VM, v.Domain, state, v.Health, fmt.Sprintf("%d/%d", v.Running, v.Limit), strconv.FormatInt(v.Free, 10),
+					v.Server, v.VM, v.Domain, state, v.Health, fmt.Sprintf("%d/%d", v.Running, v.Limit), free(v.Free),
 					strconv.FormatUint(v.Sequence, 10),
 				})
 			}
