Tests: a cut that goes one way, and an entry that leaves

Cause: asking silent servers and leaving entries had no test over calls.

Each rule of gone, held and forgotten was taken out in turn on a scratch copy, and a test failed each time.

--- a/entry/internal/gossiper/gossiper_test.go
+++ b/entry/internal/gossiper/gossiper_test.go
@@ -259,3 +259,54 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestCutOneWay loses the heartbeats of two servers; one still answers when it
+// is asked, the other does not.
+func TestCutOneWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 4, 0)
+		w := watcher.New(watcher.Config{})
+		defer w.Stop()
+		g := New(Config{Address: "10.0.0.0:1", Boot: 1, Keeper: f.entries[0].keeper, Watcher: w, Sidecars: f.net.peer()})
+		hear := func(from int) {
+			for _, s := range f.sidecars[from:] {
+				report, _ := s.Inspect(t.Context(), nil)
+				w.Hear(report)
+			}
+		}
+		hear(0)
+		f.net.setCut(f.sidecars[0].address, true)
+		for range 10 {
+			time.Sleep(time.Second)
+			hear(2)
+			g.Round(t.Context())
+			synctest.Wait()
+		}
+		is.Equal(len(w.View().Servers), 3)
+		is.Equal(len(w.View().Gone), 1)
+		is.Equal(w.View().Gone[0].GetServer(), f.sidecars[0].name)
+		f.stop()
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestLeavingEntryIsNotLive lets one entry say that it stops.
+func TestLeavingEntryIsNotLive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(4, 0, 0)
+		ctx, cancel := context.WithCancel(t.Context())
+		f.start(ctx)
+		is.Equal(len(f.entries[0].gossip.Live()), 3)
+		f.entries[3].gossip.Leave(ctx)
+		synctest.Wait()
+		for _, e := range f.entries[:3] {
+			is.Equal(len(e.gossip.Live()), 2)
+			is.True(!slices.Contains(e.gossip.Named("s"), f.entries[3].address))
+		}
+		cancel()
+		f.stop()
+		time.Sleep(time.Minute)
+	})
+}
