--- a/entry/internal/gossiper/gossiper_test.go
+++ b/entry/internal/gossiper/gossiper_test.go
@@ -280,6 +280,7 @@
 		for range 10 {
 			time.Sleep(time.Second)
 			hear(2)
+			w.Fail("s1") // a proposal was lost too, but it answers
 			g.Round(t.Context())
 			synctest.Wait()
 		}
@@ -291,6 +292,32 @@
 	})
 }
 
+// TestRestartedSidecarIsPushedTo lets a sidecar that took a change start again
+// with nothing.
+func TestRestartedSidecarIsPushedTo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2, 1, 0)
+		ctx, cancel := context.WithCancel(t.Context())
+		f.start(ctx)
+		f.change(ctx, 1, f.entries[0])
+		synctest.Wait()
+		s := f.sidecars[0]
+		is.Equal(s.keeper.State().Sequence, uint64(1))
+		s.keeper.Stop()
+		s.keeper = keeper.New(keeper.Config{Table: f.table})
+		f.table.setDown(true)
+		f.entries[0].watcher.Hear(&wire.Report{Server: s.name, Address: s.address, Boot: 2, Serial: 1})
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		is.Equal(s.keeper.State().Sequence, uint64(1))
+		cancel()
+		f.stop()
+		s.keeper.Stop()
+		time.Sleep(time.Minute)
+	})
+}
+
 // TestLeavingEntryIsNotLive lets one entry say that it stops.
 func TestLeavingEntryIsNotLive(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
