Catch up from peers first, so that a hung store holds nobody up

Change: Keeper.CatchUp asks the entry at hand, then peers at large, then the store, the first two under a turn of their own; Config.Near is gone. The survey looks at its own sidecars last. Scenario: an entry paused while every failure domain goes out is refused by the gates when it goes on.

Before: TestCatchUpDoesNotWaitForAHungStore waits for the store's hour; after: at once.

--- a/core/keeper/fetch.go
+++ b/core/keeper/fetch.go
@@ -90,39 +90,52 @@
 
 // CatchUp returns once this process has at least a sequence number in force.
 // It asks the peers at the given addresses first, which are likely to have it,
-// then store and peers at large. Calls at the same time share the work. The
+// then peers at large, then the store. Calls at the same time share the work,
+// and none waits for a store that hangs while a peer has what is wanted. The
 // error is a *BehindError.
 func (k *Keeper) CatchUp(ctx context.Context, sequence uint64, near ...string) error {
 	if k.State().Sequence >= sequence {
 		return nil
 	}
 	k.Heard(sequence)
-	if err := take(ctx, k.turn); err != nil {
-		return &BehindError{Have: k.State().Sequence, Want: sequence, Cause: err}
+	cause := errPeers
+	if k.config.Peers != nil {
+		cause = k.share(ctx, k.asking, func() error { return k.ask(ctx, sequence, near) })
 	}
-	defer func() { <-k.turn }()
-	sources := []func(context.Context) error{k.fromStore, k.fromPeers}
-	if k.config.Near {
-		slices.Reverse(sources)
+	if k.State().Sequence < sequence {
+		cause = k.share(ctx, k.turn, func() error {
+			if k.State().Sequence >= sequence {
+				return nil
+			}
+			return k.fromStore(ctx)
+		})
 	}
-	var cause error
-	for _, address := range near {
-		if k.config.Peers != nil && address != "" && k.State().Sequence < sequence {
-			cause = k.pull(ctx, address)
-		}
+	if k.State().Sequence < sequence {
+		return &BehindError{Have: k.State().Sequence, Want: sequence, Cause: cause}
 	}
-	for _, source := range sources {
-		if k.State().Sequence >= sequence {
-			return nil
-		}
-		if err := source(ctx); err != nil {
-			cause = err
+	return nil
+}
+
+// share runs do while nobody else holds the turn.
+func (k *Keeper) share(ctx context.Context, turn chan struct{}, do func() error) error {
+	if err := take(ctx, turn); err != nil {
+		return err
+	}
+	defer func() { <-turn }()
+	return do()
+}
+
+// ask pulls from the near addresses, then from peers at large.
+func (k *Keeper) ask(ctx context.Context, sequence uint64, near []string) error {
+	for _, address := range near {
+		if address != "" && k.State().Sequence < sequence {
+			k.pull(ctx, address)
 		}
 	}
 	if k.State().Sequence >= sequence {
 		return nil
 	}
-	return &BehindError{Have: k.State().Sequence, Want: sequence, Cause: cause}
+	return k.fromPeers(ctx)
 }
 
 // Refresh reads the store until this process has the head in force, and
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -11,13 +11,12 @@
 )
 
 // Config describes a Keeper. Objects may be nil: then only the log is read.
-// Peers may be nil: then only the store is read. Near asks peers before the
-// store, for processes too many to read it. Now is the clock, time.Now if nil.
+// Peers may be nil: then only the store is read. Now is the clock, time.Now if
+// nil.
 type Config struct {
 	Table   storer.Table
 	Objects storer.Objects
 	Peers   Peers
-	Near    bool
 	Now     func() time.Time
 	// Changed is called on the keeper's goroutine after each new state.
 	Changed func(*State)
@@ -31,7 +30,8 @@
 	known     atomic.Uint64
 	started   atomic.Bool
 	born      time.Time
-	turn      chan struct{} // held by the one that reads store or peers
+	turn      chan struct{} // held by the one that reads the store
+	asking    chan struct{} // held by the one that catches up from peers
 	writing   chan struct{} // held by the one that commits
 	owner     *spawner.Ref[offer]
 }
@@ -49,7 +49,7 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
-	k := &Keeper{config: config, turn: make(chan struct{}, 1), writing: make(chan struct{}, 1), born: config.Now()}
+	k := &Keeper{config: config, turn: make(chan struct{}, 1), asking: make(chan struct{}, 1), writing: make(chan struct{}, 1), born: config.Now()}
 	k.state.Store(Empty())
 	k.owner = spawner.Spawn(spawner.Config[offer]{Name: "keeper", Receive: k.receive})
 	return k
--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -126,7 +126,7 @@
 	f := newTable()
 	peer := New(Config{Table: f})
 	defer peer.Stop()
-	k := New(Config{Table: f, Near: true, Peers: &fakePeers{
+	k := New(Config{Table: f, Peers: &fakePeers{
 		all: map[string]*Keeper{"p": peer}, pick: func() []string { t.Error("peers at large were asked"); return nil },
 	}})
 	defer k.Stop()
@@ -138,6 +138,29 @@
 	is.True(!k.Ready())      // one peer's word does not start a process
 }
 
+func TestCatchUpDoesNotWaitForAHungStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTable()
+		peer := New(Config{Table: f})
+		defer peer.Stop()
+		k := New(Config{Table: f, Peers: &fakePeers{all: map[string]*Keeper{"p": peer}, pick: func() []string { return []string{"p"} }}})
+		defer k.Stop()
+		is.NoErr(k.Refresh(t.Context()))
+		put(t, f, 1)
+		is.NoErr(peer.Refresh(t.Context()))
+		f.mu.Lock()
+		f.delay = time.Hour
+		f.mu.Unlock()
+		go k.Refresh(t.Context())
+		synctest.Wait()
+		start := time.Now()
+		is.NoErr(k.CatchUp(t.Context(), 1))
+		is.True(time.Since(start) < time.Second)
+		time.Sleep(3 * time.Hour)
+	})
+}
+
 func TestGapIsFilled(t *testing.T) {
 	is := is.New(t)
 	f := newTable()
--- a/entry/internal/gossiper/gossiper_test.go
+++ b/entry/internal/gossiper/gossiper_test.go
@@ -94,7 +94,7 @@
 	peer := f.net.peer()
 	s := &sidecar{name: name, address: address}
 	s.keeper = keeper.New(keeper.Config{
-		Table: f.table, Near: true, Peers: puller.New(puller.Config{Addresses: func() []string { return entries }, Peer: peer}),
+		Table: f.table, Peers: puller.New(puller.Config{Addresses: func() []string { return entries }, Peer: peer}),
 	})
 	mux := http.NewServeMux()
 	mux.Handle(wire.GatePathPrefix, wire.NewGateServer(s))
--- a/entry/internal/gossiper/spread.go
+++ b/entry/internal/gossiper/spread.go
@@ -148,7 +148,6 @@
 			}
 		}
 	}
-	add(g.standings())
 	entries = []Standing{{Name: g.config.Address, Sequence: g.config.Keeper.State().Sequence}}
 	known := g.surveyed()
 	answers := make(chan *wire.Greeting, len(known))
@@ -160,6 +159,8 @@
 			silent <- a
 		}
 	})
+	// Looked at last: those that do not answer have taken their time.
+	add(g.standings())
 	close(answers)
 	close(silent)
 	for w := range answers {
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -123,7 +123,7 @@
 func (s *Server) configuration() keeper.Config {
 	set := s.config.Settings
 	config := keeper.Config{
-		Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Near: true, Changed: s.suspects.Pardon,
+		Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Changed: s.suspects.Pardon,
 		Peers: puller.New(puller.Config{Addresses: s.reporter.Known, Peer: s.peer}),
 	}
 	if set.Platform.Objects != "" {
