Entries tell each other of servers whose models they hear few of

Cause: a sidecar beats to 4 entries. Of 340 entries and 12,000 servers an entry hears 141, about 7 of a model that 1 in 21 offers, but 0.2 of a model with 20 servers: such a model's requests would find nobody at most entries.

Change: a greeting names models of the plans with fewer than 4 servers in view; the reply carries up to 8 reports. Of many entries one pushes a change to a sidecar, two if it is urgent.

--- a/entry/internal/gossiper/gossiper.go
+++ b/entry/internal/gossiper/gossiper.go
@@ -31,8 +31,8 @@
 }
 
 // Config describes a Gossiper. The zero Every greets each second, the zero
-// Limit gives a call one second, the zero Copies pushes changes to every
-// sidecar heard. List, Accuse and Borrow may be nil; nil Entries and Sidecars
+// Limit gives a call one second, the zero Copies suits the number of
+// entries. List, Accuse and Borrow may be nil; nil Entries and Sidecars
 // connect without TLS.
 type Config struct {
 	Address string // this entry's inner address
@@ -43,8 +43,8 @@
 	Watcher *watcher.Watcher
 	Every   time.Duration
 	Limit   time.Duration
-	// Copies is how many of the entries that hear a sidecar push to it, by
-	// rendezvous rank among live entries; 0 means all.
+	// Copies is how many entries push to one sidecar, by rank among live ones; 0
+	// means all of a few, and one or two of many.
 	Copies   int
 	Entries  *certifier.Peer
 	Sidecars *certifier.Peer
@@ -165,6 +165,13 @@
 	return g.config.Every * time.Duration(max(1, len(g.roster.all)/gapEntries))
 }
 
+// shuffle puts n things in random order.
+func (g *Gossiper) shuffle(n int, swap func(i, j int)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.random.Shuffle(n, swap)
+}
+
 func (g *Gossiper) jitter(most time.Duration) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -235,6 +242,7 @@
 func (g *Gossiper) greet(ctx context.Context, address string, ask bool) *wire.Greeting {
 	mine := g.greeting()
 	mine.Ask = ask
+	mine.Wants = g.wants()
 	reply, err := g.peer(address).Greet(ctx, mine)
 	now := time.Now()
 	if err != nil {
@@ -244,6 +252,9 @@
 		return nil
 	}
 	g.take(reply, now)
+	for _, r := range reply.GetReports() {
+		g.config.Watcher.Hear(r)
+	}
 	return reply
 }
 
--- a/entry/internal/gossiper/serve.go
+++ b/entry/internal/gossiper/serve.go
@@ -41,6 +41,7 @@
 func (s service) Greet(_ context.Context, w *wire.Greeting) (*wire.Greeting, error) {
 	s.g.take(w, time.Now())
 	reply := s.g.greeting()
+	reply.Reports = s.g.offering(w.GetWants())
 	if w.GetAsk() {
 		reply.Standings = s.g.standings()
 	}
--- a/entry/internal/gossiper/spread.go
+++ b/entry/internal/gossiper/spread.go
@@ -65,11 +65,29 @@
 	}
 }
 
-// due reports whether a sidecar that is behind is to be pushed to now; the
-// lock is held.
-func (g *Gossiper) due(s watcher.Server, state *keeper.State, now time.Time) bool {
+// due reports whether this entry is to push to a sidecar that is behind, now;
+// the lock is held.
+func (g *Gossiper) due(s watcher.Server, state *keeper.State, entries []string, now time.Time) bool {
+	hurry := urgent(state.Since(g.taken(s)))
+	if !ranker.Among(s.GetServer(), entries, g.config.Address, g.copies(hurry)) {
+		return false
+	}
 	m := g.sent[s.GetServer()]
-	return len(g.roster.all) < gapEntries || m.boot != s.GetBoot() || now.Sub(m.at) >= lazyAfter || urgent(state.Since(g.taken(s)))
+	return hurry || len(g.roster.all) < gapEntries || m.boot != s.GetBoot() || now.Sub(m.at) >= lazyAfter
+}
+
+// copies is how many entries push to one sidecar: as Config says, else all
+// while they are few, one when they are many, and two what is urgent.
+func (g *Gossiper) copies(hurry bool) int {
+	switch {
+	case g.config.Copies > 0:
+		return g.config.Copies
+	case len(g.roster.all) < gapEntries:
+		return len(g.roster.all) + 1
+	case hurry:
+		return 2
+	}
+	return 1
 }
 
 // pushServers pushes the configuration in force to the sidecars that are
@@ -83,7 +101,7 @@
 	var addresses []string
 	g.mu.Lock()
 	for _, s := range g.config.Watcher.View().Servers {
-		if g.taken(s) < state.Sequence && g.mine(s.GetServer(), entries) && g.due(s, state, now) {
+		if g.taken(s) < state.Sequence && g.due(s, state, entries, now) {
 			behind[s.GetAddress()] = s
 			after[s.GetAddress()] = g.taken(s)
 			addresses = append(addresses, s.GetAddress())
@@ -106,11 +124,6 @@
 	})
 }
 
-// mine reports whether this entry is among those that push to a server.
-func (g *Gossiper) mine(server string, entries []string) bool {
-	return g.config.Copies <= 0 || ranker.Among(server, entries, g.config.Address, g.config.Copies)
-}
-
 // Named returns the entries that a heartbeat's reply names to a server: this
 // one and the others that rank first for it, a few more than it beats to.
 func (g *Gossiper) Named(server string) []string {
--- /dev/null
+++ b/entry/internal/gossiper/want_test.go
@@ -0,0 +1,81 @@
+package gossiper
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bamboohill/wire"
+
+	"github.com/matryer/is"
+)
+
+// load lets every entry hear which model its servers offer: s0, s1 and s10 to
+// s14 a rare one.
+func (f *fleet) load() {
+	for _, e := range f.entries {
+		for _, s := range e.watcher.View().Servers {
+			model := "common"
+			if s.GetServer() < "s15" {
+				model = "rare"
+			}
+			e.watcher.Hear(&wire.Report{
+				Server: s.GetServer(), Address: s.GetAddress(), Boot: 1, Serial: 9, Domain: s.GetDomain(),
+				Offers: []*wire.Offer{{Model: model}},
+			})
+		}
+	}
+}
+
+// offering returns how many servers with a model an entry knows.
+func (e *entry) offering(model string) int {
+	n := 0
+	for _, s := range e.watcher.View().Servers {
+		if slices.ContainsFunc(s.GetOffers(), func(o *wire.Offer) bool { return o.GetModel() == model }) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestRareModelIsFound lets each of 20 entries hear 4 in 20 of the servers, of
+// which 6 offer a rare model.
+func TestRareModelIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(20, 40, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		f.start(ctx)
+		plan := &wire.Plan{Name: "crew", Offers: []*wire.Offer{{Model: "rare"}, {Model: "common"}, {Model: anyModelName}}}
+		f.commit(ctx, 1, f.entries[0], "plan/crew", &wire.Record{Value: &wire.Record_Plan{Plan: plan}})
+		synctest.Wait()
+		f.load()
+		synctest.Wait()
+		fewest := func(model string) int {
+			least := 99
+			for _, e := range f.entries {
+				least = min(least, e.offering(model))
+			}
+			return least
+		}
+		is.True(fewest("rare") < 2) // by heartbeats alone
+		rounds := 0
+		for ; rounds < 30 && fewest("rare") < wantServers; rounds++ {
+			for _, e := range f.entries {
+				e.gossip.Round(ctx)
+			}
+			synctest.Wait()
+		}
+		t.Log(fmt.Sprint("entries=20 rounds=", rounds))
+		is.True(fewest("rare") >= wantServers)
+		for _, e := range f.entries {
+			is.True(!slices.Contains(e.gossip.wants(), "rare")) // and asks no more
+		}
+		cancel()
+		f.stop()
+		time.Sleep(time.Minute)
+	})
+}
