Show configuration and membership at /debug/vars and in the log

Cause: nothing outside the administration API told how old an entry's configuration is, or which entries come and go.

Change: variables configuration_sequence, _known, _age_ms, _ready, entries_live, _known, servers_offered, _gone; events configuration, entry_gone and entry_back.

--- a/entry/internal/gossiper/gossiper.go
+++ b/entry/internal/gossiper/gossiper.go
@@ -12,6 +12,8 @@
 	"bamboohill/core/storer"
 	"bamboohill/core/watcher"
 	"bamboohill/wire"
+
+	"github.com/phuslu/log"
 )
 
 // Defaults of Config.
@@ -32,7 +34,7 @@
 
 // Config describes a Gossiper. The zero Every greets each second, the zero
 // Limit gives a call one second, the zero Copies suits the number of
-// entries. List, Accuse and Borrow may be nil; nil Entries and Sidecars
+// entries. List, Log, Accuse and Borrow may be nil; nil Entries and Sidecars
 // connect without TLS.
 type Config struct {
 	Address string // this entry's inner address
@@ -48,6 +50,7 @@
 	Copies   int
 	Entries  *certifier.Peer
 	Sidecars *certifier.Peer
+	Log      *log.Logger
 	// Accuse takes a crash suspect that another entry tells of.
 	Accuse func(*wire.Accusation)
 	// Borrow lends a share of an account's limits to another entry.
@@ -208,8 +211,11 @@
 	g.each(ctx, targets, func(ctx context.Context, a string) { g.greet(ctx, a, false) })
 	g.probe(ctx)
 	g.mu.Lock()
-	g.roster.judge(time.Now())
+	gone := g.roster.judge(time.Now())
 	g.mu.Unlock()
+	for _, a := range gone {
+		g.note("entry_gone", a)
+	}
 	g.config.Watcher.Tick()
 	g.Wake()
 }
@@ -277,7 +283,9 @@
 		return
 	}
 	g.mu.Lock()
-	g.roster.hear(&wire.Member{Address: w.GetAddress(), Boot: w.GetBoot(), Leaving: w.GetLeaving()}, now, now)
+	if g.roster.hear(&wire.Member{Address: w.GetAddress(), Boot: w.GetBoot(), Leaving: w.GetLeaving()}, now, now) {
+		defer g.note("entry_back", w.GetAddress())
+	}
 	for _, m := range w.GetMembers() {
 		g.roster.hear(m, now.Add(-time.Duration(m.GetAgeMs())*time.Millisecond), now)
 	}
@@ -288,6 +296,13 @@
 	}
 }
 
+// note writes one event about an entry to the log.
+func (g *Gossiper) note(event, address string) {
+	if g.config.Log != nil {
+		g.config.Log.Info().Str("event", event).Str("entry", address).Msg("")
+	}
+}
+
 // Behind notes that some process has a sequence number in force, and catches
 // up beside the caller's work if this entry is behind it.
 func (g *Gossiper) Behind(sequence uint64) {
--- a/entry/internal/gossiper/roster.go
+++ b/entry/internal/gossiper/roster.go
@@ -69,11 +69,11 @@
 
 // hear takes one report of a member that was heard at a time. A report of an
 // older boot or an older hearing is dropped; one of a newer boot ends the
-// member's leaving.
-func (r *roster) hear(w *wire.Member, at, now time.Time) {
+// member's leaving. It reports whether the member was gone and is back.
+func (r *roster) hear(w *wire.Member, at, now time.Time) bool {
 	m := r.name(w.GetAddress(), false)
 	if m == nil || w.GetBoot() < m.boot || w.GetBoot() == m.boot && !at.After(m.heard) {
-		return
+		return false
 	}
 	back := !m.gone.IsZero()
 	if w.GetBoot() > m.boot {
@@ -82,17 +82,18 @@
 	m.boot = w.GetBoot()
 	m.leaving = m.leaving || w.GetLeaving()
 	if !at.After(m.heard) {
-		return
+		return false
 	}
 	m.heard = at
 	if now.Sub(at) > silenceAfter {
-		return
+		return false
 	}
 	m.gone = time.Time{}
 	m.failed = time.Time{}
 	if back {
 		m.hold(now)
 	}
+	return back
 }
 
 // hold keeps a member that came back out of the live ones for a while, longer
@@ -114,26 +115,29 @@
 
 // judge marks the members that are gone and forgets those gone for long. While
 // most members are gone at once this entry may be the one that is cut off, and
-// nobody is forgotten.
-func (r *roster) judge(now time.Time) {
+// nobody is forgotten. It returns who has just gone.
+func (r *roster) judge(now time.Time) []string {
+	var left []string
 	gone := 0
 	for _, m := range r.all {
 		silent := now.Sub(m.heard) > silenceAfter
 		if silent && !m.failed.IsZero() && m.gone.IsZero() {
 			m.gone = now
+			left = append(left, m.address)
 		}
 		if !m.gone.IsZero() {
 			gone++
 		}
 	}
 	if 2*gone > len(r.all) {
-		return
+		return left
 	}
 	for address, m := range r.all {
 		if !m.fixed && !m.gone.IsZero() && now.Sub(m.gone) > forgetAfter {
 			delete(r.all, address)
 		}
 	}
+	return left
 }
 
 func (m *member) live(now time.Time) bool {
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -106,6 +106,7 @@
 		Table: s.table,
 		Peers: puller.New(puller.Config{Addresses: func() []string { return s.gossiper.Known() }, Self: set.Inner, Peer: entries}),
 		Changed: func(state *keeper.State) {
+			s.config.Log.Info().Str("event", "configuration").Uint64("sequence", state.Sequence).Msg("")
 			s.suspects.Pardon(state)
 			s.gossiper.Wake()
 		},
@@ -115,7 +116,7 @@
 	}
 	s.keeper = keeper.New(config)
 	members := gossiper.Config{
-		Address: set.Inner, Boot: s.boot, Seeds: set.Entries, Keeper: s.keeper, Watcher: s.watcher,
+		Address: set.Inner, Boot: s.boot, Seeds: set.Entries, Keeper: s.keeper, Watcher: s.watcher, Log: s.config.Log,
 		Accuse:  func(a *wire.Accusation) { s.suspects.Hear(a) },
 		Entries: entries, Sidecars: certifier.NewPeer(s.certs, certifier.Sidecar),
 	}
@@ -123,6 +124,7 @@
 		members.List = storer.NewVMs(storer.Config{Address: set.Platform.List})
 	}
 	s.gossiper = gossiper.New(members)
+	s.publish()
 }
 
 // accuse tells the other entries of a crash suspect.
