--- a/core/keeper/fetch.go
+++ b/core/keeper/fetch.go
@@ -35,6 +35,9 @@
 // answers.
 const patience = 5 * time.Second
 
+// startPause lies between two tries to start.
+const startPause = 200 * time.Millisecond
+
 // Evidence is what a process that starts without the store knows.
 type Evidence struct {
 	Known   int           // peers
@@ -86,33 +89,53 @@
 }
 
 // CatchUp returns once this process has at least a sequence number in force.
-// Calls at the same time share the work. The error is a *BehindError.
-func (k *Keeper) CatchUp(ctx context.Context, sequence uint64) error {
+// It asks the peers at the given addresses first, which are likely to have it,
+// then peers at large, then the store. Calls at the same time share the work,
+// and none waits for a store that hangs while a peer has what is wanted. The
+// error is a *BehindError.
+func (k *Keeper) CatchUp(ctx context.Context, sequence uint64, near ...string) error {
 	if k.State().Sequence >= sequence {
 		return nil
 	}
 	k.Heard(sequence)
-	if err := take(ctx, k.turn); err != nil {
-		return &BehindError{Have: k.State().Sequence, Want: sequence, Cause: err}
+	cause := errPeers
+	if k.config.Peers != nil {
+		cause = k.share(ctx, k.asking, func() error { return k.ask(ctx, sequence, near) })
 	}
-	defer func() { <-k.turn }()
-	sources := []func(context.Context) error{k.fromStore, k.fromPeers}
-	if k.config.Near {
-		slices.Reverse(sources)
-	}
-	var cause error
-	for _, source := range sources {
-		if k.State().Sequence >= sequence {
-			return nil
-		}
-		if err := source(ctx); err != nil {
-			cause = err
+	if k.State().Sequence < sequence {
+		cause = k.share(ctx, k.turn, func() error {
+			if k.State().Sequence >= sequence {
+				return nil
+			}
+			return k.fromStore(ctx)
+		})
+	}
+	if k.State().Sequence < sequence {
+		return &BehindError{Have: k.State().Sequence, Want: sequence, Cause: cause}
+	}
+	return nil
+}
+
+// share runs do while nobody else holds the turn.
+func (k *Keeper) share(ctx context.Context, turn chan struct{}, do func() error) error {
+	if err := take(ctx, turn); err != nil {
+		return err
+	}
+	defer func() { <-turn }()
+	return do()
+}
+
+// ask pulls from the near addresses, then from peers at large.
+func (k *Keeper) ask(ctx context.Context, sequence uint64, near []string) error {
+	for _, address := range near {
+		if address != "" && k.State().Sequence < sequence {
+			k.pull(ctx, address)
 		}
 	}
 	if k.State().Sequence >= sequence {
 		return nil
 	}
-	return &BehindError{Have: k.State().Sequence, Want: sequence, Cause: cause}
+	return k.fromPeers(ctx)
 }
 
 // Refresh reads the store until this process has the head in force, and
@@ -234,8 +257,8 @@
 
 // Poll refreshes until the context ends, at gaps drawn between half and one
 // and a half times every, so that processes started together drift apart.
-// Until the first success it tries at a tenth of that. After each try it calls
-// done with its error.
+// Until this process is ready it tries more often. After each try it calls done
+// with its error.
 func (k *Keeper) Poll(ctx context.Context, every time.Duration, done func(error)) {
 	for ctx.Err() == nil {
 		err := k.Refresh(ctx)
@@ -244,7 +267,7 @@
 		}
 		gap := every
 		if !k.Ready() {
-			gap = every / 10
+			gap = min(every, startPause)
 		}
 		if pause(ctx, gap/2+time.Duration(rand.Int64N(int64(gap)+1))) != nil {
 			return
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -114,6 +114,7 @@
 		Table: s.table,
 		Peers: puller.New(puller.Config{Addresses: func() []string { return s.gossiper.Known() }, Self: set.Inner, Peer: entries}),
 		Changed: func(state *keeper.State) {
+			s.config.Log.Info().Str("event", "configuration").Uint64("sequence", state.Sequence).Msg("")
 			s.suspects.Pardon(state)
 			s.gossiper.Wake()
 		},
@@ -123,7 +124,7 @@
 	}
 	s.keeper = keeper.New(config)
 	members := gossiper.Config{
-		Address: set.Inner, Boot: s.boot, Seeds: set.Entries, Keeper: s.keeper, Watcher: s.watcher,
+		Address: set.Inner, Boot: s.boot, Seeds: set.Entries, Keeper: s.keeper, Watcher: s.watcher, Log: s.config.Log,
 		Accuse:  func(a *wire.Accusation) { s.suspects.Hear(a) },
 		Entries: entries, Sidecars: certifier.NewPeer(s.certs, certifier.Sidecar),
 	}
@@ -131,6 +132,7 @@
 		members.List = storer.NewVMs(storer.Config{Address: set.Platform.List})
 	}
 	s.gossiper = gossiper.New(members)
+	s.publish()
 }
 
 // accuse tells the other entries of a crash suspect.
@@ -231,7 +233,7 @@
 // Beat implements wire.Heartbeats.
 func (b beats) Beat(_ context.Context, report *wire.Report) (*wire.BeatReply, error) {
 	b.s.watcher.Hear(report)
-	reply := &wire.BeatReply{Suspects: b.s.suspects.Suspects(), Entries: append(b.s.gossiper.Live(), b.s.config.Settings.Inner)}
+	reply := &wire.BeatReply{Suspects: b.s.suspects.Suspects(), Entries: b.s.gossiper.Named(report.GetServer())}
 	if b.s.keeper.Ready() {
 		reply.Sequence = b.s.keeper.State().Sequence
 	}
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -39,6 +39,7 @@
 	maxBody     = 64 << 20 // bytes of one payload
 	statusEvery = 100 * time.Millisecond
 	statusLimit = time.Second
+	lonelyEvery = time.Second      // of the table service while hardly any entry replies
 	pollEvery   = 30 * time.Second // of the table service; changes come by push and heartbeat
 	idleLimit   = time.Minute
 )
@@ -122,7 +123,7 @@
 func (s *Server) configuration() keeper.Config {
 	set := s.config.Settings
 	config := keeper.Config{
-		Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Near: true, Changed: s.suspects.Pardon,
+		Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Changed: s.suspects.Pardon,
 		Peers: puller.New(puller.Config{Addresses: s.reporter.Known, Peer: s.peer}),
 	}
 	if set.Platform.Objects != "" {
@@ -131,11 +132,20 @@
 	return config
 }
 
-// catchUp brings this sidecar to a sequence number, within a bound.
-func (s *Server) catchUp(sequence uint64) {
+// lonely reads the configuration often while fewer than two entries reply to
+// heartbeats: the one that does may itself be cut off.
+func (s *Server) lonely(ctx context.Context) {
+	if s.reporter.Answered() < 2 {
+		s.keeper.Refresh(ctx)
+	}
+}
+
+// catchUp brings this sidecar to a sequence number that an entry has in force,
+// within a bound.
+func (s *Server) catchUp(sequence uint64, entry string) {
 	ctx, cancel := context.WithTimeout(context.Background(), statusLimit)
 	defer cancel()
-	s.keeper.CatchUp(ctx, sequence)
+	s.keeper.CatchUp(ctx, sequence, entry)
 }
 
 // Run serves until the context ends, then leaves; see leave.
@@ -168,6 +178,7 @@
 	}
 	go loop(ctx, statusEvery, s.watchLeaving)
 	go loop(ctx, statusEvery, func(context.Context) { s.attempts.end(s.gate.Expire(time.Now())) })
+	go loop(ctx, lonelyEvery, s.lonely)
 	go loop(ctx, time.Second, s.readList)
 	go s.reporter.Run(ctx)
 }
