Audit of engine memory, tested under seeded faults

Cause: memory that an engine held for nobody (a job whose sidecar died, a cache that was exported or imported and never fetched) was not known to the ledger and never freed.

The tests make such memory in every way that the stand-in allows: orphans, truncated streams, lost answers, freezes, crashes, killed sidecars, gangs that nobody renews, hand-overs. The test that stays runs 30 faults with seeds 0 and 1.

--- /dev/null
+++ b/sidecar/internal/server/memory_test.go
@@ -0,0 +1,143 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"bamboohill/core/generator"
+	"bamboohill/standin/answerer"
+	"bamboohill/standin/faulter"
+	"bamboohill/wire"
+
+	"github.com/matryer/is"
+)
+
+// clean reports whether engine and ledger hold nothing.
+func (r *rig) clean() bool {
+	return r.counts().Used == 0 && r.server.gate.Reserved() == 0 && r.server.gate.Running() == 0
+}
+
+// Memory that the engine holds for nobody is found, counted and freed while
+// the sidecar lives.
+func TestAuditFreesStrangers(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, quick)
+	ctx := context.Background()
+	is.NoErr(r.port.Import(ctx, generator.Cache{Handle: "forgotten", Tokens: 5000}))
+	s, err := r.port.Generate(ctx, generator.Job{ID: "stranger", Model: "base", Prompt: []byte(text(100)), Answer: 40_000})
+	is.NoErr(err)
+	defer s.Close()
+	r.until("counted", func() bool { return r.server.gate.Reserved() == 5000+100+40_000 && r.server.gate.Running() == 1 })
+	r.until("freed", r.clean)
+	is.Equal(r.server.counts.mended.Value(), int64(5000+100+40_000))
+}
+
+// An attempt that the engine does not know is ended, and its place freed.
+func TestAuditEndsLost(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, quick)
+	r.engine.Faults.Set(faulter.Freeze, 1) // the stream stays open and nothing is done
+	p := proposal(50, 40_000)
+	done := make(chan result)
+	go func() { done <- r.send(context.Background(), p, text(50)) }()
+	r.until("entered", func() bool { return r.server.gate.Running() == 1 })
+	r.engine.Faults.Set(faulter.Freeze, 0)
+	r.until("runs", func() bool { return r.counts().Jobs == 1 })
+	is.NoErr(r.port.Cancel(context.Background(), p.GetAttempt()))
+	got := <-done
+	is.True(got.end == nil)
+	r.until("freed", r.clean)
+}
+
+// An exported cache is freed whether or not its new home could use it.
+func TestImportFreed(t *testing.T) {
+	tests := map[string]struct {
+		model string
+		used  bool
+	}{
+		"used":    {"base", true},
+		"refused": {"unknown", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, quick)
+			p := proposal(100, 4)
+			p.Model = test.model
+			p.Imported = "cache"
+			p.Carried = 100
+			got := r.send(context.Background(), p, text(100))
+			is.Equal(got.end != nil, test.used)
+			if test.used {
+				is.Equal(got.end.GetCached(), int64(100))
+			}
+			r.until("freed", r.clean)
+		})
+	}
+}
+
+// After a run of faults of every kind the engine's free memory is what it was
+// at the start, and the ledger is empty.
+func TestFaultsLeaveNoMemory(t *testing.T) {
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			r := newRig(t, quick)
+			random := rand.New(rand.NewPCG(seed, 2))
+			entry := r.server.config.Settings.Entries[0]
+			var all sync.WaitGroup
+			for range 30 {
+				r.disturb(random, entry, &all)
+				time.Sleep(time.Duration(random.IntN(15)) * time.Millisecond)
+			}
+			for _, name := range []string{answerer.Orphan, answerer.Truncate, faulter.Freeze, faulter.Lose} {
+				r.engine.Faults.Set(name, 0)
+			}
+			all.Wait()
+			r.until("free as at the start", r.clean)
+			r.until("in service", func() bool { return r.ask(50, 4).end != nil })
+			if r.counts().Worst > 1 {
+				t.Errorf("offered %v of what it bears", r.counts().Worst)
+			}
+		})
+	}
+}
+
+// disturb does one random thing: work whose caller leaves or stays, a fault, a
+// reservation that nobody renews, a hand-over, a killed sidecar or engine.
+func (r *rig) disturb(random *rand.Rand, entry string, all *sync.WaitGroup) {
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	switch n := random.IntN(20); {
+	case n < 10:
+		left := time.Duration(random.IntN(100)) * time.Millisecond
+		answer := 4 + random.Int64N(200)
+		all.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), left)
+			defer cancel()
+			r.send(ctx, proposal(50, answer), text(50))
+		})
+	case n < 12:
+		names := []string{answerer.Orphan, answerer.Truncate, faulter.Freeze, faulter.Lose}
+		r.engine.Faults.Set(names[random.IntN(len(names))], random.IntN(2)*3)
+	case n < 14:
+		gate{r.server}.Reserve(ctx, &wire.ReserveRequest{
+			Gang: fmt.Sprint(random.Uint64()), Tokens: 1000, LeaseMs: 200, Model: "base",
+		})
+	case n < 15:
+		r.server.handOver(ctx)
+	case n < 16:
+		r.port.Import(ctx, generator.Cache{Handle: fmt.Sprint(random.Uint64()), Tokens: 100})
+	case n < 17:
+		r.engine.Faults.Set(answerer.Crash, 1)
+	case n < 18:
+		r.engine.Faults.Set(answerer.Cold, 1)
+	default:
+		r.end()
+		all.Wait()
+		r.begin(entry)
+	}
+}
