Limits of client accounts over all entries, and fair shares of work

Cause: plans named rates, concurrency and weights that nobody kept.

Change: each account's home entry lends shares under a two-second lease (package limiter: the ledger of the home, the shares of a borrower); the entry's borrower renews them, and takes an equal part if no home answers. Under overload (a second of backlog, long prompts aside) accounts share what the entry serves, weighted by plan. The dispatcher asks the limits first, the chooser second, and estimates lengths by the bytes per token learnt; a refusal by a limit is 429 with when to come back.

Failed first: the ledger forgot an account's loans while lending (a share was lent twice), and small concurrency was lost in parts (no entry got the one slot of a plan); both found by the property test on lent shares.

Conclusion: one large account no longer slows the others; what it sends beyond its part is refused at once.

--- a/core/limiter/fair.go
+++ b/core/limiter/fair.go
@@ -11,23 +11,31 @@
 
 // Defaults of FairConfig.
 const (
-	defaultCalm   = 300 * time.Millisecond
-	defaultMemory = 4 * time.Second
+	defaultCalm   = time.Second
+	defaultMemory = 10 * time.Second
 	defaultDebt   = time.Second
 	defaultLeast  = 10_000.0
 )
 
+// doneMemory is how far back the work that gets done is measured.
+const doneMemory = 4 * time.Second
+
 // levelEvery is how often the fair level is worked out anew.
 const levelEvery = 100 * time.Millisecond
 
-// probe is how much more than the measured work is shared out, so that the
-// measure can rise.
-const probe = 1.05
+// How much of the work measured is shared out, by the backlog: a little more
+// while it is short, so that the measure can rise, and less the longer it is.
+const (
+	probe  = 1.05
+	slope  = 0.1 // less for each further Calm of backlog
+	floor  = 0.6
+	relief = 3 // sharing ends when the backlog is Calm divided by it
+)
 
 // FairConfig describes fair sharing. Zero values mean the defaults.
 type FairConfig struct {
-	Calm   time.Duration // backlog up to which all is let through, 300 ms
-	Memory time.Duration // how far back demand is measured, 4 s
+	Calm   time.Duration // backlog up to which all is let through, 1 s
+	Memory time.Duration // how far back demand is measured, 10 s
 	Debt   time.Duration // of an account's share that it may use ahead, 1 s
 	Least  float64       // least work to share out, in tokens a second, 10,000
 	Off    bool          // share nothing out
@@ -39,8 +47,9 @@
 type fair struct {
 	config   FairConfig
 	pressed  bool
+	backlog  time.Duration
 	claims   map[ider.Account]*claim
-	done     rate    // tokens of work a second let through and not failed
+	done     rate    // tokens of work a second served
 	level    float64 // tokens of work a second for each unit of weight
 	levelled time.Time
 }
@@ -70,7 +79,8 @@
 }
 
 func (f *fair) press(backlog time.Duration) {
-	f.pressed = !f.config.Off && backlog > f.config.Calm
+	f.backlog = backlog
+	f.pressed = !f.config.Off && (backlog > f.config.Calm || f.pressed && backlog > f.config.Calm/relief)
 }
 
 // take returns zero if an account's request may go ahead, else when to come
@@ -88,26 +98,23 @@
 	}
 	if !f.pressed || math.IsInf(f.level, 1) {
 		c.credit, c.filled = 0, now
-		f.done.add(work, now, f.config.Memory)
 		return 0
 	}
 	gets := f.level * c.weight
 	c.credit = min(gets*f.config.Debt.Seconds(), c.credit+gets*max(0, now.Sub(c.filled).Seconds()))
 	c.filled = now
-	if c.credit < 0 {
+	if c.credit < 0 && c.offered.get(now, f.config.Memory) > gets {
 		wait := time.Duration(-c.credit / gets * float64(time.Second))
 		return min(max(wait, time.Second), time.Minute)
 	}
-	c.credit -= work
-	f.done.add(work, now, f.config.Memory)
+	c.credit = max(c.credit-work, -gets*f.config.Memory.Seconds())
 	return 0
 }
 
-// end notes that a request let through has ended. Work that was refused later
-// was not done.
+// end notes that a request let through has ended, and whether it was served.
 func (f *fair) end(work float64, served bool, now time.Time) {
-	if !served {
-		f.done.add(-work, now, f.config.Memory)
+	if served {
+		f.done.add(work, now, doneMemory)
 	}
 }
 
@@ -128,7 +135,7 @@
 		weights += c.weight
 	}
 	slices.SortFunc(demands, func(a, b demand) int { return cmp.Compare(a.wants/a.weight, b.wants/b.weight) })
-	left := probe * max(f.config.Least, f.done.get(now, f.config.Memory))
+	left := f.target() * max(f.config.Least, f.done.get(now, doneMemory))
 	f.level = math.Inf(1)
 	for _, d := range demands {
 		if level := left / weights; d.wants > level*d.weight {
@@ -139,3 +146,9 @@
 		weights -= d.weight
 	}
 }
+
+// target returns the part of the measured work that is shared out.
+func (f *fair) target() float64 {
+	over := f.backlog.Seconds()/f.config.Calm.Seconds() - 1
+	return max(floor, probe-slope*max(0, over))
+}
--- a/core/limiter/home.go
+++ b/core/limiter/home.go
@@ -81,12 +81,12 @@
 func (h *Home) Lend(borrower string, want Want, entries int, now time.Time) Share {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.expire(now)
 	loans := h.accounts[want.Account]
 	if loans == nil {
 		loans = map[string]*loan{}
 		h.accounts[want.Account] = loans
 	}
-	h.expire(now)
 	x := loans[borrower]
 	if x == nil {
 		x = &loan{}
@@ -101,6 +101,9 @@
 	x.share.Rate = part(loans, x, want.Plan.GetRate(), keep, rateOf)
 	if c := want.Plan.GetConcurrency(); c > 0 {
 		x.share.Concurrency = int(part(loans, x, float64(c), keep, slotsOf))
+		if x.share.Concurrency == 0 && x.free(loans, float64(c), slotsOf) >= 1 {
+			x.share.Concurrency = 1 // a small limit is not lost in parts
+		}
 	}
 	return x.share
 }
@@ -144,17 +147,25 @@
 	return math.Ceil(float64(x.running+x.waiting)*growth) + 1, float64(max(x.share.Concurrency, x.running))
 }
 
+// free returns what the other borrowers' shares leave of a limit.
+func (x *loan) free(loans map[string]*loan, limit float64, of amount) float64 {
+	for _, y := range loans {
+		if y != x {
+			_, holds := of(y)
+			limit -= holds
+		}
+	}
+	return limit
+}
+
 // part returns the borrower's max-min part of a limit.
 func part(loans map[string]*loan, borrower *loan, limit, keep float64, of amount) float64 {
 	var wants []float64
-	free := limit
 	for _, x := range loans {
-		w, holds := of(x)
+		w, _ := of(x)
 		wants = append(wants, w)
-		if x != borrower {
-			free -= holds
-		}
 	}
+	free := borrower.free(loans, limit, of)
 	level := Level(wants, limit*(1-keep))
 	mine, _ := of(borrower)
 	// What nobody wants is lent as well, in equal parts.
--- /dev/null
+++ b/core/limiter/limiter_test.go
@@ -0,0 +1,248 @@
+package limiter_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"bamboohill/core/ider"
+	"bamboohill/core/limiter"
+	"bamboohill/wire"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func kind(err error) limiter.Kind {
+	var limit *limiter.LimitError
+	if errors.As(err, &limit) {
+		return limit.Kind
+	}
+	return ""
+}
+
+func TestTake(t *testing.T) {
+	share := limiter.Share{Rate: 2, Concurrency: 3, Until: origin.Add(time.Hour)}
+	tests := map[string]struct {
+		plan  *wire.Plan
+		share limiter.Share
+		gap   time.Duration // between requests
+		hold  bool          // requests do not end
+		taken int           // of ten
+		kind  limiter.Kind
+	}{
+		"unlimited":    {plan: &wire.Plan{}, hold: true, taken: 10},
+		"rate":         {plan: &wire.Plan{Rate: 100}, share: share, taken: 1, kind: limiter.Rate},
+		"slow enough":  {plan: &wire.Plan{Rate: 100}, share: share, gap: time.Second / 2, taken: 10},
+		"concurrency":  {plan: &wire.Plan{Concurrency: 100}, share: share, hold: true, taken: 3, kind: limiter.Concurrency},
+		"one by one":   {plan: &wire.Plan{Concurrency: 100}, share: share, taken: 10},
+		"both":         {plan: &wire.Plan{Rate: 100, Concurrency: 100}, share: share, gap: time.Second, hold: true, taken: 3, kind: limiter.Concurrency},
+		"no share yet": {plan: &wire.Plan{Rate: 100}},
+		"share ended":  {plan: &wire.Plan{Rate: 100}, share: limiter.Share{Rate: 2, Until: origin}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := origin
+			l := holding(test.plan, test.share, now)
+			taken := 0
+			var last error
+			for range 10 {
+				release, err := l.Take("a", test.plan, 1, now)
+				if err != nil {
+					last = err
+				} else {
+					taken++
+					if !test.hold {
+						release(true, now)
+					}
+				}
+				now = now.Add(test.gap)
+			}
+			is.Equal(taken, test.taken)
+			is.Equal(kind(last), test.kind)
+			var borrow *limiter.BorrowError
+			is.Equal(errors.As(last, &borrow), test.taken == 0)
+		})
+	}
+}
+
+// holding returns a limiter that holds a share and nothing else.
+func holding(plan *wire.Plan, share limiter.Share, now time.Time) *limiter.Limiter {
+	l := limiter.New(limiter.Config{})
+	if limiter.Limited(plan) {
+		l.Take("a", plan, 1, now) // refused, and the account is known from now on
+	}
+	l.Grant("a", share, now)
+	return l
+}
+
+func TestReleaseCountsOnce(t *testing.T) {
+	is := is.New(t)
+	plan := &wire.Plan{Concurrency: 2}
+	l := holding(plan, limiter.Share{Concurrency: 2, Until: origin.Add(time.Hour)}, origin)
+	first, err := l.Take("a", plan, 1, origin)
+	is.NoErr(err)
+	_, err = l.Take("a", plan, 1, origin)
+	is.NoErr(err)
+	first(true, origin)
+	first(true, origin)
+	_, err = l.Take("a", plan, 1, origin)
+	is.NoErr(err)
+	_, err = l.Take("a", plan, 1, origin)
+	is.Equal(kind(err), limiter.Concurrency)
+}
+
+func TestForgottenAccountEndsQuietly(t *testing.T) {
+	is := is.New(t)
+	l := limiter.New(limiter.Config{Idle: time.Second})
+	release, err := l.Take("a", &wire.Plan{}, 1, origin)
+	is.NoErr(err)
+	l.Wants(origin.Add(time.Hour), origin) // runs: not forgotten
+	release(true, origin.Add(time.Hour))
+	l.Wants(origin.Add(2*time.Hour), origin)
+	is.Equal(l.Want("a", origin).Running, 0)
+}
+
+// The shares in force never add up to more than the plan. After the loss of a
+// home they may do so by what it had lent, for one lease.
+func TestSharesStayWithinThePlan(t *testing.T) {
+	const lease = 2 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		plan := &wire.Plan{Rate: float64(rapid.IntRange(1, 100).Draw(t, "rate")), Concurrency: int32(rapid.IntRange(1, 20).Draw(t, "concurrency"))}
+		entries := rapid.IntRange(1, 5).Draw(t, "entries")
+		home := limiter.NewHome(limiter.HomeConfig{Lease: lease})
+		now := origin
+		held := map[int]limiter.Share{}
+		var lost []limiter.Share // lent by lost homes, until their leases end
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"borrow": func(t *rapid.T) {
+				e := rapid.IntRange(0, entries-1).Draw(t, "entry")
+				held[e] = home.Lend(fmt.Sprint(e), limiter.Want{
+					Account: "a", Plan: plan, Demand: rapid.Float64Range(0, 200).Draw(t, "demand"),
+					Running: rapid.IntRange(0, min(held[e].Concurrency, 20)).Draw(t, "running"), Waiting: rapid.IntRange(0, 9).Draw(t, "waiting"),
+				}, entries, now)
+			},
+			"lose the home": func(*rapid.T) {
+				gone := home.Lent("a", now)
+				gone.Until = now.Add(lease)
+				lost = append(lost, gone)
+				home = limiter.NewHome(limiter.HomeConfig{Lease: lease})
+			},
+			"": func(t *rapid.T) {
+				var sum limiter.Share
+				for _, s := range held {
+					if now.Before(s.Until) {
+						sum.Rate += s.Rate
+						sum.Concurrency += s.Concurrency
+					}
+				}
+				over := limiter.Share{}
+				for _, s := range lost {
+					if now.Before(s.Until) {
+						over.Rate += s.Rate
+						over.Concurrency += s.Concurrency
+					}
+				}
+				if sum.Rate > plan.GetRate()+over.Rate+1e-9 || sum.Concurrency > int(plan.GetConcurrency())+over.Concurrency {
+					t.Fatalf("shares %+v of plan %v %v, over %+v", sum, plan.GetRate(), plan.GetConcurrency(), over)
+				}
+			},
+		})
+	})
+}
+
+func TestLend(t *testing.T) {
+	is := is.New(t)
+	plan := &wire.Plan{Rate: 100, Concurrency: 10}
+	home := limiter.NewHome(limiter.HomeConfig{Lease: 2 * time.Second})
+	ask := func(entry string, demand float64, running int, now time.Time) limiter.Share {
+		return home.Lend(entry, limiter.Want{Account: "a", Plan: plan, Demand: demand, Running: running}, 2, now)
+	}
+	first := ask("x", 500, 9, origin)
+	is.Equal(first.Rate, 90.0) // the rest is kept for the other entry
+	second := ask("y", 500, 9, origin.Add(time.Second))
+	is.Equal(second.Rate, 10.0)
+	is.Equal(second.Concurrency, 1)
+	now := origin.Add(1500 * time.Millisecond)
+	is.Equal(ask("x", 500, 5, now).Rate, 50.0) // equal demands, equal parts
+	is.Equal(ask("y", 500, 1, now).Rate, 50.0)
+	is.True(ask("x", 1, 0, now).Rate <= 50)
+	is.True(ask("y", 500, 1, now).Rate > 60) // what x does not want
+	is.Equal(home.Lent("a", now.Add(time.Hour)), limiter.Share{})
+}
+
+func TestLevel(t *testing.T) {
+	is := is.New(t)
+	is.Equal(limiter.Level([]float64{1, 10, 10}, 11), 5.0)
+	is.Equal(limiter.Level([]float64{5, 5, 5}, 9), 3.0)
+	is.True(limiter.Level([]float64{1, 2}, 3) > 1e300)
+}
+
+// station is a fleet that does a given work a second, and accounts that offer
+// more: how much of each account's work is let through, in work a second.
+func station(capacity float64, offered, weights map[string]float64) map[string]float64 {
+	const (
+		tick   = time.Millisecond
+		work   = 100
+		length = 60 * time.Second
+	)
+	l := limiter.New(limiter.Config{Fair: limiter.FairConfig{Least: 1}})
+	taken, due := map[string]float64{}, map[string]float64{}
+	var queue []limiter.Release
+	served := 0.0
+	for at := time.Duration(0); at < length; at += tick {
+		now := origin.Add(at)
+		for served += capacity * tick.Seconds(); served >= work; served -= work {
+			if len(queue) > 0 {
+				queue[0](true, now)
+				queue = queue[1:]
+			}
+		}
+		l.Press(time.Duration(float64(len(queue)) * work / capacity * float64(time.Second)))
+		for _, name := range []string{"a", "b", "c"} {
+			due[name] += offered[name] * tick.Seconds()
+			for ; due[name] >= work; due[name] -= work {
+				release, err := l.Take(ider.Account(name), &wire.Plan{Weight: weights[name]}, work, now)
+				if err != nil {
+					continue
+				}
+				queue = append(queue, release)
+				if at >= length/2 {
+					taken[name] += work / (length / 2).Seconds()
+				}
+			}
+		}
+	}
+	return taken
+}
+
+func TestFairShares(t *testing.T) {
+	tests := map[string]struct {
+		offered map[string]float64
+		weights map[string]float64
+		want    map[string]float64
+	}{
+		"room for all":       {offered: map[string]float64{"a": 40_000, "b": 20_000, "c": 10_000}, want: map[string]float64{"a": 40_000, "b": 20_000, "c": 10_000}},
+		"one large":          {offered: map[string]float64{"a": 400_000, "b": 20_000, "c": 10_000}, want: map[string]float64{"a": 70_000, "b": 20_000, "c": 10_000}},
+		"two large":          {offered: map[string]float64{"a": 400_000, "b": 200_000, "c": 10_000}, want: map[string]float64{"a": 45_000, "b": 45_000, "c": 10_000}},
+		"two large, weights": {offered: map[string]float64{"a": 400_000, "b": 400_000, "c": 10_000}, weights: map[string]float64{"a": 2, "b": 1, "c": 1}, want: map[string]float64{"a": 60_000, "b": 30_000, "c": 10_000}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got := station(100_000, test.offered, test.weights)
+			for account, want := range test.want {
+				t.Logf("%s: %.0f of %.0f wanted", account, got[account], want)
+				is.True(got[account] > 0.85*want)
+				is.True(got[account] < 1.15*want)
+			}
+		})
+	}
+}
--- a/entry/internal/dispatcher/attempt.go
+++ b/entry/internal/dispatcher/attempt.go
@@ -15,9 +15,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	server := choice.Server
-	started := time.Now()
-	d.config.Router.Placed(choice, started)
-	defer d.config.Router.Done(choice)
+	follow := progress{started: time.Now()}
+	d.config.Chooser.Placed(choice, follow.started)
+	defer d.config.Chooser.Done(choice)
 	position := c.result.Position
 	p := d.proposal(q, choice, c)
 	d.config.Log.Debug().Str("event", "proposed").Str("request", p.GetRequest()).Str("attempt", p.GetAttempt()).
@@ -29,16 +29,12 @@
 		return d.lost(server, position)
 	}
 	defer a.Close()
-	begun := false
 	for {
 		f, err := a.Next()
 		if err != nil {
 			return d.lost(server, a.Position())
 		}
-		if f.GetTokens() != nil && !begun {
-			begun = true
-			d.begun(q, choice, started)
-		}
+		d.see(&follow, f, q, choice)
 		// The caller's own slowness is not the server's.
 		watch.Stop()
 		if s, done := d.relay(f, sink, a.Position()); done {
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -26,12 +26,14 @@
 
 	"bamboohill/core/accuser"
 	"bamboohill/core/admitter"
+	"bamboohill/core/chooser"
 	"bamboohill/core/convictor"
 	"bamboohill/core/hinter"
 	"bamboohill/core/ider"
 	"bamboohill/core/keeper"
 	"bamboohill/core/retrier"
 	"bamboohill/core/router"
+	"bamboohill/core/tokener"
 	"bamboohill/core/watcher"
 	"bamboohill/wire"
 
@@ -106,8 +108,9 @@
 	Propose  func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (Attempt, error)
 	Keeper   *keeper.Keeper
 	Retrier  *retrier.Retrier
-	Router   *router.Router
-	Admitter *admitter.Admitter
+	Chooser  *chooser.Chooser // of servers, for requests that can finish in time
+	Tokener  *tokener.Tokener
+	Limits   Limits // of client accounts, none if nil
 	Suspects *accuser.Accuser
 	Accuse   func(*wire.Accusation) // tells the other entries; may be nil
 	Watches  Watches
@@ -129,11 +132,13 @@
 	if config.Retrier == nil {
 		config.Retrier = retrier.New(retrier.Config{})
 	}
-	if config.Router == nil {
-		config.Router = router.New(router.Config{Seed: rand.Uint64()})
+	if config.Chooser == nil {
+		config.Chooser = chooser.New(chooser.Config{
+			Picker: router.New(router.Config{Seed: rand.Uint64()}), Admitter: admitter.New(admitter.Config{}),
+		})
 	}
-	if config.Admitter == nil {
-		config.Admitter = admitter.New(admitter.Config{})
+	if config.Tokener == nil {
+		config.Tokener = tokener.New(tokener.Config{})
 	}
 	if config.Suspects == nil {
 		config.Suspects = accuser.New(accuser.Config{})
@@ -178,11 +183,18 @@
 	q.Job.Deadline = q.Deadline
 	if q.Job.Kind == wire.Kind_KIND_MODEL {
 		q.Job.Chain = hinter.Read(q.Payload)
+		q.Job.Prompt = d.config.Tokener.Tokens(q.Job.Model, int64(len(q.Payload)))
 		hash := sha256.Sum256(q.Payload)
 		q.fingerprint = convictor.Fingerprint(q.Account.GetName(), hash[:])
 	}
 	c := &course{free: freeRetries, solo: soloTries}
 	c.result.Outcome = wire.Outcome_OUTCOME_NOT_RUN
+	release, err := d.limit(ctx, q)
+	if err != nil {
+		c.refuse(err)
+		return c.final()
+	}
+	defer func() { release(c.ran || c.result.Outcome == wire.Outcome_OUTCOME_ANSWERED, time.Now()) }()
 	d.config.Retrier.First(ider.Account(q.Account.GetName()))
 	for {
 		choice, err := d.place(q, c)
--- a/entry/internal/dispatcher/place.go
+++ b/entry/internal/dispatcher/place.go
@@ -1,18 +1,21 @@
 package dispatcher
 
 import (
+	"context"
 	"errors"
 	"time"
 
 	"bamboohill/core/admitter"
 	"bamboohill/core/convictor"
+	"bamboohill/core/ider"
+	"bamboohill/core/limiter"
 	"bamboohill/core/router"
 	"bamboohill/wire"
 )
 
 // place chooses the server of the next attempt. Before the first attempt it
-// also asks whether the request can finish in time, among all servers if the
-// few candidates are too slow; what has begun is never given up for that.
+// also asks whether the request can finish in time; what has begun is never
+// given up for that.
 func (d *Dispatcher) place(q *Request, c *course) (router.Choice, error) {
 	now := time.Now()
 	servers := d.config.Watcher.View().Servers
@@ -22,26 +25,25 @@
 			return router.Choice{}, err
 		}
 	}
-	choice, err := d.config.Router.Pick(q.Job, servers, now)
-	if err != nil || c.result.Attempts > 0 || q.Job.Kind == wire.Kind_KIND_SERVICE {
-		return choice, err
+	if c.result.Attempts > 0 {
+		return d.config.Chooser.Pick(q.Job, servers, now)
 	}
-	if d.admit(q, choice, now) == nil {
-		return choice, nil
-	}
-	job := q.Job
-	job.Wide = true
-	choice, err = d.config.Router.Pick(job, servers, now)
-	if err != nil {
-		return choice, err
-	}
-	return choice, d.admit(q, choice, now)
+	return d.config.Chooser.Choose(q.Job, servers, now)
+}
+
+// Limits are the limits of client accounts.
+type Limits interface {
+	// Take lets a request through that costs so many tokens of work, or returns
+	// a *limiter.LimitError.
+	Take(ctx context.Context, account ider.Account, plan *wire.Plan, work int64) (limiter.Release, error)
 }
 
-func (d *Dispatcher) admit(q *Request, choice router.Choice, now time.Time) error {
-	return d.config.Admitter.Admit(admitter.Ask{
-		Prompt: q.Job.Prompt, First: choice.First, Whole: choice.Whole, Left: q.Deadline.Sub(now),
-	})
+// limit asks whether the account's limits let a request through.
+func (d *Dispatcher) limit(ctx context.Context, q *Request) (limiter.Release, error) {
+	if d.config.Limits == nil {
+		return func(bool, time.Time) {}, nil
+	}
+	return d.config.Limits.Take(ctx, ider.Account(q.Account.GetName()), q.Plan, q.Job.Prompt+q.Job.Answer)
 }
 
 // refuse writes into the course why no server was chosen.
@@ -57,6 +59,12 @@
 		c.result.Reason = wire.Reason_REASON_SUSPECT
 		c.result.Retry = convicted.Retry
 	}
+	var limited *limiter.LimitError
+	if errors.As(err, &limited) {
+		c.result.Known = true
+		c.result.Reason = wire.Reason_REASON_LIMIT
+		c.result.Retry = limited.Retry
+	}
 	var late *admitter.LateError
 	if errors.As(err, &late) {
 		c.result.Known = true
@@ -65,8 +73,24 @@
 	}
 }
 
-// begun notes the first token of an attempt.
-func (d *Dispatcher) begun(q *Request, choice router.Choice, started time.Time) {
-	d.config.Router.Begun(choice)
-	d.config.Admitter.Learn(q.Job.Prompt, choice.First, time.Since(started))
+// progress follows one attempt's tokens.
+type progress struct {
+	started time.Time
+	first   time.Time
+}
+
+// see takes a frame of an attempt's answer.
+func (d *Dispatcher) see(p *progress, f *wire.Frame, q *Request, choice router.Choice) {
+	if f.GetTokens() != nil && p.first.IsZero() {
+		p.first = time.Now()
+		d.config.Chooser.Begun(choice, q.Job.Prompt, p.first.Sub(p.started))
+	}
+	end := f.GetEnd()
+	if end == nil || q.Job.Kind != wire.Kind_KIND_MODEL {
+		return
+	}
+	d.config.Tokener.Learn(q.Job.Model, int64(len(q.Payload)), end.GetPrompt())
+	if !p.first.IsZero() {
+		d.config.Chooser.Ended(choice, time.Since(p.first))
+	}
 }
--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -206,6 +206,12 @@
 
 func explain(result dispatcher.Result) *Failure {
 	if result.Outcome == wire.Outcome_OUTCOME_NOT_RUN {
+		if result.Reason == wire.Reason_REASON_LIMIT {
+			f := busy("over_limit", "the client account is over its limits; send it again after Retry-After", result.Retry)
+			f.Status = http.StatusTooManyRequests
+			f.Type = "rate_limit_error"
+			return f
+		}
 		return busy("not_run", "the request was not run; send it again after Retry-After", result.Retry)
 	}
 	return &Failure{
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -16,12 +16,18 @@
 	"time"
 
 	"bamboohill/core/accuser"
+	"bamboohill/core/admitter"
 	"bamboohill/core/certifier"
+	"bamboohill/core/chooser"
+	"bamboohill/core/hinter"
 	"bamboohill/core/keeper"
+	"bamboohill/core/limiter"
 	"bamboohill/core/puller"
+	"bamboohill/core/router"
 	"bamboohill/core/storer"
 	"bamboohill/core/watcher"
 	"bamboohill/entry/internal/administrator"
+	"bamboohill/entry/internal/borrower"
 	"bamboohill/entry/internal/dispatcher"
 	"bamboohill/entry/internal/gossiper"
 	"bamboohill/entry/internal/proposer"
@@ -58,6 +64,8 @@
 	watcher  *watcher.Watcher
 	suspects *accuser.Accuser
 	gossiper *gossiper.Gossiper
+	borrower *borrower.Borrower
+	hints    *hinter.Hinter
 	stopping atomic.Bool
 	outer    http.Handler
 	inner    http.Handler
@@ -78,9 +86,19 @@
 	s.table = storer.NewTable(storer.Config{Address: set.Platform.Table})
 	s.watcher = watcher.New(watcher.Config{})
 	s.suspects = accuser.New(accuser.Config{})
+	s.hints = hinter.New(hinter.Config{})
 	s.join()
 	proposals := proposer.New(proposer.Config{Peer: certifier.NewPeer(s.certs, certifier.Sidecar)})
+	s.borrower = borrower.New(borrower.Config{
+		Self: set.Inner, Live: s.gossiper.Live, Borrow: s.gossiper.Borrow, Plan: s.plan,
+		Backlog: func() time.Duration { return limiter.Backlog(s.watcher.View().Servers) },
+	})
 	d := dispatcher.New(dispatcher.Config{
+		Limits: s.borrower,
+		Chooser: chooser.New(chooser.Config{
+			Picker:   router.New(router.Config{Hints: s.hints, Seed: s.boot}),
+			Admitter: admitter.New(admitter.Config{}),
+		}),
 		Watcher: s.watcher, Keeper: s.keeper, Entry: set.Inner, Log: config.Log, Suspects: s.suspects, Accuse: s.accuse,
 		Propose: func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (dispatcher.Attempt, error) {
 			return proposals.Propose(ctx, address, p, payload)
@@ -116,7 +134,10 @@
 	s.keeper = keeper.New(config)
 	members := gossiper.Config{
 		Address: set.Inner, Boot: s.boot, Seeds: set.Entries, Keeper: s.keeper, Watcher: s.watcher,
-		Accuse:  func(a *wire.Accusation) { s.suspects.Hear(a) },
+		Accuse: func(a *wire.Accusation) { s.suspects.Hear(a) },
+		Borrow: func(ctx context.Context, q *wire.BorrowRequest) (*wire.BorrowReply, error) {
+			return s.borrower.Lend(ctx, q)
+		},
 		Entries: entries, Sidecars: certifier.NewPeer(s.certs, certifier.Sidecar),
 	}
 	if set.Platform.List != "" {
@@ -125,6 +146,16 @@
 	s.gossiper = gossiper.New(members)
 }
 
+// plan returns the plan of an account in force, nil if there is none.
+func (s *Server) plan(account string) *wire.Plan {
+	state := s.keeper.State()
+	a := state.Account(account)
+	if a == nil {
+		return nil
+	}
+	return state.Plan(a.GetPlan())
+}
+
 // accuse tells the other entries of a crash suspect.
 func (s *Server) accuse(a *wire.Accusation) {
 	ctx, cancel := context.WithTimeout(context.Background(), accuseLimit)
@@ -178,6 +209,7 @@
 		return err
 	}
 	go s.gossiper.Run(background)
+	go s.borrower.Run(background)
 	go s.keeper.Poll(background, time.Duration(s.config.Settings.Poll)*time.Millisecond, nil)
 	for _, c := range []*certifier.Store{s.certs, s.front} {
 		go c.Watch(background)
@@ -216,6 +248,7 @@
 // Beat implements wire.Heartbeats.
 func (b beats) Beat(_ context.Context, report *wire.Report) (*wire.BeatReply, error) {
 	b.s.watcher.Hear(report)
+	b.s.hints.Hear(report)
 	reply := &wire.BeatReply{Suspects: b.s.suspects.Suspects(), Entries: append(b.s.gossiper.Live(), b.s.config.Settings.Inner)}
 	if b.s.keeper.Ready() {
 		reply.Sequence = b.s.keeper.State().Sequence
--- a/load/experiment.go
+++ b/load/experiment.go
@@ -24,6 +24,8 @@
 			&cli.DurationFlag{Name: "lag", Value: 100 * time.Millisecond, Usage: "time that reports are on their way"},
 			&cli.DurationFlag{Name: "every", Value: 500 * time.Millisecond, Usage: "time between reports"},
 			&cli.FloatFlag{Name: "patience", Value: 1, Usage: "multiply the callers' timeouts by this"},
+			&cli.FloatFlag{Name: "surge", Usage: "from half of the time on the largest account sends so many times more; only that half counts"},
+			&cli.BoolFlag{Name: "fair", Usage: "accounts share the work under overload"},
 			&cli.BoolFlag{Name: "no-ride", Usage: "answers carry no reports"},
 			&cli.BoolFlag{Name: "calm", Usage: "run each trace without long prompts too, for the slowdown"},
 			&cli.StringFlag{Name: "csv", Usage: "write the results to this file too"},
@@ -44,8 +46,8 @@
 func experiment(_ context.Context, c *cli.Command) error {
 	plan := experimenter.Plan{
 		Name: c.String("name"), Engines: c.IntSlice("engines"), Loads: c.FloatSlice("load"), Seed: c.Uint64("seed"),
-		Length: c.Duration("length"), Calm: c.Bool("calm"), Patience: c.Float("patience"),
-		Setup: experimenter.Setup{Lag: c.Duration("lag"), Every: c.Duration("every"), NoRide: c.Bool("no-ride")},
+		Length: c.Duration("length"), Calm: c.Bool("calm"), Patience: c.Float("patience"), Surge: c.Float("surge"),
+		Setup: experimenter.Setup{Lag: c.Duration("lag"), Every: c.Duration("every"), NoRide: c.Bool("no-ride"), Fair: c.Bool("fair")},
 	}
 	for _, p := range c.StringSlice("policy") {
 		plan.Policies = append(plan.Policies, experimenter.Policy(p))
--- a/load/internal/experimenter/plan.go
+++ b/load/internal/experimenter/plan.go
@@ -15,6 +15,7 @@
 	Seed     uint64
 	Length   time.Duration // of the arrivals, 5 min if zero
 	Patience float64       // of the callers, see Mix
+	Surge    float64       // of the large account, see Mix; only what arrives in it counts
 	Calm     bool          // run each trace without long prompts too
 	Setup    Setup         // the rest of every run
 	Workers  int           // runs at once, half the processors if zero
@@ -54,10 +55,13 @@
 }
 
 func (p Plan) row(policy Policy, engines int, load float64) Row {
-	mix := Mix{Seed: p.Seed, Engines: engines, Load: load, Length: p.Length, Patience: p.Patience}
+	mix := Mix{Seed: p.Seed, Engines: engines, Load: load, Length: p.Length, Patience: p.Patience, Surge: p.Surge}
 	setup := p.Setup
 	setup.Policy, setup.Engines, setup.Seed = policy, engines, p.Seed
-	row := Row{Name: p.Name, Load: load, Seed: p.Seed, Result: Run(setup, Generate(mix))}
+	if p.Surge > 0 {
+		setup.Warmup = p.Length / 2
+	}
+	row := Row{Name: p.Name, Load: load, Seed: p.Seed, Surge: p.Surge, Result: Run(setup, Generate(mix))}
 	if p.Calm {
 		mix.NoLongs = true
 		row.Calm = Run(setup, Generate(mix))
--- a/load/internal/experimenter/result.go
+++ b/load/internal/experimenter/result.go
@@ -26,24 +26,25 @@
 // Result is what a run measured. Requests that arrived before Warmup do not
 // count.
 type Result struct {
-	Setup   Setup
-	Sent    int
-	InTime  int // finished before the deadline
-	Late    int // taken, and not finished in time
-	Refused int
-	Limited int
-	First   map[Class]Times // a request that missed its first token counts with its timeout
-	Count   map[Class]int
-	Good    map[Class]float64 // part of the requests sent that finished in time
-	Hit     float64           // cached part of the prompt tokens placed
-	Found   float64           // of what some engine held, the part that was used
-	Wasted  float64           // part of the prefill done for requests that missed their deadline
-	Busy    float64           // part of the time that engines spent on prefill
-	Stretch Times             // first token of long prompts as a multiple of an empty fleet's; 1 s stands for 1
-	Work    float64           // work finished in time, of what the fleet can do
-	Worst   float64           // smallest part of an account's requests that finished in time
-	Jain    float64           // Jain's index of the accounts' parts of work finished in time
-	Others  Times             // first token of short prompts of all accounts but Large
+	Setup    Setup
+	Sent     int
+	InTime   int // finished before the deadline
+	Late     int // taken, and not finished in time
+	Refused  int
+	Limited  int
+	First    map[Class]Times // a request that missed its first token counts with its timeout
+	Count    map[Class]int
+	Good     map[Class]float64 // part of the requests sent that finished in time
+	Hit      float64           // cached part of the prompt tokens placed
+	Found    float64           // of what some engine held, the part that was used
+	Wasted   float64           // part of the prefill done for requests that missed their deadline
+	Busy     float64           // part of the time that engines spent on prefill
+	Stretch  Times             // first token of long prompts as a multiple of an empty fleet's; 1 s stands for 1
+	Work     float64           // work finished in time, of what the fleet can do
+	Worst    float64           // smallest part of an account's requests that finished in time
+	Jain     float64           // Jain's index of the accounts' parts of work finished in time
+	OthersIn float64           // part of the requests of all accounts but Large that finished in time
+	Others   Times             // first token of short prompts of all accounts but Large
 
 	tallies []*tally
 }
@@ -75,8 +76,15 @@
 	good := map[Class]int{}
 	var prompt, hit, best int64
 	var others, stretch []time.Duration
+	var rest, restIn float64
 	for _, t := range r.tallies {
 		r.count(t)
+		if t.Account != Large {
+			rest++
+			if t.whole > 0 {
+				restIn++
+			}
+		}
 		r.Count[t.Class]++
 		if t.limited || t.refused {
 			continue
@@ -105,6 +113,7 @@
 		r.Good[c] = part(float64(good[c]), float64(r.Count[c]))
 	}
 	r.Others = times(others)
+	r.OthersIn = part(restIn, rest)
 	r.Stretch = times(stretch)
 	r.Hit = part(float64(hit), float64(prompt))
 	r.Found = part(float64(hit), float64(best))
--- a/load/internal/experimenter/writer.go
+++ b/load/internal/experimenter/writer.go
@@ -13,6 +13,7 @@
 	Name   string // of the experiment
 	Load   float64
 	Seed   uint64
+	Surge  float64
 	Result *Result
 	Calm   *Result // the same trace without long prompts, if it was run
 }
@@ -44,6 +45,8 @@
 		{"engines", func(r Row) string { return strconv.Itoa(r.Result.Setup.Engines) }},
 		{"load", func(r Row) string { return number(r.Load) }},
 		{"seed", func(r Row) string { return strconv.FormatUint(r.Seed, 10) }},
+		{"fair", func(r Row) string { return strconv.FormatBool(r.Result.Setup.Fair) }},
+		{"surge", func(r Row) string { return number(r.Surge) }},
 		{"lag_ms", func(r Row) string { return ms(r.Result.Setup.Lag) }},
 		{"sent", func(r Row) string { return strconv.Itoa(r.Result.Sent) }},
 		{"in_time", func(r Row) string { return number(part(float64(r.Result.InTime), float64(r.Result.Sent))) }},
@@ -60,6 +63,7 @@
 		{"slowdown", func(r Row) string { return number(r.Slowdown()) }},
 		{"long_stretch_p50", func(r Row) string { return number(r.Result.Stretch.P50.Seconds()) }},
 		{"long_stretch_p95", func(r Row) string { return number(r.Result.Stretch.P95.Seconds()) }},
+		{"others_in_time", func(r Row) string { return number(r.Result.OthersIn) }},
 		{"others_p95_ms", func(r Row) string { return ms(r.Result.Others.P95) }},
 	}
 	for _, c := range Classes {
