Reports carry short and long backlog and cache events; idle slots are let go

Cause: the sidecar left long, brief, cached, dropped, noted and gap unset, so entries had no hints but their own placements and took every backlog for middle prompts.

Change: the sidecar sums the prompts that wait for their first token by length class, and a noter turns the engine's cache events into the marks of prompts that passed here; heartbeats alone carry them, counted, so that a lost one is a gap.

The entry that ran the first request went on renewing its slot for a minute after it, and the other entry was refused all that time. Now a share without requests for a second is not renewed, and a slot without use goes to the entry that waits. A gap told by a lost report went unseen; a gap counts as an event now.

--- a/core/hinter/hinter_test.go
+++ b/core/hinter/hinter_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"bamboohill/core/generator"
 	"bamboohill/core/hinter"
 	"bamboohill/core/ider"
 	"bamboohill/wire"
@@ -86,3 +87,49 @@
 	is.Equal(h.Cached("a", hinter.Chain{{Hash: 99, Tokens: 1}}), int64(1))
 	is.Equal(h.Cached("a", hinter.Chain{{Hash: 0, Tokens: 1}}), int64(0))
 }
+
+// What a noter reports of an engine's events is what a hinter then believes.
+func TestNoterTellsHinter(t *testing.T) {
+	chain := hinter.Read(prompt(4, 0)) // marks at 1, 2, 3 and 4 blocks
+	event := func(serial uint64, i int, removed bool) generator.Event {
+		return generator.Event{Serial: serial, Hash: chain[i].Hash, Removed: removed}
+	}
+	const tokens = hinter.BlockTokens
+	tests := map[string]struct {
+		rounds [][]generator.Event // one report after each
+		boots  []uint64            // of the engine, 1 if not set
+		lost   int                 // this report is lost, counted from 1
+		want   int64
+	}{
+		"added":            {rounds: [][]generator.Event{{event(1, 0, false), event(2, 1, false)}}, want: 2 * tokens},
+		"other blocks":     {rounds: [][]generator.Event{{event(1, 0, false), {Serial: 2, Hash: 99}}}, want: tokens},
+		"removed":          {rounds: [][]generator.Event{{event(1, 0, false), event(2, 1, false)}, {event(3, 1, true)}}, want: tokens},
+		"seen twice":       {rounds: [][]generator.Event{{event(1, 0, false)}, {event(1, 0, false), event(2, 0, true)}, {event(1, 0, false)}}},
+		"event lost":       {rounds: [][]generator.Event{{event(1, 0, false), event(2, 1, false)}, {event(4, 0, false)}}, want: tokens},
+		"report lost":      {rounds: [][]generator.Event{{event(1, 0, false)}, {event(2, 0, true)}, {event(3, 1, false)}}, lost: 2, want: 2 * tokens},
+		"gap lost":         {rounds: [][]generator.Event{{event(1, 0, false), event(2, 1, false)}, {event(4, 0, false)}, {event(5, 1, false)}}, lost: 2, want: 2 * tokens},
+		"gap lost, rest":   {rounds: [][]generator.Event{{event(1, 0, false), event(2, 1, false)}, {event(4, 0, false)}, {event(5, 0, true)}}, lost: 2},
+		"engine restarted": {rounds: [][]generator.Event{{event(1, 0, false), event(2, 1, false)}, {}}, boots: []uint64{1, 2}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := hinter.NewNoter()
+			n.Expect(chain)
+			h := hinter.New(hinter.Config{})
+			for i, events := range test.rounds {
+				boot := uint64(1)
+				if len(test.boots) > 0 {
+					boot = test.boots[i]
+				}
+				n.Note(boot, events)
+				r := &wire.Report{Server: "a", Boot: 1}
+				n.Fill(r)
+				if i+1 != test.lost {
+					h.Hear(r)
+				}
+			}
+			is.Equal(h.Cached("a", chain), test.want)
+		})
+	}
+}
--- a/core/limiter/home.go
+++ b/core/limiter/home.go
@@ -101,7 +101,7 @@
 	x.share.Rate = part(loans, x, want.Plan.GetRate(), keep, rateOf)
 	if c := want.Plan.GetConcurrency(); c > 0 {
 		x.share.Concurrency = int(part(loans, x, float64(c), keep, slotsOf))
-		if x.share.Concurrency == 0 && x.free(loans, float64(c), slotsOf) >= 1 {
+		if x.share.Concurrency == 0 && x.free(loans, float64(c), slotsOf) >= 1 && !x.yields(loans) {
 			x.share.Concurrency = 1 // a small limit is not lost in parts
 		}
 	}
@@ -147,6 +147,20 @@
 	return math.Ceil(float64(x.running+x.waiting)*growth) + 1, float64(max(x.share.Concurrency, x.running))
 }
 
+// yields reports whether a borrower has no use for a slot while another waits
+// for one.
+func (x *loan) yields(loans map[string]*loan) bool {
+	if x.running+x.waiting > 0 {
+		return false
+	}
+	for _, y := range loans {
+		if y != x && y.waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // free returns what the other borrowers' shares leave of a limit.
 func (x *loan) free(loans map[string]*loan, limit float64, of amount) float64 {
 	for _, y := range loans {
--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -46,6 +46,10 @@
 	defaultIdle  = time.Minute
 )
 
+// unusedAfter is how long after an account's last request its share is still
+// renewed.
+const unusedAfter = time.Second
+
 // demandMemory is how far back the measured demand of an account reaches.
 const demandMemory = 2 * time.Second
 
@@ -243,8 +247,9 @@
 }
 
 // Wants returns what to ask the homes for: the accounts in use whose shares
-// end before the given time, or that refused requests. Idle accounts are
-// forgotten.
+// end before the given time, or that refused requests. The share of an account
+// without requests is let go, so that other entries can have it; the account
+// itself is forgotten later.
 func (l *Limiter) Wants(now, before time.Time) []Want {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -254,7 +259,8 @@
 		if idle {
 			delete(l.accounts, name)
 		}
-		if idle || !Limited(a.plan) || a.refused == 0 && a.share.Until.After(before) {
+		unused := now.Sub(a.last) > unusedAfter && a.running == 0
+		if unused || !Limited(a.plan) || a.refused == 0 && a.share.Until.After(before) {
 			continue
 		}
 		list = append(list, a.want(name, now))
--- a/core/limiter/limiter_test.go
+++ b/core/limiter/limiter_test.go
@@ -178,6 +178,27 @@
 	is.Equal(home.Lent("a", now.Add(time.Hour)), limiter.Share{})
 }
 
+// A slot that one entry holds without use goes to the entry that waits.
+func TestIdleSlotIsLetGo(t *testing.T) {
+	is := is.New(t)
+	plan := &wire.Plan{Concurrency: 1}
+	home := limiter.NewHome(limiter.HomeConfig{Lease: 2 * time.Second})
+	ask := func(entry string, waiting int, now time.Time) int {
+		return home.Lend(entry, limiter.Want{Account: "a", Plan: plan, Waiting: waiting}, 2, now).Concurrency
+	}
+	is.Equal(ask("x", 0, origin), 1)
+	is.Equal(ask("y", 1, origin.Add(time.Second)), 0)
+	is.Equal(ask("x", 0, origin.Add(1500*time.Millisecond)), 0)
+	is.Equal(ask("y", 1, origin.Add(1600*time.Millisecond)), 1)
+
+	l := holding(plan, limiter.Share{Concurrency: 1, Until: origin.Add(time.Second)}, origin)
+	l.Take("a", plan, 1, origin)
+	is.Equal(len(l.Wants(origin.Add(time.Hour), origin.Add(2*time.Hour))), 1) // runs
+	l = holding(plan, limiter.Share{Concurrency: 1, Until: origin.Add(time.Second)}, origin)
+	is.Equal(len(l.Wants(origin, origin.Add(2*time.Second))), 1)
+	is.Equal(len(l.Wants(origin.Add(2*time.Second), origin.Add(4*time.Second))), 0) // no request for 2 s
+}
+
 func TestLevel(t *testing.T) {
 	is := is.New(t)
 	is.Equal(limiter.Level([]float64{1, 10, 10}, 11), 5.0)
--- a/sidecar/internal/server/attempts.go
+++ b/sidecar/internal/server/attempts.go
@@ -6,12 +6,15 @@
 	"sync/atomic"
 
 	"bamboohill/core/generator"
+	"bamboohill/core/router"
+	"bamboohill/wire"
 )
 
 // attempt is one piece of work under way in a model engine.
 type attempt struct {
 	cancel context.CancelFunc
 	gang   bool
+	prompt int64                // tokens, 0 once the first token came
 	moved  chan generator.Cache // holds the exported cache of a stream handed over
 }
 
@@ -25,14 +28,40 @@
 
 func newAttempts() *attempts { return &attempts{live: map[string]*attempt{}} }
 
-func (a *attempts) begin(id string, gang bool, cancel context.CancelFunc) *attempt {
+func (a *attempts) begin(p *wire.Proposal, cancel context.CancelFunc) *attempt {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	t := &attempt{cancel: cancel, gang: gang, moved: make(chan generator.Cache, 1)}
+	id := p.GetAttempt()
+	t := &attempt{cancel: cancel, gang: p.GetGang() != "", prompt: max(0, p.GetPrompt()-p.GetCached()), moved: make(chan generator.Cache, 1)}
 	a.live[id] = t
 	return t
 }
 
+// first notes the first token of an attempt: its prefill is done.
+func (a *attempts) first(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if t, found := a.live[id]; found {
+		t.prompt = 0
+	}
+}
+
+// waiting returns the prompt tokens of short and of long prompts whose first
+// token has not come.
+func (a *attempts) waiting() (briefs, longs int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, t := range a.live {
+		switch {
+		case t.prompt <= router.BriefTokens:
+			briefs += t.prompt
+		case t.prompt >= router.LongTokens:
+			longs += t.prompt
+		}
+	}
+	return briefs, longs
+}
+
 func (a *attempts) remove(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/sidecar/internal/server/propose.go
+++ b/sidecar/internal/server/propose.go
@@ -11,6 +11,7 @@
 
 	"bamboohill/core/convictor"
 	"bamboohill/core/framer"
+	"bamboohill/core/hinter"
 	"bamboohill/sidecar/internal/gatekeeper"
 	"bamboohill/sidecar/internal/runner"
 	"bamboohill/wire"
@@ -122,7 +123,8 @@
 	if refused := s.hand(ctx, p); refused != nil {
 		return refused
 	}
-	own := s.attempts.begin(p.GetAttempt(), p.GetGang() != "", cancel)
+	own := s.attempts.begin(p, cancel)
+	s.noter.Expect(hinter.Read(body))
 	defer s.attempts.remove(p.GetAttempt())
 	frames.Accept(s.Report())
 	refused := s.runner.Model(ctx, p, body, frames, runner.Hooks{Report: s.Report, First: s.first(p), Span: s.span(p)})
@@ -176,6 +178,7 @@
 	start := time.Now()
 	return func() {
 		took := time.Since(start)
+		s.attempts.first(p.GetAttempt())
 		ahead := before + s.attempts.offered.Load() - offered
 		if s.gate.First(p.GetAttempt(), took, s.engine.expected(ahead)) {
 			s.counts.slow.Add(1)
--- a/sidecar/internal/server/report.go
+++ b/sidecar/internal/server/report.go
@@ -1,6 +1,9 @@
 package server
 
 import (
+	"context"
+	"time"
+
 	"bamboohill/sidecar/internal/settings"
 	"bamboohill/wire"
 )
@@ -34,6 +37,9 @@
 	r.Memory = status.Memory
 	r.Free = max(0, status.Memory-s.gate.Reserved())
 	r.Queued = status.Queued
+	briefs, longs := s.attempts.waiting()
+	r.Long = min(r.Queued, longs)
+	r.Brief = min(r.Queued-r.Long, briefs)
 	r.Prefill = status.Prefill
 	r.Decode = status.Decode
 	r.Role = status.Role
@@ -54,3 +60,32 @@
 	}
 	return wire.State_STATE_OPEN
 }
+
+// Bounds of reading the engine's cache events.
+const (
+	eventsEvery = 250 * time.Millisecond
+	eventsLimit = 2 * time.Second
+)
+
+// beat returns the report of a heartbeat, which alone carries cache events.
+func (s *Server) beat() *wire.Report {
+	r := s.Report()
+	s.noter.Fill(r)
+	return r
+}
+
+// readEvents asks the engine for its cache events. They may come late; while
+// they do not come at all, entries keep the hints they have.
+func (s *Server) readEvents(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, eventsLimit)
+	defer cancel()
+	status, alive := s.engine.known()
+	if !alive {
+		return
+	}
+	events, err := s.engine.Events(ctx, s.noter.After())
+	if err != nil {
+		return
+	}
+	s.noter.Note(status.Boot, events)
+}
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -22,6 +22,7 @@
 	"bamboohill/core/accuser"
 	"bamboohill/core/certifier"
 	"bamboohill/core/generator"
+	"bamboohill/core/hinter"
 	"bamboohill/core/keeper"
 	"bamboohill/core/puller"
 	"bamboohill/core/storer"
@@ -59,6 +60,7 @@
 	gate     *gatekeeper.Gate
 	engine   *engine // nil beside a plain service
 	attempts *attempts
+	noter    *hinter.Noter // of the prefix cache
 	leaving  leaving
 	suspects *accuser.Accuser
 	runner   *runner.Runner
@@ -95,6 +97,7 @@
 		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleLimit}},
 		gate:     gatekeeper.New(gatekeeper.Config{Cold: set.Gate.Cold, Warm: set.Gate.Warm}),
 		attempts: newAttempts(),
+		noter:    hinter.NewNoter(),
 		suspects: accuser.New(accuser.Config{}),
 	}
 	if set.Platform.List != "" {
@@ -110,7 +113,7 @@
 	}
 	s.runner = runner.New(run)
 	s.reporter = reporter.New(reporter.Config{
-		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Report: s.Report, Heard: s.heard,
+		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Report: s.beat, Heard: s.heard,
 		Peer: s.peer,
 	})
 	s.keeper = keeper.New(s.configuration())
@@ -165,6 +168,7 @@
 		s.recover(ctx)
 		go loop(ctx, statusEvery, func(ctx context.Context) { s.engine.fresh(ctx) })
 		go loop(ctx, auditEvery, s.audit)
+		go loop(ctx, eventsEvery, s.readEvents)
 	}
 	go loop(ctx, statusEvery, s.watchLeaving)
 	go loop(ctx, statusEvery, func(context.Context) { s.attempts.end(s.gate.Expire(time.Now())) })
