--- a/core/router/estimate.go
+++ b/core/router/estimate.go
@@ -181,5 +181,5 @@
 	slack := s.job.Deadline.Sub(s.now).Seconds() - answer - urgent*e.alone
 	wait := patience[s.class] + stretch*e.alone
 	least := patience[s.class]/2 + e.alone
-	return int32(max(least, min(wait, slack)) * 1000)
+	return int32(min(max(least, min(wait, slack))*1000, classGap))
 }
