No prefix homes; hints read once for each decision

Cause: a decision read the hints once for each candidate, and a prompt that no server was known to hold went to its prefix's home (rendezvous hashing) as a candidate besides.

An entry's own placements and the others' reports tell where a prefix is soon enough.

--- a/core/hinter/hinter.go
+++ b/core/hinter/hinter.go
@@ -55,6 +55,7 @@
 // holder is a server under one of its cache's generations.
 type holder struct {
 	server     ider.Server
+	cache      *cache
 	generation uint64
 }
 
@@ -98,7 +99,7 @@
 		h.remove(hash, server)
 	}
 	for _, hash := range report.GetCached() {
-		h.add(hash, holder{server: server, generation: c.generation})
+		h.add(hash, holder{server: server, cache: c, generation: c.generation})
 	}
 }
 
@@ -108,7 +109,7 @@
 	defer h.mu.Unlock()
 	c := h.cacheOf(server)
 	for _, m := range chain {
-		h.add(m.Hash, holder{server: server, generation: c.generation})
+		h.add(m.Hash, holder{server: server, cache: c, generation: c.generation})
 	}
 }
 
@@ -127,7 +128,7 @@
 	if !found {
 		return 0
 	}
-	want := holder{server: server, generation: c.generation}
+	want := holder{server: server, cache: c, generation: c.generation}
 	for _, m := range slices.Backward(chain) {
 		if slices.Contains(h.holders(m.Hash), want) {
 			return m.Tokens
@@ -146,7 +147,7 @@
 			if len(list) >= most {
 				return list
 			}
-			if h.servers[x.server].generation != x.generation || has(list, x.server) {
+			if x.cache.generation != x.generation || has(list, x.server) {
 				continue
 			}
 			list = append(list, Holder{Server: x.server, Tokens: m.Tokens})
--- a/core/router/estimate.go
+++ b/core/router/estimate.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"bamboohill/core/ider"
 	"bamboohill/core/watcher"
 	"bamboohill/wire"
 )
@@ -82,9 +81,7 @@
 		speed = r.config.Speed
 	}
 	e := estimate{}
-	if r.config.Hints != nil && r.on(Prefix) {
-		e.cached = min(r.config.Hints.Cached(ider.Server(server.GetServer()), s.job.Chain), s.job.Prompt-1)
-	}
+	e.cached = s.cached(server.GetServer())
 	e.work = max(1, s.job.Prompt-e.cached)
 	e.alone = float64(e.work) / speed
 	running := float64(server.GetRunning()) + float64(o.running)
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -1,9 +1,8 @@
 // Package router places a request on a backend server: the one with the least
 // expected time to the first token among a few candidates.
 //
-// The candidates are a few servers drawn at random (the power of d choices),
-// those that may hold the start of the prompt in their prefix caches, and the
-// prompt's home by rendezvous hashing. Reports lag, so a router corrects them
+// The candidates are a few servers drawn at random (the power of d choices) and
+// those that may hold the start of the prompt in their prefix caches. Reports lag, so a router corrects them
 // by what it has itself placed since; without that, every request between two
 // reports goes to the same server. Long prompts take only an elastic share of
 // the servers, sized by measured demand, and a server whose backlog of long
@@ -51,9 +50,15 @@
 	defaultSpeed      = 50_000.0 // tokens a second
 )
 
-// widen is how many times more candidates a longer prompt gets than a short
-// one: its choice matters more, and there are fewer of them to crowd together.
-const widen = 2
+// How many times more candidates a longer prompt gets than a short one: its
+// choice matters more, and there are fewer of them to crowd together.
+const (
+	widenMiddle = 2
+	widenLong   = 5
+)
+
+// maxHolders is how many servers' caches one decision knows of.
+const maxHolders = 8
 
 // retryNone is when to come back if no server can take a job.
 const retryNone = time.Second
@@ -73,8 +78,10 @@
 
 // Hints guesses what servers hold of a prompt.
 type Hints interface {
-	Cached(server ider.Server, chain hinter.Chain) int64
+	// Holders appends the servers that may hold the most of a prompt to a list,
+	// those with most tokens first, until it has most entries.
 	Holders(list []hinter.Holder, chain hinter.Chain, most int) []hinter.Holder
+	// Expect notes that a prompt was placed on a server.
 	Expect(server ider.Server, chain hinter.Chain)
 }
 
@@ -172,12 +179,12 @@
 	defer r.mu.Unlock()
 	s := search{r: r, job: &job, servers: servers, now: now, class: classOf(job.Prompt)}
 	s.prepare()
-	if job.Wide || s.class == long || len(servers) <= r.config.Candidates {
+	s.hinted()
+	if wanted := s.candidates(); job.Wide || len(servers) <= 2*wanted {
 		s.all()
 	} else {
-		s.hinted()
-		s.draw()
-		if !s.found {
+		s.draw(wanted)
+		if !s.found || s.best.cost >= s.best.first+penaltyFull {
 			s.all()
 		}
 	}
@@ -204,13 +211,27 @@
 	index   int
 }
 
-// hinted considers the servers that may hold the prompt's start, and its home.
+// candidates returns how many servers to draw at random.
+func (s *search) candidates() int {
+	n := s.r.config.Candidates
+	switch s.class {
+	case middle:
+		n *= widenMiddle
+	case long:
+		n *= widenLong
+	case brief:
+	}
+	return n
+}
+
+// hinted considers the servers that may hold the prompt's start.
 func (s *search) hinted() {
+	s.r.list = s.r.list[:0]
 	if s.r.config.Hints == nil || !s.r.on(Prefix) || len(s.job.Chain) == 0 {
 		return
 	}
-	s.r.list = s.r.config.Hints.Holders(s.r.list[:0], s.job.Chain, s.r.config.Holders)
-	for _, x := range s.r.list {
+	s.r.list = s.r.config.Hints.Holders(s.r.list, s.job.Chain, maxHolders)
+	for _, x := range s.r.list[:min(len(s.r.list), s.r.config.Holders)] {
 		i, found := slices.BinarySearchFunc(s.servers, string(x.Server), func(a watcher.Server, id string) int {
 			return strings.Compare(a.GetServer(), id)
 		})
@@ -218,23 +239,30 @@
 			s.consider(i)
 		}
 	}
-	if len(s.r.list) == 0 {
-		s.consider(Home(s.job.Chain[0].Hash, s.servers))
+}
+
+// cached returns how many tokens of the prompt a server may hold.
+func (s *search) cached(server string) int64 {
+	for _, x := range s.r.list {
+		if string(x.Server) == server {
+			return min(x.Tokens, s.job.Prompt-1)
+		}
 	}
+	return 0
 }
 
 // draw considers servers at random until enough of them could take the job.
-func (s *search) draw() {
+func (s *search) draw(wanted int) {
 	const tries = 4
-	left := s.r.config.Candidates
-	if s.class != brief {
-		left *= widen
-	}
-	for range left * tries {
-		if s.consider(s.r.random.IntN(len(s.servers))) {
-			left--
+	for range wanted * tries {
+		i := s.r.random.IntN(len(s.servers))
+		if rank(s.servers[i].GetServer()) > s.most {
+			continue
+		}
+		if s.consider(i) {
+			wanted--
 		}
-		if left == 0 {
+		if wanted == 0 {
 			return
 		}
 	}
--- a/core/router/share.go
+++ b/core/router/share.go
@@ -4,8 +4,6 @@
 	"math"
 	"slices"
 
-	"bamboohill/core/watcher"
-
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -40,6 +38,14 @@
 	return min(1, headroom*d.longs/d.all)
 }
 
+// exactRanks is up to how many servers a share is counted out exactly. Beyond
+// it the ranks, evenly spread, stand for the count.
+const exactRanks = 64
+
+// leastShare is how many servers long prompts may use however rare they are,
+// where their share is not counted out.
+const leastShare = 4
+
 // rank orders servers alike at every entry, with no word between them.
 func rank(server string) uint64 { return xxhash.Sum64String(server) }
 
@@ -50,6 +56,11 @@
 	if s.class != long || !s.r.on(Share) {
 		return
 	}
+	if len(s.servers) > exactRanks {
+		share := max(s.r.demand.share(), leastShare/float64(len(s.servers)))
+		s.most = uint64(share * (math.MaxUint64 - 1<<11))
+		return
+	}
 	able := s.ranks()
 	if len(able) == 0 {
 		return
@@ -58,33 +69,6 @@
 	s.most = able[min(max(n, 1), len(able))-1]
 }
 
-// Home returns the index of the server that is a prefix's home by weighted
-// rendezvous hashing: the same at every entry, and unmoved by the coming and
-// going of other servers. The weight is the server's memory. It panics if
-// there is no server.
-func Home(prefix uint64, servers []watcher.Server) int {
-	best, top := 0, math.Inf(-1)
-	for i := range servers {
-		h := mix(prefix ^ rank(servers[i].GetServer()))
-		u := (float64(h>>11) + 0.5) / (1 << 53)
-		score := -float64(max(1, servers[i].GetMemory())) / math.Log(u)
-		if score > top {
-			best, top = i, score
-		}
-	}
-	return best
-}
-
-// mix spreads the bits of a hash (the finaliser of splitmix64).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	x ^= x >> 31
-	return x
-}
-
 // ranks returns the sorted ranks of the servers that offer what the job needs.
 func (s *search) ranks() []uint64 {
 	able := s.r.ranks[:0]
