--- /dev/null
+++ b/core/limiter/limiter_bench_test.go
@@ -0,0 +1,35 @@
+package limiter_test
+
+import (
+	"testing"
+	"time"
+
+	"bamboohill/core/ider"
+	"bamboohill/core/limiter"
+	"bamboohill/wire"
+)
+
+// BenchmarkTake measures letting one request through and its end, among a
+// thousand accounts under overload.
+func BenchmarkTake(b *testing.B) {
+	l := limiter.New(limiter.Config{})
+	plan := &wire.Plan{Rate: 1e9, Concurrency: 1000, Weight: 1}
+	var names []ider.Account
+	for i := range 1000 {
+		name := ider.Account(string(rune('a'+i%26)) + string(rune('a'+i/26)))
+		names = append(names, name)
+		l.Take(name, plan, 1, origin)
+		l.Grant(name, limiter.Share{Rate: 1e9, Concurrency: 1000, Until: origin.Add(time.Hour)}, origin)
+	}
+	l.Press(time.Minute)
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		now := origin.Add(time.Duration(i) * time.Microsecond)
+		release, err := l.Take(names[i%len(names)], plan, 1000, now)
+		if err == nil {
+			release(true, now)
+		}
+	}
+}
--- /dev/null
+++ b/load/internal/experimenter/plotter.go
@@ -0,0 +1,64 @@
+package experimenter
+
+import (
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+)
+
+// Plots writes the plots of a suite into a directory.
+func (s Suite) Plots(dir string, rows []Row) error {
+	seed := s.Seeds[0]
+	err := draw(filepath.Join(dir, "short-p95.png"), "Short prompts, 20 engines", "load", rows, func(r Row) (float64, bool) {
+		return r.Load, r.Name == Policies && r.Seed == seed && r.Result.Setup.Engines == 20 && r.Result.Setup.Policy != AllKnowing
+	})
+	if err != nil {
+		return err
+	}
+	return draw(filepath.Join(dir, "herd.png"), "Short prompts, 20 engines, load 0.8", "lag of reports, s", rows, func(r Row) (float64, bool) {
+		return r.Result.Setup.Lag.Seconds(), r.Name == Herding
+	})
+}
+
+// draw plots the short prompts' p95 over what at returns for the rows that it
+// takes, a line for each policy.
+func draw(path, title, axis string, rows []Row, at func(Row) (float64, bool)) error {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = axis
+	p.Y.Label.Text = "first token p95, s"
+	p.Y.Scale = plot.LogScale{}
+	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
+	p.Legend.Top = true
+	p.Legend.Left = true
+	var order []Policy
+	lines := map[Policy]plotter.XYs{}
+	for _, r := range rows {
+		x, taken := at(r)
+		if !taken {
+			continue
+		}
+		policy := r.Result.Setup.Policy
+		if lines[policy] == nil {
+			order = append(order, policy)
+		}
+		lines[policy] = append(lines[policy], plotter.XY{X: x, Y: r.Result.First[Short].P95.Seconds()})
+	}
+	var args []any
+	for _, policy := range order {
+		args = append(args, string(policy), lines[policy])
+	}
+	if err := plotutil.AddLinePoints(p, args...); err != nil {
+		return err
+	}
+	return p.Save(plotWidth, plotHeight, path)
+}
--- /dev/null
+++ b/load/measure.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"bamboohill/load/internal/experimenter"
+
+	"github.com/urfave/cli/v3"
+)
+
+// measureCommand runs all experiments and writes the page of measurements.
+func measureCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "measure",
+		Usage: "run all experiments; write the lines to the output, and the page, plots and CSV to a directory",
+		Flags: []cli.Flag{
+			&cli.Uint64SliceFlag{Name: "seed", Value: []uint64{1, 2, 3}, Usage: "seeds; the first one gives the tables"},
+			&cli.DurationFlag{Name: "length", Value: 5 * time.Minute, Usage: "length of the arrivals"},
+			&cli.IntFlag{Name: "workers", Usage: "runs at once, half the processors if 0"},
+			&cli.StringFlag{Name: "out", Value: "out/bench", Usage: "directory"},
+			&cli.StringFlag{Name: "command", Value: "load measure", Usage: "how the page says that it was written"},
+		},
+		Action: measure,
+	}
+}
+
+func measure(_ context.Context, c *cli.Command) error {
+	suite := experimenter.Suite{Seeds: c.Uint64Slice("seed"), Length: c.Duration("length"), Workers: c.Int("workers")}
+	dir := c.String("out")
+	plots := filepath.Join(dir, "plots")
+	if err := os.MkdirAll(plots, 0o755); err != nil {
+		return err
+	}
+	var rows []experimenter.Row
+	suite.Run(func(r experimenter.Row) {
+		rows = append(rows, r)
+		experimenter.WriteLine(os.Stdout, r)
+	})
+	missed := 0
+	for _, t := range suite.Targets(rows) {
+		missed += t.Missed()
+		fmt.Printf("target=%q wanted=%q seen=%.3f missed=%d\n", t.Name, t.Wanted, t.Seen, t.Missed())
+	}
+	if err := suite.Plots(plots, rows); err != nil {
+		return err
+	}
+	err := save(filepath.Join(dir, "measurements.csv"), func(f *os.File) error { return experimenter.WriteCSV(f, rows) })
+	if err != nil {
+		return err
+	}
+	return save(filepath.Join(dir, "MEASUREMENTS.md"), func(f *os.File) error {
+		return suite.WritePage(f, c.String("command"), rows)
+	})
+}
