The watch on a first token allows for what goes before it

Cause: a prompt that more urgent ones overtake may wait longer than five seconds and four times the queue that the report showed; the dispatcher then gave the attempt up and counted the server as failed.

Change: the watch is at least four times what prompts of that length have taken of late by the admitter's measure. Not measured on real processes under overload.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -97,3 +97,12 @@
 		c.admitter.LearnAnswer(choice.Whole-choice.First, took)
 	}
 }
+
+// First returns the time that a choice's first token is expected to take, with
+// the allowance learnt for prompts of that length.
+func (c *Chooser) First(choice router.Choice, prompt int64) time.Duration {
+	if c.admitter == nil {
+		return choice.First
+	}
+	return c.admitter.Needs(admitter.Ask{Prompt: prompt, First: choice.First, Whole: choice.First})
+}
--- a/entry/internal/dispatcher/attempt.go
+++ b/entry/internal/dispatcher/attempt.go
@@ -40,7 +40,7 @@
 		if s, done := d.relay(f, sink, a.Position()); done {
 			return s
 		}
-		watch.Reset(d.nextWatch(f, q, server))
+		watch.Reset(d.nextWatch(f, q, choice))
 	}
 }
 
@@ -59,9 +59,9 @@
 }
 
 // nextWatch returns how long the frame after f may take.
-func (d *Dispatcher) nextWatch(f *wire.Frame, q *Request, server watcher.Server) time.Duration {
+func (d *Dispatcher) nextWatch(f *wire.Frame, q *Request, choice router.Choice) time.Duration {
 	if _, accepted := f.GetBody().(*wire.Frame_Accepted); accepted {
-		return d.firstWatch(q, server)
+		return d.firstWatch(q, choice)
 	}
 	return d.config.Watches.Gap
 }
@@ -70,15 +70,17 @@
 const slack = 4
 
 // firstWatch returns how long the first token may take: a multiple of the time
-// that the server needs for the prefill before it and its own. A plain call may
-// take until its deadline.
-func (d *Dispatcher) firstWatch(q *Request, server watcher.Server) time.Duration {
+// that the server needs for the prefill before it and its own, or of what
+// prompts of this length have taken of late, as more urgent ones go first. A
+// plain call may take until its deadline.
+func (d *Dispatcher) firstWatch(q *Request, choice router.Choice) time.Duration {
+	server := choice.Server
 	if q.Job.Kind == wire.Kind_KIND_SERVICE {
 		return time.Until(q.Deadline)
 	}
 	speed := max(1, server.GetPrefill())
-	expected := float64(q.Job.Prompt+server.GetQueued()) / speed
-	return d.config.Watches.First + time.Duration(slack*expected*float64(time.Second))
+	expected := time.Duration(float64(q.Job.Prompt+server.GetQueued()) / speed * float64(time.Second))
+	return d.config.Watches.First + slack*max(expected, d.config.Chooser.First(choice, q.Job.Prompt))
 }
 
 // relay passes one frame on and reports whether the attempt has ended.
