Calls that may not be repeated run at most once

Cause: a booking sent again through another entry ran twice (demo/smoke showed run 1, then run 2), because nothing remembered what had been handed over; and net/http itself sent a POST with Idempotency-Key again when a kept connection broke (TestPlainNeverRepeats: 3 runs for 2 calls).

Change: the service's sidecar inserts a row immediately before the hand-over and stores the answer in it (sidecar/internal/recorder), many rows to a transaction; answers are replayed, another call under the key is a 422, a row without an answer is a 409 unknown. The key goes to the service under a header form that net/http does not match. Small edits: dispatcher stops at a reason that holds everywhere, the gate's refusal of an attempt that runs already says unknown, no longer not run.

Ruled out: ownership by attempt id; void by deletion (a late deletion removes the next holder's row: found by TestProtocol with 20000 checks); reading before inserting.

Before: demo/smoke run 1, run 2. After: run 1, run 1 replayed. TestProtocol: 20000 scripts hold.

--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -102,7 +102,7 @@
 			step.Attempts = result.Attempts
 			return step
 		}
-		if ctx.Err() != nil || ran && q.Call == wire.Call_CALL_ONCE {
+		if ctx.Err() != nil || ran && q.Call == wire.Call_CALL_ONCE || everywhere(step.Reason) {
 			break
 		}
 		q.Job.Excluded = append(q.Job.Excluded, ider.Server(server.GetServer()))
@@ -110,6 +110,12 @@
 	return giveUp(result, ran, nil)
 }
 
+// everywhere reports whether any other backend server would refuse for the
+// same reason.
+func everywhere(reason wire.Reason) bool {
+	return reason == wire.Reason_REASON_MISMATCH || reason == wire.Reason_REASON_STORE
+}
+
 func giveUp(result Result, ran bool, err error) Result {
 	var none *router.NoneError
 	if errors.As(err, &none) {
--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -192,6 +192,18 @@
 }
 
 func explain(result dispatcher.Result) *Failure {
+	switch result.Reason {
+	case wire.Reason_REASON_MISMATCH:
+		f := invalid("key_reused", "the idempotency key was sent before with another call")
+		f.Status = http.StatusUnprocessableEntity
+		return f
+	case wire.Reason_REASON_DUPLICATE:
+		return &Failure{
+			Status: http.StatusConflict, Type: "conflict_error", Code: "already_sent", Outcome: Unknown, Retry: max(result.Retry, time.Second),
+			Message: "a call with this idempotency key was handed over before and is never run again; its answer is not there yet, or is not kept. Sent again with the same key, the call gets its answer once it is recorded",
+		}
+	default:
+	}
 	if result.Outcome == wire.Outcome_OUTCOME_NOT_RUN {
 		return busy("not_run", "the request was not run; send it again after Retry-After", result.Retry)
 	}
--- a/sidecar/internal/gatekeeper/gate.go
+++ b/sidecar/internal/gatekeeper/gate.go
@@ -69,6 +69,9 @@
 func (g *Gate) Enter(p *wire.Proposal, f Facts) *wire.Refused {
 	if r := g.refuse(p, f); r != nil {
 		r.Outcome = wire.Outcome_OUTCOME_NOT_RUN
+		if r.GetReason() == wire.Reason_REASON_DUPLICATE {
+			r.Outcome = wire.Outcome_OUTCOME_UNKNOWN // the same attempt runs
+		}
 		return r
 	}
 	need := p.GetPrompt() + p.GetAnswer()
--- /dev/null
+++ b/sidecar/internal/recorder/recorder.go
@@ -0,0 +1,258 @@
+package recorder
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"sync"
+	"time"
+
+	"bamboohill/core/storer"
+	"bamboohill/wire"
+
+	"golang.org/x/time/rate"
+)
+
+// DefaultLargest is how many bytes of an answer are kept when Config says
+// nothing.
+const DefaultLargest = 64 << 10
+
+// Defaults of Config.
+const (
+	defaultRetention = 24 * time.Hour
+	defaultPace      = 20.0
+	defaultGrace     = 30 * time.Second
+	defaultSettle    = 250 * time.Millisecond
+	defaultBreak     = 500 * time.Millisecond
+	defaultStuck     = time.Second
+)
+
+// Bounds of the work after a call.
+const (
+	burst      = 10
+	claimTries = 4
+	afterLimit = 2 * time.Minute // for storing an answer or voiding a claim
+	afterPause = 100 * time.Millisecond
+	lateRetry  = time.Second
+)
+
+// Config describes a Recorder. The zero Largest is 64 KiB, Retention 24 hours,
+// Pace 20 transactions a second, Grace 30 seconds, Settle 250 milliseconds,
+// Break half a second and Stuck a second. Now is the clock, time.Now if nil.
+type Config struct {
+	Table     storer.Table
+	VM        string
+	Boot      uint64
+	Largest   int           // bytes of an answer that are kept
+	Retention time.Duration // for which a key is remembered
+	Pace      float64       // transactions a second from which calls gather
+	Grace     time.Duration // past its deadline that a call may still run for its answer to be kept
+	Settle    time.Duration // that an answer waits for its row to be written
+	Break     time.Duration // without a try after the table service failed
+	Stuck     time.Duration // of one write after which new calls are refused
+	Now       func() time.Time
+}
+
+func (c Config) withDefaults() Config {
+	if c.Largest <= 0 {
+		c.Largest = DefaultLargest
+	}
+	if c.Retention <= 0 {
+		c.Retention = defaultRetention
+	}
+	if c.Pace <= 0 {
+		c.Pace = defaultPace
+	}
+	if c.Grace <= 0 {
+		c.Grace = defaultGrace
+	}
+	if c.Settle <= 0 {
+		c.Settle = defaultSettle
+	}
+	if c.Break <= 0 {
+		c.Break = defaultBreak
+	}
+	if c.Stuck <= 0 {
+		c.Stuck = defaultStuck
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return c
+}
+
+// Call is one call that may not be repeated.
+type Call struct {
+	Account  string
+	Key      string // idempotency key
+	Attempt  string
+	Hash     []byte    // of everything that the service is given
+	Deadline time.Time // with a monotonic reading
+}
+
+// Run hands a call to the service and returns its whole answer. It is called
+// at most once. A *NotHandedError says that surely no byte reached the
+// service; any other error leaves the outcome unknown.
+type Run func(ctx context.Context) (*Answer, error)
+
+// NotHandedError says that a call did not reach the service.
+type NotHandedError struct {
+	Cause string
+}
+
+// Error implements error.
+func (e *NotHandedError) Error() string { return "recorder: not handed over: " + e.Cause }
+
+// Result is the final word on one call: an answer or a refusal.
+type Result struct {
+	Answer   *Answer
+	Replayed bool // the answer is of an earlier send
+	Refused  *wire.Refused
+	// Over is closed when the service has nothing of the call any more.
+	Over <-chan struct{}
+}
+
+// Recorder runs calls for one backend server.
+type Recorder struct {
+	config Config
+	stats  *Stats
+	writes *committer
+	close  context.CancelFunc
+	tasks  sync.WaitGroup
+
+	mu      sync.Mutex
+	flights map[string]*flight
+	broken  time.Time // no try before
+	cursor  string    // of the sweep
+}
+
+// New starts a recorder. It panics if Table is nil or VM empty.
+func New(config Config) *Recorder {
+	if config.Table == nil {
+		panic("recorder: nil table")
+	}
+	if config.VM == "" {
+		panic("recorder: no vm")
+	}
+	config = config.withDefaults()
+	stop, cancel := context.WithCancel(context.Background())
+	stats := &Stats{}
+	r := &Recorder{
+		config: config, stats: stats, close: cancel, flights: map[string]*flight{},
+		writes: &committer{
+			table: config.Table, pace: rate.NewLimiter(rate.Limit(config.Pace), burst),
+			queue: make(chan *op, queueLength), stop: stop, stats: stats,
+		},
+	}
+	r.tasks.Go(r.writes.run)
+	return r
+}
+
+// Stats returns the counters.
+func (r *Recorder) Stats() *Stats { return r.stats }
+
+// Wait returns when no call runs and every answer and void claim is written or
+// given up, or the context ends.
+func (r *Recorder) Wait(ctx context.Context) {
+	for {
+		f := r.any()
+		if f == nil {
+			return
+		}
+		select {
+		case <-f.settled:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *Recorder) any() *flight {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range r.flights {
+		return f
+	}
+	return nil
+}
+
+// Close stops the recorder. Calls that still run get the outcome unknown.
+func (r *Recorder) Close() {
+	r.close()
+	r.tasks.Wait()
+}
+
+// Do runs a call, or replays its answer, or says why not. It returns at the
+// call's deadline or when the context ends, whatever the table service and the
+// service do; a call that was handed over goes on without it.
+func (r *Recorder) Do(ctx context.Context, c Call, run Run) Result {
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	for {
+		f, own := r.join(c, run)
+		if f == nil {
+			return refuse(wire.Reason_REASON_STORE, wire.Outcome_OUTCOME_NOT_RUN, r.config.Break)
+		}
+		if own {
+			return f.await(ctx)
+		}
+		if string(f.call.Hash) != string(c.Hash) {
+			return refuse(wire.Reason_REASON_MISMATCH, wire.Outcome_OUTCOME_NOT_RUN, 0)
+		}
+		result, again := f.watch(ctx)
+		if !again {
+			return result
+		}
+	}
+}
+
+// join returns the flight of a call's key, and whether this call started it;
+// nil if the table service failed a moment ago
+// or is stuck.
+func (r *Recorder) join(c Call, run Run) (*flight, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := rowKey(c.Account, c.Key)
+	if f := r.flights[key]; f != nil {
+		return f, false
+	}
+	if r.config.Now().Before(r.broken) || r.writes.stuck(r.config.Stuck) || r.writes.stop.Err() != nil {
+		return nil, false
+	}
+	f := &flight{key: key, call: c, claim: newClaim(), done: make(chan struct{}), over: make(chan struct{}), settled: make(chan struct{})}
+	r.flights[key] = f
+	r.tasks.Go(func() { r.fly(f, run) })
+	return f, true
+}
+
+func newClaim() string {
+	var b [16]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// fail notes that the table service did not serve, so that the next calls are
+// refused at once.
+func (r *Recorder) fail(err error) time.Duration {
+	retry := r.config.Break
+	var down *storer.DownError
+	if errors.As(err, &down) {
+		retry = max(retry, down.Retry)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broken = r.config.Now().Add(r.config.Break)
+	return retry
+}
+
+func refuse(reason wire.Reason, outcome wire.Outcome, retry time.Duration) Result {
+	return Result{Refused: &wire.Refused{Reason: reason, Outcome: outcome, RetryMs: retry.Milliseconds()}, Over: nothing}
+}
+
+// nothing is the Over of results behind which nothing runs.
+var nothing = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
--- a/sidecar/internal/runner/runner.go
+++ b/sidecar/internal/runner/runner.go
@@ -12,7 +12,9 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"time"
 
 	"bamboohill/core/framer"
 	"bamboohill/core/generator"
@@ -22,6 +24,9 @@
 // chunkBytes is how much of a plain answer one frame carries, in bytes.
 const chunkBytes = 32 << 10
 
+// dialRetry is when to come back to a service that takes no connection.
+const dialRetry = time.Second
+
 // Config describes a Runner. Engine is set for a model engine, Service (an
 // ip:port) and Client for a plain service.
 type Config struct {
@@ -86,16 +91,34 @@
 	return &wire.Refused{Reason: reason, Outcome: wire.Outcome_OUTCOME_NOT_RUN, Detail: status.Text}
 }
 
+// Frames takes the answer of a plain call.
+type Frames interface {
+	Head(head *wire.Head) error
+	Data(data []byte) error
+	End(end *wire.End) error
+}
+
+// keyHeader names the call towards the service. It is not in Go's canonical
+// form: net/http sends a request with "Idempotency-Key" again by itself when
+// the connection breaks, and the service would run the call twice.
+const keyHeader = "idempotency-key"
+
 // Plain runs one call of the plain service and writes its frames. A call whose
-// answer does not come whole is unknown: it may have run.
-func (r *Runner) Plain(ctx context.Context, p *wire.Proposal, body []byte, frames *framer.Writer, report func() *wire.Report) *wire.Refused {
+// answer does not come whole is unknown: it may have run. It is not run only
+// if no connection to the service was made.
+func (r *Runner) Plain(ctx context.Context, p *wire.Proposal, body []byte, frames Frames, report func() *wire.Report) *wire.Refused {
 	q, err := http.NewRequestWithContext(ctx, p.GetMethod(), "http://"+r.config.Service+p.GetPath(), bytes.NewReader(body))
 	if err != nil {
 		return &wire.Refused{Reason: wire.Reason_REASON_DENIED, Outcome: wire.Outcome_OUTCOME_NOT_RUN, Detail: "bad call"}
 	}
 	q.Header.Set("Content-Type", p.GetType())
-	q.Header.Set("Idempotency-Key", p.GetKey())
+	q.Header[keyHeader] = []string{p.GetKey()}
+	q.GetBody = nil
 	reply, err := r.config.Client.Do(q)
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return &wire.Refused{Reason: wire.Reason_REASON_ENGINE, Outcome: wire.Outcome_OUTCOME_NOT_RUN, Detail: err.Error(), RetryMs: dialRetry.Milliseconds()}
+	}
 	if err != nil {
 		return &wire.Refused{Reason: wire.Reason_REASON_ENGINE, Outcome: wire.Outcome_OUTCOME_UNKNOWN, Detail: err.Error()}
 	}
--- /dev/null
+++ b/sidecar/internal/server/once.go
@@ -0,0 +1,145 @@
+package server
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"bamboohill/core/framer"
+	"bamboohill/core/storer"
+	"bamboohill/sidecar/internal/recorder"
+	"bamboohill/wire"
+)
+
+// sweepEvery is how often a sidecar looks for old rows of its recorder.
+const sweepEvery = 30 * time.Second
+
+func newRecorder(s *Server) *recorder.Recorder {
+	set := s.config.Settings
+	return recorder.New(recorder.Config{
+		Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), VM: set.VM, Boot: s.boot,
+	})
+}
+
+// once runs a call that may not be repeated. It returns when the service has
+// nothing of the call any more, so that the gate counts what the service really has;
+// the caller's answer or refusal is written as soon as it is known.
+func (s *Server) once(ctx context.Context, p *wire.Proposal, body []byte, frames *framer.Writer) *wire.Refused {
+	if p.GetKey() == "" || p.GetAccount() == "" {
+		return &wire.Refused{Reason: wire.Reason_REASON_DENIED, Outcome: wire.Outcome_OUTCOME_NOT_RUN, Detail: "no idempotency key"}
+	}
+	deadline := time.Now().Add(time.Duration(p.GetRemainingMs()) * time.Millisecond)
+	copied := &copier{frames: frames, largest: recorder.DefaultLargest}
+	result := s.recorder.Do(ctx, recorder.Call{
+		Account: p.GetAccount(), Key: p.GetKey(), Attempt: p.GetAttempt(), Hash: callHash(p, body), Deadline: deadline,
+	}, func(ctx context.Context) (*recorder.Answer, error) { return s.handOver(ctx, p, body, copied) })
+	copied.seal()
+	switch {
+	case result.Refused != nil:
+		result.Refused.Report = s.Report()
+		frames.Refuse(result.Refused)
+	case result.Replayed:
+		a := result.Answer
+		frames.Head(&wire.Head{Status: int32(a.Status), Type: a.Type, Replayed: true})
+		frames.Data(a.Body)
+		frames.End(&wire.End{Finish: "stop", Report: s.Report()})
+	default:
+		frames.End(copied.end)
+	}
+	<-result.Over
+	return result.Refused
+}
+
+func (s *Server) handOver(ctx context.Context, p *wire.Proposal, body []byte, copied *copier) (*recorder.Answer, error) {
+	refused := s.runner.Plain(ctx, p, body, copied, s.Report)
+	switch {
+	case refused == nil:
+		return copied.answer(), nil
+	case refused.GetOutcome() == wire.Outcome_OUTCOME_NOT_RUN:
+		return nil, &recorder.NotHandedError{Cause: refused.GetDetail()}
+	}
+	return nil, fmt.Errorf("%s: %s", refused.GetReason(), refused.GetDetail())
+}
+
+// callHash returns the hash of everything that the service is given: a key
+// that is sent again with another call is a mismatch.
+func callHash(p *wire.Proposal, body []byte) []byte {
+	h := sha256.New()
+	for _, part := range []string{p.GetMethod(), p.GetPath(), p.GetType()} {
+		fmt.Fprintf(h, "%d:%s", len(part), part)
+	}
+	h.Write(body)
+	return h.Sum(nil)
+}
+
+// copier passes a plain answer on and keeps a copy of it, up to a bound. The
+// closing frame is kept back until the answer is recorded. Once sealed it
+// passes nothing on: the caller has its final word.
+type copier struct {
+	frames  *framer.Writer
+	largest int
+
+	mu     sync.Mutex
+	sealed bool
+	kept   recorder.Answer
+	end    *wire.End
+}
+
+func (c *copier) seal() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+}
+
+// Head implements runner.Frames.
+func (c *copier) Head(head *wire.Head) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.kept.Status = int(head.GetStatus())
+	c.kept.Type = head.GetType()
+	if !c.sealed {
+		c.frames.Head(head)
+	}
+	return nil
+}
+
+// Data implements runner.Frames.
+func (c *copier) Data(data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.kept.Body)+len(data) > c.largest {
+		c.kept.Large = true
+		c.kept.Body = nil
+	}
+	if !c.kept.Large {
+		c.kept.Body = append(c.kept.Body, data...)
+	}
+	if !c.sealed {
+		c.frames.Data(data)
+	}
+	return nil
+}
+
+// End implements runner.Frames.
+func (c *copier) End(end *wire.End) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end = end
+	return nil
+}
+
+func (c *copier) answer() *recorder.Answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := c.kept
+	if kept.Status == 0 {
+		kept.Status = http.StatusOK
+	}
+	return &kept
+}
+
+// sweep deletes old rows of the recorder.
+func (s *Server) sweep(ctx context.Context) { s.recorder.Sweep(ctx) }
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -22,6 +22,7 @@
 	"bamboohill/core/keeper"
 	"bamboohill/core/storer"
 	"bamboohill/sidecar/internal/gatekeeper"
+	"bamboohill/sidecar/internal/recorder"
 	"bamboohill/sidecar/internal/reporter"
 	"bamboohill/sidecar/internal/runner"
 	"bamboohill/sidecar/internal/settings"
@@ -50,14 +51,15 @@
 
 // Server is one sidecar.
 type Server struct {
-	config  Config
-	boot    uint64
-	engine  *generator.Engine
-	runner  *runner.Runner
-	keeper  *keeper.Keeper
-	client  *http.Client
-	leaving atomic.Bool
-	serial  atomic.Uint64
+	config   Config
+	boot     uint64
+	engine   *generator.Engine
+	runner   *runner.Runner
+	recorder *recorder.Recorder
+	keeper   *keeper.Keeper
+	client   *http.Client
+	leaving  atomic.Bool
+	serial   atomic.Uint64
 
 	mu     sync.Mutex
 	gate   *gatekeeper.Gate
@@ -79,6 +81,7 @@
 		s.engine = generator.New(generator.Config{Address: set.Backend})
 	}
 	s.runner = runner.New(runner.Config{Engine: s.engine, Service: set.Backend, Client: s.client})
+	s.recorder = newRecorder(s)
 	return s
 }
 
@@ -92,6 +95,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	defer s.keeper.Stop()
+	defer s.recorder.Close()
 	s.start(background)
 	web := &http.Server{Handler: s.Handler(), ErrorLog: s.config.Log.Std("", 0)}
 	go web.Serve(listener)
@@ -100,7 +104,9 @@
 	s.leaving.Store(true)
 	drain, cancel := context.WithTimeout(background, time.Duration(s.config.Settings.Drain)*time.Millisecond)
 	defer cancel()
-	return web.Shutdown(drain)
+	err = web.Shutdown(drain)
+	s.recorder.Wait(drain)
+	return err
 }
 
 func (s *Server) start(ctx context.Context) {
@@ -109,6 +115,7 @@
 	s.keeper.Refresh(ctx)
 	go s.loop(ctx, statusEvery, s.probe)
 	go s.loop(ctx, time.Second, func(ctx context.Context) { s.keeper.Refresh(ctx) })
+	go s.loop(ctx, sweepEvery, s.sweep)
 	beats := reporter.New(reporter.Config{
 		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Client: s.client,
 		Report: s.Report, Heard: func(reply *wire.BeatReply) { s.keeper.Heard(reply.GetSequence()) },
@@ -207,6 +214,9 @@
 	if s.engine != nil {
 		return s.runner.Model(ctx, p, body, frames, s.Report)
 	}
+	if p.GetCall() == wire.Call_CALL_ONCE {
+		return s.once(ctx, p, body, frames)
+	}
 	return s.runner.Plain(ctx, p, body, frames, s.Report)
 }
 
