--- /dev/null
+++ b/core/hinter/hinter_test.go
@@ -0,0 +1,88 @@
+package hinter_test
+
+import (
+	"testing"
+
+	"bamboohill/core/hinter"
+	"bamboohill/core/ider"
+	"bamboohill/wire"
+
+	"github.com/matryer/is"
+)
+
+const block = hinter.BlockTokens * hinter.TokenBytes
+
+func prompt(blocks int, last byte) []byte {
+	p := make([]byte, blocks*block)
+	for i := range p {
+		p[i] = byte(i / block)
+	}
+	p[len(p)-1] = last
+	return p
+}
+
+func hashes(chain hinter.Chain) []uint64 {
+	var list []uint64
+	for _, m := range chain {
+		list = append(list, m.Hash)
+	}
+	return list
+}
+
+func TestRead(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(hinter.Read(make([]byte, block-1))), 0)
+	long := hinter.Read(prompt(2000, 0))
+	is.Equal(len(long), 21) // 1, 2, 3, 4, 6 ... 1536
+	is.Equal(long[20].Tokens, int64(1536*hinter.BlockTokens))
+	a, b := hinter.Read(prompt(8, 1)), hinter.Read(prompt(8, 2))
+	is.Equal(a[:len(a)-1], b[:len(b)-1]) // they differ in the eighth block alone
+	is.True(a[len(a)-1] != b[len(b)-1])
+}
+
+func TestHear(t *testing.T) {
+	chain := hinter.Read(prompt(8, 0))
+	all := hashes(chain)
+	const tokens = hinter.BlockTokens
+	n := uint64(len(all))
+	add := &wire.Report{Boot: 1, Noted: n, Cached: all}
+	tests := map[string]struct {
+		reports []*wire.Report
+		want    int64
+	}{
+		"nothing":       {},
+		"whole":         {reports: []*wire.Report{add}, want: 8 * tokens},
+		"start":         {reports: []*wire.Report{{Boot: 1, Noted: 2, Cached: all[:2]}}, want: 2 * tokens},
+		"dropped":       {reports: []*wire.Report{add, {Boot: 1, Noted: 2*n - 3, Dropped: all[3:]}}, want: 3 * tokens},
+		"no events":     {reports: []*wire.Report{add, {Boot: 1}}, want: 8 * tokens},
+		"known already": {reports: []*wire.Report{add, {Boot: 1, Noted: 2*n - 3, Dropped: all[3:]}, add}, want: 3 * tokens},
+		"gap":           {reports: []*wire.Report{add, {Boot: 1, Noted: n, Gap: true}}},
+		"gap and more":  {reports: []*wire.Report{add, {Boot: 1, Noted: n + 1, Gap: true, Cached: all[:1]}}, want: tokens},
+		"lost report":   {reports: []*wire.Report{add, {Boot: 1, Noted: n + 9, Cached: all[:1]}}, want: tokens},
+		"new boot":      {reports: []*wire.Report{add, {Boot: 2, Noted: 1, Cached: []uint64{7}}}},
+		"old boot":      {reports: []*wire.Report{{Boot: 2, Noted: 1, Cached: []uint64{7}}, add}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := hinter.New(hinter.Config{})
+			for _, r := range test.reports {
+				r.Server = "a"
+				h.Hear(r)
+			}
+			is.Equal(h.Cached("a", chain), test.want)
+			is.Equal(h.Cached("b", chain), int64(0))
+			is.Equal(len(h.Holders(nil, chain, 4)) > 0, test.want > 0)
+		})
+	}
+}
+
+func TestMarksAreBounded(t *testing.T) {
+	is := is.New(t)
+	h := hinter.New(hinter.Config{Marks: 64})
+	for i := range 100 {
+		h.Expect(ider.Server("a"), hinter.Chain{{Hash: uint64(i), Tokens: 1}})
+	}
+	is.Equal(h.Cached("a", hinter.Chain{{Hash: 99, Tokens: 1}}), int64(1))
+	is.Equal(h.Cached("a", hinter.Chain{{Hash: 0, Tokens: 1}}), int64(0))
+}
--- a/prover/commands.go
+++ b/prover/commands.go
@@ -19,6 +19,7 @@
 	Stage *stager.Stage
 
 	services int
+	engines  int
 	mu       sync.Mutex
 	calls    map[string]chan error
 }
@@ -37,18 +38,21 @@
 		least int
 		run   func([]string) (string, error)
 	}{
-		"stack":  {0, s.stack},
-		"signal": {2, s.signal},
-		"start":  {1, func(w []string) (string, error) { return "", s.Stage.Start(w[0]) }},
-		"exited": {2, s.exited},
-		"fault":  {3, func(w []string) (string, error) { return "", s.Stage.SetFault(w[0], w[1], w[2]) }},
-		"put":    {3, s.put},
-		"admin":  {3, s.admin},
-		"ask":    {4, s.ask},
-		"book":   {4, s.book},
-		"join":   {1, s.join},
-		"runs":   {2, s.runs},
-		"counts": {2, func(w []string) (string, error) { return s.Stage.Counts(w[0], w[1]) }},
+		"stack":    {0, s.stack},
+		"signal":   {2, s.signal},
+		"start":    {1, func(w []string) (string, error) { return "", s.Stage.Start(w[0]) }},
+		"issue":    {1, func(w []string) (string, error) { return "", s.Stage.Issue(w[0]) }},
+		"grep-log": {2, s.grepLog},
+		"exited":   {2, s.exited},
+		"fault":    {3, func(w []string) (string, error) { return "", s.Stage.SetFault(w[0], w[1], w[2]) }},
+		"put":      {3, s.put},
+		"admin":    {3, s.admin},
+		"ask":      {4, s.ask},
+		"book":     {4, s.book},
+		"join":     {1, s.join},
+		"runs":     {2, s.runs},
+		"crashes":  {1, s.crashes},
+		"counts":   {2, func(w []string) (string, error) { return s.Stage.Counts(w[0], w[1]) }},
 	}
 	if name == "until" && len(words) > 0 {
 		return s.until(words)
@@ -93,6 +97,8 @@
 			h.Cold = true
 		case key == "fencing":
 			h.Fencing = true
+		case key == "tls":
+			h.TLS = true
 		case key == "alone":
 			h.Alone = true
 		default:
@@ -100,6 +106,7 @@
 		}
 	}
 	s.services = h.Services
+	s.engines = max(1, h.Engines)
 	return "", s.Stage.Up(h)
 }
 
@@ -114,6 +121,15 @@
 	return "", s.Stage.Signal(w[0], number)
 }
 
+// grepLog checks that a process's log holds a text.
+func (s *Script) grepLog(w []string) (string, error) {
+	text, err := s.Stage.Log(w[0])
+	if err == nil && !strings.Contains(text, w[1]) {
+		err = fmt.Errorf("prover: log of %s lacks %q", w[0], w[1])
+	}
+	return "", err
+}
+
 func (s *Script) exited(w []string) (string, error) {
 	want, err := stager.Number(w[1])
 	if err != nil {
@@ -242,6 +258,32 @@
 
 var errOutcome = errors.New("prover: another outcome")
 
+// crashes checks how often the engines have crashed, all together, at most.
+func (s *Script) crashes(w []string) (string, error) {
+	most, err := stager.Number(w[0])
+	if err != nil {
+		return "", err
+	}
+	total := 0
+	for n := range s.engines {
+		text, err := s.Stage.Counts(fmt.Sprintf("engine%d", n), "/counts")
+		if err != nil {
+			return "", err
+		}
+		var counts struct {
+			Crashes int `json:"crashes"`
+		}
+		if err := json.Unmarshal([]byte(text), &counts); err != nil {
+			return "", err
+		}
+		total += counts.Crashes
+	}
+	if total > most {
+		return "", fmt.Errorf("prover: engines crashed %d times, want at most %d", total, most)
+	}
+	return "", nil
+}
+
 func (s *Script) runs(w []string) (string, error) {
 	want, err := stager.Number(w[1])
 	if err != nil {
--- a/sidecar/internal/server/once.go
+++ b/sidecar/internal/server/once.go
@@ -31,11 +31,12 @@
 	if p.GetKey() == "" || p.GetAccount() == "" {
 		return &wire.Refused{Reason: wire.Reason_REASON_DENIED, Outcome: wire.Outcome_OUTCOME_NOT_RUN, Detail: "no idempotency key"}
 	}
+	frames.Accept(s.Report())
 	deadline := time.Now().Add(time.Duration(p.GetRemainingMs()) * time.Millisecond)
 	copied := &copier{frames: frames, largest: recorder.DefaultLargest}
 	result := s.recorder.Do(ctx, recorder.Call{
 		Account: p.GetAccount(), Key: p.GetKey(), Attempt: p.GetAttempt(), Hash: callHash(p, body), Deadline: deadline,
-	}, func(ctx context.Context) (*recorder.Answer, error) { return s.handOver(ctx, p, body, copied) })
+	}, func(ctx context.Context) (*recorder.Answer, error) { return s.deliver(ctx, p, body, copied) })
 	copied.seal()
 	switch {
 	case result.Refused != nil:
@@ -53,7 +54,10 @@
 	return result.Refused
 }
 
-func (s *Server) handOver(ctx context.Context, p *wire.Proposal, body []byte, copied *copier) (*recorder.Answer, error) {
+func (s *Server) deliver(ctx context.Context, p *wire.Proposal, body []byte, copied *copier) (*recorder.Answer, error) {
+	if refused := s.gate.Hand(p.GetAttempt()); refused != nil {
+		return nil, &recorder.NotHandedError{Cause: refused.GetReason().String()}
+	}
 	refused := s.runner.Plain(ctx, p, body, copied, s.Report)
 	switch {
 	case refused == nil:
