--- a/prover/commands.go
+++ b/prover/commands.go
@@ -207,12 +207,19 @@
 	if err != nil {
 		return "", err
 	}
-	as := ""
-	if len(w) > 4 {
-		as, _ = strings.CutPrefix(w[4], "as=")
+	as, timeout := "", ""
+	for _, word := range w[4:] {
+		switch key, value, _ := strings.Cut(word, "="); key {
+		case "as":
+			as = value
+		case "timeout":
+			timeout = value
+		default:
+			return "", fmt.Errorf("%w: %s", errUsage, word)
+		}
 	}
 	return "", s.call(as, func() error {
-		_, err := s.Stage.Book(n, w[2], w[3])
+		_, err := s.Stage.Book(n, w[2], w[3], timeout)
 		return expect(w[1], err)
 	})
 }
--- a/prover/doc.go
+++ b/prover/doc.go
@@ -24,7 +24,7 @@
 //	ask ENTRY OUTCOME WORDS TOKENS [whole] [timeout=S] [model=M] [text=T] [key=K] [as=NAME]
 //	                         send a prompt of so many words; OUTCOME is answered,
 //	                         not-run, unknown, some of them as A|B, or any; the text is always checked
-//	book ENTRY OUTCOME KEY BODY [as=NAME]
+//	book ENTRY OUTCOME KEY BODY [timeout=S] [as=NAME]
 //	                         make a booking; OUTCOME as above
 //	join NAME                wait for a call that was started with as=NAME
 //	runs KEY N               check that a booking ran N times in all services
--- a/prover/internal/stager/stager.go
+++ b/prover/internal/stager/stager.go
@@ -300,9 +300,14 @@
 	return string(text), nil
 }
 
-// Book makes a booking through entry n.
-func (s *Stage) Book(n int, key, body string) (string, error) {
-	return s.call(http.MethodPost, "http://"+s.Entry(n)+"/services/bookings/book", CallerKey, body, map[string]string{"Idempotency-Key": key})
+// Book makes a booking through entry n, with a timeout in seconds if one is
+// given.
+func (s *Stage) Book(n int, key, body, timeout string) (string, error) {
+	headers := map[string]string{"Idempotency-Key": key}
+	if timeout != "" {
+		headers["Bamboohill-Timeout"] = timeout
+	}
+	return s.call(http.MethodPost, "http://"+s.Entry(n)+"/services/bookings/book", CallerKey, body, headers)
 }
 
 // Outcome names what became of a call: answered, not-run or unknown; a call
