--- /dev/null
+++ b/model/once.wrong.pml
@@ -0,0 +1,4 @@
+/* Wrong on purpose: a claim is taken over when its lease is over. The paused
+ * holder still hands over. */
+#define TAKEOVER
+#include "once.pml"
