--- a/sidecar/internal/server/leaving.go
+++ b/sidecar/internal/server/leaving.go
@@ -151,6 +151,7 @@
 	for s.gate.Running() > 0 && last.Err() == nil {
 		time.Sleep(leavePause)
 	}
+	s.recorder.Wait(last)
 	s.leaving.ended.Store(true)
 	s.config.Log.Info().Str("event", "left").Dur("took", time.Since(start)).Int("cut", cut).Msg("")
 	return err
--- a/sidecar/internal/server/propose.go
+++ b/sidecar/internal/server/propose.go
@@ -109,6 +109,11 @@
 	if s.engine != nil {
 		return s.runModel(ctx, cancel, p, body, frames)
 	}
+	if p.GetCall() != wire.Call_CALL_REPEATABLE {
+		refused := s.once(ctx, p, body, frames)
+		s.gate.Leave(p.GetAttempt(), refused == nil)
+		return refused
+	}
 	if refused := s.gate.Hand(p.GetAttempt()); refused != nil {
 		return refused
 	}
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -27,6 +27,7 @@
 	"bamboohill/core/puller"
 	"bamboohill/core/storer"
 	"bamboohill/sidecar/internal/gatekeeper"
+	"bamboohill/sidecar/internal/recorder"
 	"bamboohill/sidecar/internal/reporter"
 	"bamboohill/sidecar/internal/runner"
 	"bamboohill/sidecar/internal/settings"
@@ -65,6 +66,7 @@
 	leaving  leaving
 	suspects *accuser.Accuser
 	runner   *runner.Runner
+	recorder *recorder.Recorder
 	keeper   *keeper.Keeper
 	reporter *reporter.Reporter
 	list     *storer.VMs // nil if not set
@@ -113,6 +115,7 @@
 		s.gate.Observe(true)
 	}
 	s.runner = runner.New(run)
+	s.recorder = newRecorder(s)
 	s.reporter = reporter.New(reporter.Config{
 		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Report: s.beat, Heard: s.heard,
 		Peer: s.peer,
@@ -160,6 +163,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	defer s.keeper.Stop()
+	defer s.recorder.Close()
 	s.start(background)
 	web := &http.Server{Handler: s.Handler(), ErrorLog: s.config.Log.Std("", 0)}
 	go web.Serve(listener)
@@ -184,6 +188,9 @@
 	go loop(ctx, statusEvery, func(context.Context) { s.attempts.end(s.gate.Expire(time.Now())) })
 	go loop(ctx, lonelyEvery, s.lonely)
 	go loop(ctx, time.Second, s.readList)
+	if s.engine == nil {
+		go loop(ctx, sweepEvery, s.sweep)
+	}
 	go s.reporter.Run(ctx)
 }
 
