--- /dev/null
+++ b/load/capacity.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"bamboohill/load/internal/estimator"
+
+	"github.com/urfave/cli/v3"
+)
+
+// capacityCommand checks docs/CAPACITY.md against measured slopes, or writes it.
+func capacityCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "capacity",
+		Usage: "work out the letter's size from measured slopes; fail if the page does not follow",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "slopes", Required: true, Usage: "file of measured slopes, one slope=NAME value=NUMBER a line"},
+			&cli.StringFlag{Name: "page", Value: "docs/CAPACITY.md", Usage: "page to check"},
+			&cli.BoolFlag{Name: "write", Usage: "write the page's worked-out part anew in place of checking it"},
+		},
+		Action: capacity,
+	}
+}
+
+func capacity(_ context.Context, c *cli.Command) error {
+	file, err := os.Open(c.String("slopes"))
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	measured, err := estimator.Read(file)
+	if err != nil {
+		return err
+	}
+	page, err := os.ReadFile(c.String("page"))
+	if err != nil {
+		return err
+	}
+	for _, l := range estimator.Lines(measured, estimator.Letter) {
+		fmt.Println(l)
+	}
+	if !c.Bool("write") {
+		return estimator.Check(string(page), measured, estimator.Letter)
+	}
+	next, err := estimator.Write(string(page), measured, estimator.Letter)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(c.String("page"), []byte(next), 0o644)
+}
--- a/load/main.go
+++ b/load/main.go
@@ -43,6 +43,7 @@
 		probeCommand(),
 		strangersCommand(),
 		experimentCommand(),
+		capacityCommand(),
 		measureCommand(),
 	}
 }
