Tests of crash suspects, solo runs and leaving at the sidecar

Cause: a request that crashes backend servers crashed one with each try, and a sidecar that stopped cut its long streams.

TestCrashRequest sends such a request ten times through two entries' worth of knowledge over three engines with eight companions: at most two engines crash, the companions are answered. With no suspects named it failed: more than two crashes and no end. TestLeaving failed with the hand-over taken out: the long stream was cut when the drain time ended.

--- /dev/null
+++ b/sidecar/internal/server/crash_test.go
@@ -0,0 +1,163 @@
+package server
+
+import (
+	"context"
+	"crypto/sha256"
+	"sync"
+	"testing"
+	"time"
+
+	"bamboohill/core/accuser"
+	"bamboohill/core/convictor"
+	"bamboohill/standin/answerer"
+	"bamboohill/wire"
+
+	"github.com/matryer/is"
+)
+
+// named returns a proposal whose request can be suspected.
+func named(prompt string, answer int64) *wire.Proposal {
+	p := proposal(int64(len(prompt)/answerer.TokenBytes), answer)
+	hash := sha256.Sum256([]byte(prompt))
+	p.Account = "crew"
+	p.Hash = hash[:]
+	p.Fingerprint = convictor.Fingerprint(p.GetAccount(), p.GetHash())
+	return p
+}
+
+// caller sends one request until it is answered or convicted, as an entry does
+// that knows only what refusals tell it.
+func caller(rigs []*rig, suspects *accuser.Accuser, prompt string) wire.Outcome {
+	place, _ := convictor.Place(named(prompt, 4).GetFingerprint(), []string{"m0", "m1", "m2"})
+	for try := range 400 {
+		p := named(prompt, 4)
+		r := rigs[try%len(rigs)]
+		switch suspects.Judge(p.GetFingerprint()).Ruling {
+		case convictor.Convicted:
+			return wire.Outcome_OUTCOME_NOT_RUN
+		case convictor.Alone:
+			p.Alone = true
+			r = rigs[place[1]-'0']
+		case convictor.Free:
+		}
+		got := r.send(context.Background(), p, prompt)
+		if got.end != nil {
+			return wire.Outcome_OUTCOME_ANSWERED
+		}
+		for _, a := range got.refused.GetSuspects() {
+			suspects.Hear(a)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return wire.Outcome_OUTCOME_UNKNOWN
+}
+
+// A request that crashes whatever runs it, sent again and again through two
+// entries, crashes two engines at most; those that ran beside it finish.
+func TestCrashRequest(t *testing.T) {
+	is := is.New(t)
+	var rigs []*rig
+	for _, name := range []string{"m0", "m1", "m2"} {
+		config := quick
+		config.Warm = true
+		r := newRig(t, config)
+		r.server.config.Settings.Server = name
+		rigs = append(rigs, r)
+	}
+	entries := []*accuser.Accuser{accuser.New(accuser.Config{}), accuser.New(accuser.Config{})}
+	var companions, all sync.WaitGroup
+	var answered [8]wire.Outcome
+	for i := range answered {
+		companions.Go(func() { answered[i] = caller(rigs, entries[i%2], text(int64(100+i))) })
+	}
+	bad := text(50) + answerer.Marker
+	for i := range 2 {
+		all.Go(func() {
+			for range 5 {
+				if got := caller(rigs, entries[i], bad); got != wire.Outcome_OUTCOME_NOT_RUN {
+					t.Errorf("the crash request ended as %v", got)
+				}
+			}
+		})
+		all.Wait() // one after the other: the caller sends again
+	}
+	companions.Wait()
+	for i, got := range answered {
+		if got != wire.Outcome_OUTCOME_ANSWERED {
+			t.Errorf("companion %d ended as %v", i, got)
+		}
+	}
+	crashes := 0
+	for _, r := range rigs {
+		crashes += r.counts().Crashes
+	}
+	is.True(crashes >= 1)
+	is.True(crashes <= 2)
+}
+
+// The death of an engine makes suspects of all that ran in it, and of nothing
+// else; entries are told at once.
+func TestCrashAccuses(t *testing.T) {
+	is := is.New(t)
+	config := quick
+	config.Prefill = 1000
+	r := newRig(t, config)
+	var all sync.WaitGroup
+	all.Go(func() { r.send(context.Background(), named(text(400), 5000), text(400)) })
+	r.until("companion runs", func() bool { return r.counts().Jobs == 1 })
+	bad := text(50) + answerer.Marker
+	got := r.send(context.Background(), named(bad, 4), bad)
+	all.Wait()
+	is.Equal(got.refused.GetReason(), wire.Reason_REASON_CRASH)
+	r.until("two accused", func() bool { return len(r.entry.heard()) == 2 })
+	is.Equal(r.server.counts.crashes.Value(), int64(1))
+
+	p := named(bad, 4) // from an entry that has not heard
+	r.until("refused", func() bool {
+		return r.send(context.Background(), p, bad).refused.GetReason() == wire.Reason_REASON_SUSPECT
+	})
+	is.Equal(r.counts().Crashes, 1)
+}
+
+// A stream that breaks off while the engine lives makes nobody a suspect.
+func TestTruncationAccusesNobody(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, quick)
+	r.engine.Faults.Set(answerer.Truncate, 3)
+	got := r.send(context.Background(), named(text(50), 40), text(50))
+	is.Equal(got.refused.GetReason(), wire.Reason_REASON_ENGINE)
+	is.Equal(len(r.server.suspects.Suspects()), 0)
+}
+
+// While a suspect waits, the gate takes nothing else and empties; while it
+// runs, nothing else enters; finished alone, it is cleared.
+func TestAlone(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, quick)
+	ctx, cancel := context.WithCancel(context.Background())
+	all := r.load(ctx, 2, 100)
+	r.until("busy", func() bool { return r.counts().Jobs > 0 })
+	p := named(text(60), 400)
+	r.server.tell([]*wire.Accusation{{Fingerprint: p.GetFingerprint(), Server: "elsewhere", Boot: 1}})
+	is.Equal(r.send(ctx, p, text(60)).refused.GetReason(), wire.Reason_REASON_SUSPECT) // not sent as alone
+	p.Alone = true
+	done := make(chan result, 1)
+	go func() {
+		for {
+			p := named(text(60), 400)
+			p.Alone = true
+			if got := r.send(ctx, p, text(60)); got.refused.GetReason() != wire.Reason_REASON_ALONE {
+				done <- got
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}()
+	r.until("runs alone", func() bool {
+		return r.ask(50, 4).refused.GetReason() == wire.Reason_REASON_ALONE && r.counts().Jobs == 1
+	})
+	is.True((<-done).end != nil)
+	cancel()
+	all.Wait()
+	is.Equal(r.server.suspects.Judge(p.GetFingerprint()).Ruling, convictor.Free)
+}
--- /dev/null
+++ b/sidecar/internal/server/leaving_test.go
@@ -0,0 +1,109 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"bamboohill/wire"
+
+	"github.com/matryer/is"
+)
+
+// leaveNow begins the sidecar's stop, as SIGTERM does.
+func (r *rig) leaveNow() chan error {
+	left := make(chan error, 1)
+	go func() { left <- r.server.leave(context.Background(), &http.Server{ReadHeaderTimeout: time.Second}) }()
+	r.until("leaving", r.server.leaving.now)
+	return left
+}
+
+// A sidecar that leaves tells its entries at once, refuses new work truthfully,
+// lets short work end and hands a long stream over within the drain time, with
+// its cache, which is freed in the end.
+func TestLeaving(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, quick)
+	long, short := make(chan result, 1), make(chan result, 1)
+	go func() { long <- r.ask(1000, 40_000) }()
+	go func() { short <- r.ask(50, 300) }()
+	r.until("both run", func() bool { return r.counts().Jobs == 2 })
+	left := r.leaveNow()
+	told := r.until("told", func() bool {
+		r.entry.mu.Lock()
+		defer r.entry.mu.Unlock()
+		n := len(r.entry.reports)
+		return n > 0 && r.entry.reports[n-1].GetState() == wire.State_STATE_LEAVING
+	})
+	is.True(told < 3*time.Second)
+	refused := r.ask(50, 4).refused
+	is.Equal(refused.GetReason(), wire.Reason_REASON_LEAVING)
+	is.Equal(refused.GetOutcome(), wire.Outcome_OUTCOME_NOT_RUN)
+	is.True((<-short).end != nil) // ended by itself
+
+	got := <-long
+	is.Equal(got.refused.GetReason(), wire.Reason_REASON_MOVED)
+	is.True(got.refused.GetExported() != "")
+	is.True(got.refused.GetTokens() >= 1000)
+	is.True(got.next > 0) // resumed from here on
+	is.NoErr(<-left)
+	is.Equal(r.counts().Used, int64(0))
+	is.Equal(r.server.counts.moved.Value(), int64(1))
+}
+
+// The stream goes on at the next position at its new home, without a new
+// prefill.
+func TestHandedOver(t *testing.T) {
+	is := is.New(t)
+	old, home := newRig(t, quick), newRig(t, quick)
+	done := make(chan result, 1)
+	p := proposal(1000, 5000)
+	go func() { done <- old.send(context.Background(), p, text(1000)) }()
+	old.until("runs", func() bool { return old.counts().Jobs == 1 })
+	time.Sleep(20 * time.Millisecond)
+	old.server.handOver(context.Background())
+	got := <-done
+	is.Equal(got.refused.GetReason(), wire.Reason_REASON_MOVED)
+
+	next := proposal(1000, got.next+100)
+	next.Position = got.next
+	next.Imported = got.refused.GetExported()
+	next.Carried = got.refused.GetTokens()
+	rest := home.send(context.Background(), next, text(1000))
+	is.True(rest.end != nil)
+	is.Equal(rest.next, got.next+100)
+	is.Equal(rest.end.GetCached(), int64(1000))
+	home.until("freed there", home.clean)
+	old.until("freed here", old.clean) // the lease of the exported cache is over
+}
+
+// An engine that dies under a living sidecar is back in service, cold, once it
+// answers, and what it ran has failed visibly.
+func TestEngineKilled(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, quick)
+	done := make(chan result, 1)
+	go func() { done <- r.ask(50, 40_000) }()
+	r.until("runs", func() bool { return r.counts().Jobs == 1 })
+	r.engine.Faults.Set("crash", 1)
+	is.Equal((<-done).refused.GetReason(), wire.Reason_REASON_CRASH)
+	took := r.until("in service", func() bool { return r.ask(50, 4).end != nil })
+	is.True(took < 5*time.Second)
+	is.Equal(r.server.gate.Limit(), 2)
+	r.until("free", r.clean)
+}
+
+func TestDue(t *testing.T) {
+	is := is.New(t)
+	var l leaving
+	start := time.Unix(1000, 0)
+	drain := 10 * time.Second
+	is.True(!l.due(true, start, drain))
+	is.True(!l.due(true, start.Add(4*time.Second), drain))
+	is.True(!l.due(false, start.Add(4*time.Second), drain)) // taken back
+	is.True(!l.due(true, start.Add(5*time.Second), drain))
+	is.True(!l.due(true, start.Add(9*time.Second), drain))
+	is.True(l.due(true, start.Add(10*time.Second), drain))
+	is.True(!l.due(true, start.Add(11*time.Second), drain)) // once
+}
--- a/sidecar/internal/server/rig_test.go
+++ b/sidecar/internal/server/rig_test.go
@@ -95,7 +95,9 @@
 	return r
 }
 
-func quiet() *log.Logger { return &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}} }
+func quiet() *log.Logger {
+	return &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}}
+}
 
 // begin starts a sidecar before the engine.
 func (r *rig) begin(entry string) {
@@ -210,4 +212,3 @@
 	}
 	return &all
 }
-
