Gangs over real stand-in engines

Prompts of 180,000 tokens over engines of 100,000: two, three and four at once on three engines beside short requests, a member's engine dying, a lead that never renews.

--- /dev/null
+++ b/sidecar/internal/server/gang_test.go
@@ -0,0 +1,175 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"bamboohill/core/ider"
+	"bamboohill/core/reserver"
+	"bamboohill/standin/answerer"
+	"bamboohill/wire"
+
+	"github.com/matryer/is"
+)
+
+// gates calls the gates of rigs by server name.
+type gates map[string]*rig
+
+func (g gates) Reserve(ctx context.Context, address string, q *wire.ReserveRequest) (*wire.ReserveReply, error) {
+	return gate{g[address].server}.Reserve(ctx, q)
+}
+
+func (g gates) Renew(ctx context.Context, address string, q *wire.RenewRequest) (*wire.ReserveReply, error) {
+	return gate{g[address].server}.Renew(ctx, q)
+}
+
+func (g gates) Release(ctx context.Context, address string, q *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
+	return gate{g[address].server}.Release(ctx, q)
+}
+
+// newGates starts three warm engines m0 to m2.
+func newGates(t *testing.T) (gates, []reserver.Member) {
+	all := gates{}
+	var members []reserver.Member
+	for i := range 3 {
+		name := fmt.Sprint("m", i)
+		config := quick
+		config.Warm = true
+		all[name] = newRig(t, config)
+		all[name].server.config.Settings.Server = name
+		members = append(members, reserver.Member{Server: ider.Server(name), VM: ider.VM("vm-" + name), Address: name})
+	}
+	return all, members
+}
+
+// Sizes of a prompt that no single engine has room for.
+const (
+	hugePrompt = 180_000 // tokens; an engine has 100,000
+	hugeAnswer = 8
+)
+
+// runGang carries one long prompt through a gang.
+func (g gates) runGang(id string, members []reserver.Member, lease time.Duration) (result, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	held, err := reserver.Reserve(ctx, reserver.Config{
+		Gate: g, Gang: id, Tokens: reserver.Span(hugePrompt, hugeAnswer, len(members)), Model: "base", Lease: lease,
+	}, members)
+	if err != nil {
+		return result{}, err
+	}
+	defer held.Release()
+	var names []string
+	for _, m := range held.Members() {
+		names = append(names, string(m.Server))
+	}
+	propose := func(name string) result {
+		p := proposal(hugePrompt, hugeAnswer)
+		p.Gang = id
+		p.Members = names
+		return g[name].send(ctx, p, text(hugePrompt))
+	}
+	for _, name := range names[1:] {
+		go propose(name) // holds its part until the gang is released
+	}
+	lead := make(chan result, 1)
+	go func() { lead <- propose(names[0]) }()
+	select {
+	case got := <-lead:
+		return got, nil
+	case <-held.Lost():
+		return result{}, errors.New("a member was lost")
+	}
+}
+
+func (g gates) clean() bool {
+	for _, r := range g {
+		if !r.clean() {
+			return false
+		}
+	}
+	return true
+}
+
+// Two to four prompts that need two engines each run at once on three, beside
+// short requests: each is answered in its turn, nothing stays held.
+func TestGangsAtOnce(t *testing.T) {
+	for n := 2; n <= 4; n++ {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			g, members := newGates(t)
+			var all sync.WaitGroup
+			for i := range n {
+				pair := []reserver.Member{members[i%3], members[(i+1)%3]}
+				all.Go(func() {
+					for try := range 200 {
+						got, err := g.runGang(fmt.Sprint(i, "-", try), pair, time.Second)
+						if err == nil && got.end != nil {
+							return
+						}
+						time.Sleep(20 * time.Millisecond)
+					}
+					t.Errorf("gang %d was never answered", i)
+				})
+			}
+			shorts := 0
+			for range 20 {
+				if g["m0"].ask(50, 2).end != nil {
+					shorts++
+				}
+			}
+			all.Wait()
+			is.True(shorts >= 18) // the rest found the gate at its limit
+			g["m0"].until("nothing held", g.clean)
+		})
+	}
+}
+
+// The death of a member's engine ends the gang in time, and the other member
+// holds nothing after a lease.
+func TestGangMemberDies(t *testing.T) {
+	is := is.New(t)
+	g, members := newGates(t)
+	g["m0"].engine.Faults.Set(answerer.Creep, 50) // the lead takes its time
+	done := make(chan error, 1)
+	go func() {
+		got, err := g.runGang("a", members[:2], 300*time.Millisecond)
+		if err == nil && got.end != nil {
+			err = errors.New("answered")
+		}
+		done <- err
+	}()
+	g["m0"].until("both run", func() bool { return g["m0"].counts().Jobs == 1 && g["m1"].counts().Jobs == 1 })
+	start := time.Now()
+	g["m1"].engine.Faults.Set(answerer.Crash, 1)
+	is.Equal((<-done).Error(), "a member was lost")
+	is.True(time.Since(start) < 2*time.Second)
+	g["m0"].until("nothing held", g.clean)
+}
+
+// Members that a paused lead no longer renews end its work and free its memory.
+func TestGangLeadPaused(t *testing.T) {
+	is := is.New(t)
+	g, _ := newGates(t)
+	r := g["m1"]
+	ctx := context.Background()
+	reply, err := g.Reserve(ctx, "m1", &wire.ReserveRequest{Gang: "a", Tokens: 90_008, LeaseMs: 200, Model: "base"})
+	is.NoErr(err)
+	is.True(reply.GetHeld())
+	reply, err = g.Reserve(ctx, "m1", &wire.ReserveRequest{Gang: "b", Tokens: 90_008, LeaseMs: 200, Model: "base"})
+	is.NoErr(err)
+	is.Equal(reply.GetReason(), wire.Reason_REASON_MEMORY)
+	p := proposal(hugePrompt, hugeAnswer)
+	p.Gang = "a"
+	p.Members = []string{"m0", "m1"}
+	got := r.send(ctx, p, text(hugePrompt))
+	is.True(got.end == nil)
+	r.until("freed", r.clean)
+	reply, err = g.Renew(ctx, "m1", &wire.RenewRequest{Gang: "a", LeaseMs: 200})
+	is.NoErr(err)
+	is.True(!reply.GetHeld())
+}
