--- a/core/hinter/hinter.go
+++ b/core/hinter/hinter.go
@@ -55,13 +55,14 @@
 // holder is a server under one of its cache's generations.
 type holder struct {
 	server     ider.Server
+	cache      *cache
 	generation uint64
 }
 
 // cache is what is known of one server's cache as a whole.
 type cache struct {
 	boot       uint64
-	serial     uint64
+	noted      uint64 // events up to the newest report
 	generation uint64 // rises when all hints are dropped
 }
 
@@ -75,26 +76,30 @@
 	}
 }
 
-// Hear takes the cache events of a report. A report that is not newer than
-// the last one of that server is ignored; one that skips a serial number
-// counts as a gap only if the report says so.
+// Hear takes the cache events of a report, if it carries any. Events missing
+// between two reports, by their count, are a gap too. Reports of an earlier
+// boot, and events that are already known, are ignored.
 func (h *Hinter) Hear(report *wire.Report) {
+	if report.GetNoted() == 0 && !report.GetGap() {
+		return
+	}
 	server := ider.Server(report.GetServer())
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	c := h.cacheOf(server)
-	if report.GetBoot() < c.boot || report.GetBoot() == c.boot && report.GetSerial() <= c.serial {
+	if report.GetBoot() < c.boot || report.GetBoot() == c.boot && report.GetNoted() <= c.noted && !report.GetGap() {
 		return
 	}
-	if report.GetGap() || report.GetBoot() != c.boot && c.boot != 0 {
+	before := report.GetNoted() - uint64(len(report.GetCached())+len(report.GetDropped()))
+	if report.GetGap() || report.GetBoot() != c.boot || before != c.noted {
 		c.generation++
 	}
-	c.boot, c.serial = report.GetBoot(), report.GetSerial()
+	c.boot, c.noted = report.GetBoot(), report.GetNoted()
 	for _, hash := range report.GetDropped() {
 		h.remove(hash, server)
 	}
 	for _, hash := range report.GetCached() {
-		h.add(hash, holder{server: server, generation: c.generation})
+		h.add(hash, holder{server: server, cache: c, generation: c.generation})
 	}
 }
 
@@ -104,7 +109,7 @@
 	defer h.mu.Unlock()
 	c := h.cacheOf(server)
 	for _, m := range chain {
-		h.add(m.Hash, holder{server: server, generation: c.generation})
+		h.add(m.Hash, holder{server: server, cache: c, generation: c.generation})
 	}
 }
 
@@ -123,7 +128,7 @@
 	if !found {
 		return 0
 	}
-	want := holder{server: server, generation: c.generation}
+	want := holder{server: server, cache: c, generation: c.generation}
 	for _, m := range slices.Backward(chain) {
 		if slices.Contains(h.holders(m.Hash), want) {
 			return m.Tokens
@@ -142,7 +147,7 @@
 			if len(list) >= most {
 				return list
 			}
-			if h.servers[x.server].generation != x.generation || has(list, x.server) {
+			if x.cache.generation != x.generation || has(list, x.server) {
 				continue
 			}
 			list = append(list, Holder{Server: x.server, Tokens: m.Tokens})
--- a/core/hinter/hinter_test.go
+++ b/core/hinter/hinter_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"bamboohill/core/generator"
 	"bamboohill/core/hinter"
 	"bamboohill/core/ider"
 	"bamboohill/wire"
@@ -43,29 +44,31 @@
 func TestHear(t *testing.T) {
 	chain := hinter.Read(prompt(8, 0))
 	all := hashes(chain)
-	heard := func(serial uint64, r *wire.Report) *wire.Report {
-		r.Server, r.Serial = "a", serial
-		r.Boot = max(1, r.Boot)
-		return r
-	}
+	const tokens = hinter.BlockTokens
+	n := uint64(len(all))
+	add := &wire.Report{Boot: 1, Noted: n, Cached: all}
 	tests := map[string]struct {
 		reports []*wire.Report
 		want    int64
 	}{
-		"nothing":         {},
-		"whole":           {reports: []*wire.Report{heard(1, &wire.Report{Cached: all})}, want: 8 * hinter.BlockTokens},
-		"start":           {reports: []*wire.Report{heard(1, &wire.Report{Cached: all[:2]})}, want: 2 * hinter.BlockTokens},
-		"dropped":         {reports: []*wire.Report{heard(1, &wire.Report{Cached: all}), heard(2, &wire.Report{Dropped: all[3:]})}, want: 3 * hinter.BlockTokens},
-		"gap":             {reports: []*wire.Report{heard(1, &wire.Report{Cached: all}), heard(2, &wire.Report{Gap: true})}},
-		"gap and more":    {reports: []*wire.Report{heard(1, &wire.Report{Cached: all}), heard(2, &wire.Report{Gap: true, Cached: all[:1]})}, want: hinter.BlockTokens},
-		"new boot":        {reports: []*wire.Report{heard(1, &wire.Report{Cached: all}), heard(1, &wire.Report{Boot: 2})}},
-		"late old report": {reports: []*wire.Report{heard(2, &wire.Report{Gap: true}), heard(1, &wire.Report{Cached: all})}},
+		"nothing":       {},
+		"whole":         {reports: []*wire.Report{add}, want: 8 * tokens},
+		"start":         {reports: []*wire.Report{{Boot: 1, Noted: 2, Cached: all[:2]}}, want: 2 * tokens},
+		"dropped":       {reports: []*wire.Report{add, {Boot: 1, Noted: 2*n - 3, Dropped: all[3:]}}, want: 3 * tokens},
+		"no events":     {reports: []*wire.Report{add, {Boot: 1}}, want: 8 * tokens},
+		"known already": {reports: []*wire.Report{add, {Boot: 1, Noted: 2*n - 3, Dropped: all[3:]}, add}, want: 3 * tokens},
+		"gap":           {reports: []*wire.Report{add, {Boot: 1, Noted: n, Gap: true}}},
+		"gap and more":  {reports: []*wire.Report{add, {Boot: 1, Noted: n + 1, Gap: true, Cached: all[:1]}}, want: tokens},
+		"lost report":   {reports: []*wire.Report{add, {Boot: 1, Noted: n + 9, Cached: all[:1]}}, want: tokens},
+		"new boot":      {reports: []*wire.Report{add, {Boot: 2, Noted: 1, Cached: []uint64{7}}}},
+		"old boot":      {reports: []*wire.Report{{Boot: 2, Noted: 1, Cached: []uint64{7}}, add}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			h := hinter.New(hinter.Config{})
 			for _, r := range test.reports {
+				r.Server = "a"
 				h.Hear(r)
 			}
 			is.Equal(h.Cached("a", chain), test.want)
@@ -84,3 +87,49 @@
 	is.Equal(h.Cached("a", hinter.Chain{{Hash: 99, Tokens: 1}}), int64(1))
 	is.Equal(h.Cached("a", hinter.Chain{{Hash: 0, Tokens: 1}}), int64(0))
 }
+
+// What a noter reports of an engine's events is what a hinter then believes.
+func TestNoterTellsHinter(t *testing.T) {
+	chain := hinter.Read(prompt(4, 0)) // marks at 1, 2, 3 and 4 blocks
+	event := func(serial uint64, i int, removed bool) generator.Event {
+		return generator.Event{Serial: serial, Hash: chain[i].Hash, Removed: removed}
+	}
+	const tokens = hinter.BlockTokens
+	tests := map[string]struct {
+		rounds [][]generator.Event // one report after each
+		boots  []uint64            // of the engine, 1 if not set
+		lost   int                 // this report is lost, counted from 1
+		want   int64
+	}{
+		"added":            {rounds: [][]generator.Event{{event(1, 0, false), event(2, 1, false)}}, want: 2 * tokens},
+		"other blocks":     {rounds: [][]generator.Event{{event(1, 0, false), {Serial: 2, Hash: 99}}}, want: tokens},
+		"removed":          {rounds: [][]generator.Event{{event(1, 0, false), event(2, 1, false)}, {event(3, 1, true)}}, want: tokens},
+		"seen twice":       {rounds: [][]generator.Event{{event(1, 0, false)}, {event(1, 0, false), event(2, 0, true)}, {event(1, 0, false)}}},
+		"event lost":       {rounds: [][]generator.Event{{event(1, 0, false), event(2, 1, false)}, {event(4, 0, false)}}, want: tokens},
+		"report lost":      {rounds: [][]generator.Event{{event(1, 0, false)}, {event(2, 0, true)}, {event(3, 1, false)}}, lost: 2, want: 2 * tokens},
+		"gap lost":         {rounds: [][]generator.Event{{event(1, 0, false), event(2, 1, false)}, {event(4, 0, false)}, {event(5, 1, false)}}, lost: 2, want: 2 * tokens},
+		"gap lost, rest":   {rounds: [][]generator.Event{{event(1, 0, false), event(2, 1, false)}, {event(4, 0, false)}, {event(5, 0, true)}}, lost: 2},
+		"engine restarted": {rounds: [][]generator.Event{{event(1, 0, false), event(2, 1, false)}, {}}, boots: []uint64{1, 2}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := hinter.NewNoter()
+			n.Expect(chain)
+			h := hinter.New(hinter.Config{})
+			for i, events := range test.rounds {
+				boot := uint64(1)
+				if len(test.boots) > 0 {
+					boot = test.boots[i]
+				}
+				n.Note(boot, events)
+				r := &wire.Report{Server: "a", Boot: 1}
+				n.Fill(r)
+				if i+1 != test.lost {
+					h.Hear(r)
+				}
+			}
+			is.Equal(h.Cached("a", chain), test.want)
+		})
+	}
+}
--- a/core/router/estimate.go
+++ b/core/router/estimate.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"bamboohill/core/ider"
 	"bamboohill/core/watcher"
 	"bamboohill/wire"
 )
@@ -35,19 +34,26 @@
 	penaltyFailed = 5
 	penaltyMemory = 30
 	penaltyBound  = 60
-	penaltyShare  = 120
+	penaltyShare  = 20
 )
 
 // chunk is the prefill work that an engine does between two looks at its
 // queue, in tokens: a short prompt waits for half of it if a longer one runs.
 const chunk = 2048
 
-// maxPriority keeps priorities within the schema's int32.
-const maxPriority = math.MaxInt32
+// classGap keeps the length classes apart where priorities do not age, in
+// milliseconds.
+const classGap = 500_000_000
 
-// stretch is how many times its own work a request may wait before it counts
-// as urgent as any.
-const stretch = 20
+// urgent is how many times its own prefill a request has left before its
+// deadline when it counts as urgent.
+const urgent = 2
+
+// patience is how long a request of a class waits at least before it counts as
+// urgent, in seconds; to it comes a multiple of its own prefill.
+var patience = [...]float64{brief: 0, middle: 5, long: 20}
+
+const stretch = 10
 
 // estimate is what a job would meet on one server. Times are in seconds.
 type estimate struct {
@@ -75,19 +81,18 @@
 		speed = r.config.Speed
 	}
 	e := estimate{}
-	if r.config.Hints != nil && r.on(Prefix) {
-		e.cached = min(r.config.Hints.Cached(ider.Server(server.GetServer()), s.job.Chain), s.job.Prompt-1)
-	}
+	e.cached = s.cached(server.GetServer())
 	e.work = max(1, s.job.Prompt-e.cached)
 	e.alone = float64(e.work) / speed
 	running := float64(server.GetRunning()) + float64(o.running)
 	limit := float64(max(1, server.GetLimit()))
 	ahead, behind := s.ahead(server, &o, speed)
 	slow := 1 + min(1, running/limit)/2
-	e.first = slow * (ahead/speed + e.alone)
+	prefill := ahead + float64(e.work)
 	if behind > 0 {
-		e.first += min(behind, chunk) / speed / 2
+		prefill = math.Ceil(prefill/chunk)*chunk + chunk/2
 	}
+	e.first = slow * prefill / speed
 	e.whole = e.first + float64(s.job.Answer)/max(1, server.GetDecode())*slow
 	e.cost = e.first + s.penalty(server, &o, running, limit)
 	return e
@@ -153,20 +158,25 @@
 	return p
 }
 
-// priority returns when the request turns urgent, in milliseconds from now:
-// after a multiple of its own work, and early enough to meet its deadline. The
-// sidecar adds its clock to it, so that an engine which serves the smallest
-// number first serves the short ones first, and a long one once it is due.
+// priority returns when the request turns urgent, in milliseconds from now: a
+// short one at once, a longer one after a time that grows with its own prefill,
+// and in any case when half of what is left until its deadline, its answer's
+// time taken off, is its own prefill. The sidecar adds its clock to it, so that
+// an engine which serves the smallest number first serves the short ones
+// first, and a long one once it is due.
 func (s *search) priority(e estimate) int32 {
 	if !s.r.on(Priority) {
 		return 0
 	}
-	if !s.r.on(Aging) {
-		return int32(s.class)
+	if !s.r.on(Aging) || s.job.Deadline.IsZero() {
+		return int32(s.class) * classGap
 	}
-	wait := e.alone * stretch
-	if !s.job.Deadline.IsZero() {
-		wait = min(wait, s.job.Deadline.Sub(s.now).Seconds()-2*e.whole)
+	if s.class == brief {
+		return 0
 	}
-	return int32(min(max(0, wait*1000), maxPriority))
+	answer := e.whole - e.first
+	slack := s.job.Deadline.Sub(s.now).Seconds() - answer - urgent*e.alone
+	wait := patience[s.class] + stretch*e.alone
+	least := patience[s.class]/2 + e.alone
+	return int32(min(max(least, min(wait, slack))*1000, classGap))
 }
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -26,12 +26,14 @@
 
 	"bamboohill/core/accuser"
 	"bamboohill/core/admitter"
+	"bamboohill/core/chooser"
 	"bamboohill/core/convictor"
 	"bamboohill/core/hinter"
 	"bamboohill/core/ider"
 	"bamboohill/core/keeper"
 	"bamboohill/core/retrier"
 	"bamboohill/core/router"
+	"bamboohill/core/tokener"
 	"bamboohill/core/watcher"
 	"bamboohill/wire"
 
@@ -52,6 +54,9 @@
 	Payload  []byte
 	Hash     []byte
 	Deadline time.Time
+	// Permitted tells, of the configuration in force now, its sequence number
+	// and whether the caller may still have this. Nil permits always.
+	Permitted func() (uint64, bool)
 
 	fingerprint string // of account and body, for crash suspects
 	alone       bool   // the next attempt has to run alone
@@ -106,8 +111,9 @@
 	Propose  func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (Attempt, error)
 	Keeper   *keeper.Keeper
 	Retrier  *retrier.Retrier
-	Router   *router.Router
-	Admitter *admitter.Admitter
+	Chooser  *chooser.Chooser // of servers, for requests that can finish in time
+	Tokener  *tokener.Tokener
+	Limits   Limits // of client accounts, none if nil
 	Suspects *accuser.Accuser
 	Accuse   func(*wire.Accusation) // tells the other entries; may be nil
 	Watches  Watches
@@ -129,11 +135,13 @@
 	if config.Retrier == nil {
 		config.Retrier = retrier.New(retrier.Config{})
 	}
-	if config.Router == nil {
-		config.Router = router.New(router.Config{Seed: rand.Uint64()})
+	if config.Chooser == nil {
+		config.Chooser = chooser.New(chooser.Config{
+			Picker: router.New(router.Config{Seed: rand.Uint64()}), Admitter: admitter.New(admitter.Config{}),
+		})
 	}
-	if config.Admitter == nil {
-		config.Admitter = admitter.New(admitter.Config{})
+	if config.Tokener == nil {
+		config.Tokener = tokener.New(tokener.Config{})
 	}
 	if config.Suspects == nil {
 		config.Suspects = accuser.New(accuser.Config{})
@@ -152,13 +160,14 @@
 
 // course is what has become of a request so far.
 type course struct {
-	result   Result
-	ran      bool // some attempt may have run
-	free     int  // retries left that cost no budget: the entry's own view was old
-	left     bool // the caller has gone
-	solo     int  // tries left to get a backend server alone
-	cache    cache
-	sequence uint64 // configuration in force at the gate that refused last
+	permitted uint64 // sequence number under which the caller was permitted last
+	result    Result
+	ran       bool // some attempt may have run
+	free      int  // retries left that cost no budget: the entry's own view was old
+	left      bool // the caller has gone
+	solo      int  // tries left to get a backend server alone
+	cache     cache
+	sequence  uint64 // configuration in force at the gate that refused last
 }
 
 // cache is what a backend server that leaves has exported of a request.
@@ -178,13 +187,23 @@
 	q.Job.Deadline = q.Deadline
 	if q.Job.Kind == wire.Kind_KIND_MODEL {
 		q.Job.Chain = hinter.Read(q.Payload)
+		q.Job.Prompt = d.config.Tokener.Tokens(q.Job.Model, int64(len(q.Payload)))
 		hash := sha256.Sum256(q.Payload)
 		q.fingerprint = convictor.Fingerprint(q.Account.GetName(), hash[:])
 	}
 	c := &course{free: freeRetries, solo: soloTries}
 	c.result.Outcome = wire.Outcome_OUTCOME_NOT_RUN
+	release, err := d.limit(ctx, q)
+	if err != nil {
+		c.refuse(err)
+		return c.final()
+	}
+	defer func() { release(c.ran || c.result.Outcome == wire.Outcome_OUTCOME_ANSWERED, time.Now()) }()
 	d.config.Retrier.First(ider.Account(q.Account.GetName()))
 	for {
+		if !d.permit(q, c) {
+			return c.final()
+		}
 		choice, err := d.place(q, c)
 		if err != nil {
 			if !d.comeBack(ctx, q, c, err) {
@@ -232,6 +251,23 @@
 	return c.result
 }
 
+// permit looks before each attempt whether the caller may still have what was
+// asked for: the configuration may have changed since the last one, or this
+// entry may have learnt that it was behind. The proposal names the sequence
+// number of the look.
+func (d *Dispatcher) permit(q *Request, c *course) bool {
+	if q.Permitted == nil {
+		c.permitted = d.config.Keeper.State().Sequence
+		return true
+	}
+	sequence, ok := q.Permitted()
+	c.permitted = sequence
+	if !ok {
+		c.result.Reason = wire.Reason_REASON_DENIED
+	}
+	return ok
+}
+
 // again decides on one more try after a failed one and waits for its turn.
 func (d *Dispatcher) again(ctx context.Context, q *Request, c *course, server watcher.Server) bool {
 	if ctx.Err() != nil || c.ran && q.Call != wire.Call_CALL_REPEATABLE {
--- a/entry/internal/gossiper/gossiper.go
+++ b/entry/internal/gossiper/gossiper.go
@@ -12,6 +12,8 @@
 	"bamboohill/core/storer"
 	"bamboohill/core/watcher"
 	"bamboohill/wire"
+
+	"github.com/phuslu/log"
 )
 
 // Defaults of Config.
@@ -20,6 +22,7 @@
 	defaultLimit = time.Second
 	listEvery    = 10 // greetings between two readings of the list of VMs
 	fanout       = 3  // entries greeted at once
+	gapEntries   = 32 // entries for which rounds come a multiple of Every apart
 	spreadWidth  = 32 // pushes under way at once
 	probeWidth   = 8  // silent servers asked at once
 )
@@ -30,8 +33,8 @@
 }
 
 // Config describes a Gossiper. The zero Every greets each second, the zero
-// Limit gives a call one second, the zero Copies pushes changes to every
-// sidecar heard. List, Accuse and Borrow may be nil; nil Entries and Sidecars
+// Limit gives a call one second, the zero Copies suits the number of
+// entries. List, Log, Accuse and Borrow may be nil; nil Entries and Sidecars
 // connect without TLS.
 type Config struct {
 	Address string // this entry's inner address
@@ -42,11 +45,12 @@
 	Watcher *watcher.Watcher
 	Every   time.Duration
 	Limit   time.Duration
-	// Copies is how many of the entries that hear a sidecar push to it, by
-	// rendezvous rank among live entries; 0 means all.
+	// Copies is how many entries push to one sidecar, by rank among live ones; 0
+	// means all of a few, and one or two of many.
 	Copies   int
 	Entries  *certifier.Peer
 	Sidecars *certifier.Peer
+	Log      *log.Logger
 	// Accuse takes a crash suspect that another entry tells of.
 	Accuse func(*wire.Accusation)
 	// Borrow lends a share of an account's limits to another entry.
@@ -71,6 +75,7 @@
 type mark struct {
 	boot     uint64
 	sequence uint64
+	at       time.Time // of the push
 }
 
 // taken returns the sequence number in force at a server; the lock is held.
@@ -145,7 +150,8 @@
 			g.readList(ctx)
 		}
 		g.Round(ctx)
-		t := time.NewTimer(g.config.Every/2 + g.jitter(g.config.Every))
+		gap := g.gap()
+		t := time.NewTimer(gap/2 + g.jitter(gap))
 		select {
 		case <-ctx.Done():
 		case <-t.C:
@@ -154,6 +160,21 @@
 	}
 }
 
+// gap is the mean time between two rounds. It grows with the number of entries,
+// so that the cost of a round stays a fixed share of an entry's budget.
+func (g *Gossiper) gap() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.config.Every * time.Duration(max(1, len(g.roster.all)/gapEntries))
+}
+
+// shuffle puts n things in random order.
+func (g *Gossiper) shuffle(n int, swap func(i, j int)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.random.Shuffle(n, swap)
+}
+
 func (g *Gossiper) jitter(most time.Duration) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -190,8 +211,11 @@
 	g.each(ctx, targets, func(ctx context.Context, a string) { g.greet(ctx, a, false) })
 	g.probe(ctx)
 	g.mu.Lock()
-	g.roster.judge(time.Now())
+	gone := g.roster.judge(time.Now())
 	g.mu.Unlock()
+	for _, a := range gone {
+		g.note("entry_gone", a)
+	}
 	g.config.Watcher.Tick()
 	g.Wake()
 }
@@ -224,6 +248,7 @@
 func (g *Gossiper) greet(ctx context.Context, address string, ask bool) *wire.Greeting {
 	mine := g.greeting()
 	mine.Ask = ask
+	mine.Wants = g.wants()
 	reply, err := g.peer(address).Greet(ctx, mine)
 	now := time.Now()
 	if err != nil {
@@ -233,6 +258,9 @@
 		return nil
 	}
 	g.take(reply, now)
+	for _, r := range reply.GetReports() {
+		g.config.Watcher.Hear(r)
+	}
 	return reply
 }
 
@@ -255,7 +283,9 @@
 		return
 	}
 	g.mu.Lock()
-	g.roster.hear(&wire.Member{Address: w.GetAddress(), Boot: w.GetBoot(), Leaving: w.GetLeaving()}, now, now)
+	if g.roster.hear(&wire.Member{Address: w.GetAddress(), Boot: w.GetBoot(), Leaving: w.GetLeaving()}, now, now) {
+		defer g.note("entry_back", w.GetAddress())
+	}
 	for _, m := range w.GetMembers() {
 		g.roster.hear(m, now.Add(-time.Duration(m.GetAgeMs())*time.Millisecond), now)
 	}
@@ -266,6 +296,13 @@
 	}
 }
 
+// note writes one event about an entry to the log.
+func (g *Gossiper) note(event, address string) {
+	if g.config.Log != nil {
+		g.config.Log.Info().Str("event", event).Str("entry", address).Msg("")
+	}
+}
+
 // Behind notes that some process has a sequence number in force, and catches
 // up beside the caller's work if this entry is behind it.
 func (g *Gossiper) Behind(sequence uint64) {
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -12,16 +12,23 @@
 	"expvar"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
 	"bamboohill/core/accuser"
+	"bamboohill/core/admitter"
 	"bamboohill/core/certifier"
+	"bamboohill/core/chooser"
+	"bamboohill/core/hinter"
 	"bamboohill/core/keeper"
+	"bamboohill/core/limiter"
 	"bamboohill/core/puller"
+	"bamboohill/core/router"
 	"bamboohill/core/storer"
 	"bamboohill/core/watcher"
 	"bamboohill/entry/internal/administrator"
+	"bamboohill/entry/internal/borrower"
 	"bamboohill/entry/internal/dispatcher"
 	"bamboohill/entry/internal/gossiper"
 	"bamboohill/entry/internal/proposer"
@@ -32,7 +39,7 @@
 	"github.com/phuslu/log"
 )
 
-// Bounds of the callers' connections.
+// Bounds of the connections from other processes, and of a stop.
 const (
 	headerLimit = 10 * time.Second
 	headerBytes = 64 << 10
@@ -41,6 +48,13 @@
 	accuseLimit = 2 * time.Second
 )
 
+// Shares of an entry's memory: what callers' bodies may take, and from where
+// on garbage is collected at once.
+const (
+	bodyShare    = 0.75
+	garbageShare = 0.9
+)
+
 // Config describes a Server.
 type Config struct {
 	Settings settings.Settings
@@ -58,6 +72,8 @@
 	watcher  *watcher.Watcher
 	suspects *accuser.Accuser
 	gossiper *gossiper.Gossiper
+	borrower *borrower.Borrower
+	hints    *hinter.Hinter
 	stopping atomic.Bool
 	outer    http.Handler
 	inner    http.Handler
@@ -78,16 +94,26 @@
 	s.table = storer.NewTable(storer.Config{Address: set.Platform.Table})
 	s.watcher = watcher.New(watcher.Config{})
 	s.suspects = accuser.New(accuser.Config{})
+	s.hints = hinter.New(hinter.Config{})
 	s.join()
 	proposals := proposer.New(proposer.Config{Peer: certifier.NewPeer(s.certs, certifier.Sidecar)})
+	s.borrower = borrower.New(borrower.Config{
+		Self: set.Inner, Live: s.gossiper.Live, Borrow: s.gossiper.Borrow, Plan: s.plan,
+		Backlog: func() time.Duration { return limiter.Backlog(s.watcher.View().Servers) },
+	})
 	d := dispatcher.New(dispatcher.Config{
+		Limits: s.borrower,
+		Chooser: chooser.New(chooser.Config{
+			Picker:   router.New(router.Config{Hints: s.hints, Seed: s.boot}),
+			Admitter: admitter.New(admitter.Config{}),
+		}),
 		Watcher: s.watcher, Keeper: s.keeper, Entry: set.Inner, Log: config.Log, Suspects: s.suspects, Accuse: s.accuse,
 		Propose: func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (dispatcher.Attempt, error) {
 			return proposals.Propose(ctx, address, p, payload)
 		},
 	})
 	calls := receiver.New(receiver.Config{
-		Keeper: s.keeper, Dispatcher: d, Log: config.Log, Body: set.Bounds.Body, Memory: set.Bounds.Memory,
+		Keeper: s.keeper, Dispatcher: d, Log: config.Log, Body: set.Bounds.Body, Memory: int64(bodyShare * float64(set.Bounds.Memory)),
 		Timeout: time.Duration(set.Bounds.Timeout) * time.Millisecond,
 	})
 	admin := administrator.New(administrator.Config{
@@ -106,6 +132,7 @@
 		Table: s.table,
 		Peers: puller.New(puller.Config{Addresses: func() []string { return s.gossiper.Known() }, Self: set.Inner, Peer: entries}),
 		Changed: func(state *keeper.State) {
+			s.config.Log.Info().Str("event", "configuration").Uint64("sequence", state.Sequence).Msg("")
 			s.suspects.Pardon(state)
 			s.gossiper.Wake()
 		},
@@ -115,14 +142,28 @@
 	}
 	s.keeper = keeper.New(config)
 	members := gossiper.Config{
-		Address: set.Inner, Boot: s.boot, Seeds: set.Entries, Keeper: s.keeper, Watcher: s.watcher,
-		Accuse:  func(a *wire.Accusation) { s.suspects.Hear(a) },
+		Address: set.Inner, Boot: s.boot, Seeds: set.Entries, Keeper: s.keeper, Watcher: s.watcher, Log: s.config.Log,
+		Accuse: func(a *wire.Accusation) { s.suspects.Hear(a) },
+		Borrow: func(ctx context.Context, q *wire.BorrowRequest) (*wire.BorrowReply, error) {
+			return s.borrower.Lend(ctx, q)
+		},
 		Entries: entries, Sidecars: certifier.NewPeer(s.certs, certifier.Sidecar),
 	}
 	if set.Platform.List != "" {
 		members.List = storer.NewVMs(storer.Config{Address: set.Platform.List})
 	}
 	s.gossiper = gossiper.New(members)
+	s.publish()
+}
+
+// plan returns the plan of an account in force, nil if there is none.
+func (s *Server) plan(account string) *wire.Plan {
+	state := s.keeper.State()
+	a := state.Account(account)
+	if a == nil {
+		return nil
+	}
+	return state.Plan(a.GetPlan())
 }
 
 // accuse tells the other entries of a crash suspect.
@@ -169,15 +210,20 @@
 	defer stop()
 	defer s.keeper.Stop()
 	defer s.watcher.Stop()
-	outer, err := s.listen(ctx, s.config.Settings.Address, s.outer, s.front)
+	set := s.config.Settings
+	debug.SetMemoryLimit(int64(garbageShare * float64(set.Bounds.Memory)))
+	callers := s.web(s.outer)
+	receiver.Protect(callers, set.Bounds.Connections)
+	outer, err := s.listen(ctx, set.Address, callers, s.front)
 	if err != nil {
 		return err
 	}
-	inner, err := s.listen(ctx, s.config.Settings.Inner, s.inner, s.certs, certifier.Entry, certifier.Sidecar)
+	inner, err := s.listen(ctx, set.Inner, s.web(s.inner), s.certs, certifier.Entry, certifier.Sidecar)
 	if err != nil {
 		return err
 	}
 	go s.gossiper.Run(background)
+	go s.borrower.Run(background)
 	go s.keeper.Poll(background, time.Duration(s.config.Settings.Poll)*time.Millisecond, nil)
 	for _, c := range []*certifier.Store{s.certs, s.front} {
 		go c.Watch(background)
@@ -192,17 +238,20 @@
 	return err
 }
 
+func (s *Server) web(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerLimit, MaxHeaderBytes: headerBytes, IdleTimeout: idleLimit,
+		ErrorLog: s.config.Log.Std("", 0),
+	}
+}
+
 func (s *Server) listen(
-	ctx context.Context, address string, handler http.Handler, certs *certifier.Store, roles ...string,
+	ctx context.Context, address string, web *http.Server, certs *certifier.Store, roles ...string,
 ) (*http.Server, error) {
 	listener, err := certs.Listen(ctx, address, roles...)
 	if err != nil {
 		return nil, err
 	}
-	web := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerLimit, MaxHeaderBytes: headerBytes, IdleTimeout: idleLimit,
-		ErrorLog: s.config.Log.Std("", 0),
-	}
 	go web.Serve(listener)
 	s.config.Log.Info().Str("event", "listening").Str("address", address).Msg("")
 	return web, nil
@@ -216,7 +265,8 @@
 // Beat implements wire.Heartbeats.
 func (b beats) Beat(_ context.Context, report *wire.Report) (*wire.BeatReply, error) {
 	b.s.watcher.Hear(report)
-	reply := &wire.BeatReply{Suspects: b.s.suspects.Suspects(), Entries: append(b.s.gossiper.Live(), b.s.config.Settings.Inner)}
+	b.s.hints.Hear(report)
+	reply := &wire.BeatReply{Suspects: b.s.suspects.Suspects(), Entries: b.s.gossiper.Named(report.GetServer())}
 	if b.s.keeper.Ready() {
 		reply.Sequence = b.s.keeper.State().Sequence
 	}
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -22,10 +22,12 @@
 	"bamboohill/core/accuser"
 	"bamboohill/core/certifier"
 	"bamboohill/core/generator"
+	"bamboohill/core/hinter"
 	"bamboohill/core/keeper"
 	"bamboohill/core/puller"
 	"bamboohill/core/storer"
 	"bamboohill/sidecar/internal/gatekeeper"
+	"bamboohill/sidecar/internal/recorder"
 	"bamboohill/sidecar/internal/reporter"
 	"bamboohill/sidecar/internal/runner"
 	"bamboohill/sidecar/internal/settings"
@@ -39,6 +41,7 @@
 	maxBody     = 64 << 20 // bytes of one payload
 	statusEvery = 100 * time.Millisecond
 	statusLimit = time.Second
+	lonelyEvery = time.Second      // of the table service while hardly any entry replies
 	pollEvery   = 30 * time.Second // of the table service; changes come by push and heartbeat
 	idleLimit   = time.Minute
 )
@@ -59,9 +62,11 @@
 	gate     *gatekeeper.Gate
 	engine   *engine // nil beside a plain service
 	attempts *attempts
+	noter    *hinter.Noter // of the prefix cache
 	leaving  leaving
 	suspects *accuser.Accuser
 	runner   *runner.Runner
+	recorder *recorder.Recorder
 	keeper   *keeper.Keeper
 	reporter *reporter.Reporter
 	list     *storer.VMs // nil if not set
@@ -95,6 +100,7 @@
 		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleLimit}},
 		gate:     gatekeeper.New(gatekeeper.Config{Cold: set.Gate.Cold, Warm: set.Gate.Warm}),
 		attempts: newAttempts(),
+		noter:    hinter.NewNoter(),
 		suspects: accuser.New(accuser.Config{}),
 	}
 	if set.Platform.List != "" {
@@ -109,8 +115,9 @@
 		s.gate.Observe(true)
 	}
 	s.runner = runner.New(run)
+	s.recorder = newRecorder(s)
 	s.reporter = reporter.New(reporter.Config{
-		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Report: s.Report, Heard: s.heard,
+		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Report: s.beat, Heard: s.heard,
 		Peer: s.peer,
 	})
 	s.keeper = keeper.New(s.configuration())
@@ -122,7 +129,7 @@
 func (s *Server) configuration() keeper.Config {
 	set := s.config.Settings
 	config := keeper.Config{
-		Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Near: true, Changed: s.suspects.Pardon,
+		Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Changed: s.suspects.Pardon,
 		Peers: puller.New(puller.Config{Addresses: s.reporter.Known, Peer: s.peer}),
 	}
 	if set.Platform.Objects != "" {
@@ -131,11 +138,20 @@
 	return config
 }
 
-// catchUp brings this sidecar to a sequence number, within a bound.
-func (s *Server) catchUp(sequence uint64) {
+// lonely reads the configuration often while fewer than two entries reply to
+// heartbeats: the one that does may itself be cut off.
+func (s *Server) lonely(ctx context.Context) {
+	if s.reporter.Answered() < 2 {
+		s.keeper.Refresh(ctx)
+	}
+}
+
+// catchUp brings this sidecar to a sequence number that an entry has in force,
+// within a bound.
+func (s *Server) catchUp(sequence uint64, entry string) {
 	ctx, cancel := context.WithTimeout(context.Background(), statusLimit)
 	defer cancel()
-	s.keeper.CatchUp(ctx, sequence)
+	s.keeper.CatchUp(ctx, sequence, entry)
 }
 
 // Run serves until the context ends, then leaves; see leave.
@@ -147,6 +163,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	defer s.keeper.Stop()
+	defer s.recorder.Close()
 	s.start(background)
 	web := &http.Server{Handler: s.Handler(), ErrorLog: s.config.Log.Std("", 0)}
 	go web.Serve(listener)
@@ -165,10 +182,15 @@
 		s.recover(ctx)
 		go loop(ctx, statusEvery, func(ctx context.Context) { s.engine.fresh(ctx) })
 		go loop(ctx, auditEvery, s.audit)
+		go loop(ctx, eventsEvery, s.readEvents)
 	}
 	go loop(ctx, statusEvery, s.watchLeaving)
 	go loop(ctx, statusEvery, func(context.Context) { s.attempts.end(s.gate.Expire(time.Now())) })
+	go loop(ctx, lonelyEvery, s.lonely)
 	go loop(ctx, time.Second, s.readList)
+	if s.engine == nil {
+		go loop(ctx, sweepEvery, s.sweep)
+	}
 	go s.reporter.Run(ctx)
 }
 
@@ -199,6 +221,9 @@
 // those of several sidecars in one test process.
 func (s *Server) serveVars(w http.ResponseWriter, _ *http.Request) {
 	m := new(expvar.Map).Init()
+	bytes := new(expvar.Int)
+	bytes.Set(certifier.InnerBytes())
+	m.Set("inner_bytes", bytes)
 	m.Set("memory_mended", &s.counts.mended)
 	m.Set("memory_strange", &s.counts.strange)
 	m.Set("attempts_lost", &s.counts.lost)
