--- a/prover/commands.go
+++ b/prover/commands.go
@@ -52,6 +52,7 @@
 		"join":     {1, s.join},
 		"runs":     {2, s.runs},
 		"crashes":  {1, s.crashes},
+		"held":     {2, s.held},
 		"counts":   {2, func(w []string) (string, error) { return s.Stage.Counts(w[0], w[1]) }},
 	}
 	if name == "until" && len(words) > 0 {
@@ -291,6 +292,37 @@
 	return "", nil
 }
 
+// held checks how many tokens of memory an engine holds: N, or from N to M as
+// N..M.
+func (s *Script) held(w []string) (string, error) {
+	low, high, ranged := strings.Cut(w[1], "..")
+	if !ranged {
+		high = low
+	}
+	least, err := stager.Number(low)
+	if err != nil {
+		return "", err
+	}
+	most, err := stager.Number(high)
+	if err != nil {
+		return "", err
+	}
+	text, err := s.Stage.Counts(w[0], "/counts")
+	if err != nil {
+		return "", err
+	}
+	var counts struct {
+		Used int `json:"used"`
+	}
+	if err := json.Unmarshal([]byte(text), &counts); err != nil {
+		return "", err
+	}
+	if counts.Used < least || counts.Used > most {
+		return "", fmt.Errorf("prover: %s holds %d tokens, want %s", w[0], counts.Used, w[1])
+	}
+	return "", nil
+}
+
 func (s *Script) runs(w []string) (string, error) {
 	want, err := stager.Number(w[1])
 	if err != nil {
--- a/prover/doc.go
+++ b/prover/doc.go
@@ -29,6 +29,7 @@
 //	join NAME                wait for a call that was started with as=NAME
 //	runs KEY N               check that a booking ran N times in all services
 //	crashes N                check that the engines crashed N times at most
+//	held ENGINE N            check that an engine holds N tokens of memory; N..M is a range
 //	counts STANDIN PATH      what a stand-in counted; the answer is stdout
 //	until CMD ...            repeat a command until it succeeds, 20 s at most
 //
--- a/sidecar/internal/server/crash.go
+++ b/sidecar/internal/server/crash.go
@@ -53,6 +53,7 @@
 	s.config.Log.Warn().Str("event", "crash").Str("server", s.config.Settings.Server).Int("suspects", len(suspects)).Msg("")
 	for _, a := range suspects {
 		a.Server = s.config.Settings.Server
+		s.config.Log.Warn().Str("event", "suspect").Str("fingerprint", a.GetFingerprint()).Bool("alone", a.GetAlone()).Msg("")
 	}
 	s.tell(suspects)
 }
--- a/sidecar/internal/server/leaving.go
+++ b/sidecar/internal/server/leaving.go
@@ -138,6 +138,7 @@
 	s.leaving.stopping.Store(true)
 	start := time.Now()
 	s.reporter.Beat(ctx)
+	s.config.Log.Info().Str("event", "state").Str("state", "leaving").Int("running", s.gate.Running()).Msg("")
 	end := start.Add(s.drain())
 	for time.Now().Before(end) && (s.gate.Running() > 0 || s.attempts.len() > 0 || time.Since(start) < leaveLinger) {
 		time.Sleep(leavePause)
