--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -22,10 +22,12 @@
 	"bamboohill/core/accuser"
 	"bamboohill/core/certifier"
 	"bamboohill/core/generator"
+	"bamboohill/core/hinter"
 	"bamboohill/core/keeper"
 	"bamboohill/core/puller"
 	"bamboohill/core/storer"
 	"bamboohill/sidecar/internal/gatekeeper"
+	"bamboohill/sidecar/internal/recorder"
 	"bamboohill/sidecar/internal/reporter"
 	"bamboohill/sidecar/internal/runner"
 	"bamboohill/sidecar/internal/settings"
@@ -60,9 +62,11 @@
 	gate     *gatekeeper.Gate
 	engine   *engine // nil beside a plain service
 	attempts *attempts
+	noter    *hinter.Noter // of the prefix cache
 	leaving  leaving
 	suspects *accuser.Accuser
 	runner   *runner.Runner
+	recorder *recorder.Recorder
 	keeper   *keeper.Keeper
 	reporter *reporter.Reporter
 	list     *storer.VMs // nil if not set
@@ -96,6 +100,7 @@
 		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleLimit}},
 		gate:     gatekeeper.New(gatekeeper.Config{Cold: set.Gate.Cold, Warm: set.Gate.Warm}),
 		attempts: newAttempts(),
+		noter:    hinter.NewNoter(),
 		suspects: accuser.New(accuser.Config{}),
 	}
 	if set.Platform.List != "" {
@@ -110,8 +115,9 @@
 		s.gate.Observe(true)
 	}
 	s.runner = runner.New(run)
+	s.recorder = newRecorder(s)
 	s.reporter = reporter.New(reporter.Config{
-		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Report: s.Report, Heard: s.heard,
+		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Report: s.beat, Heard: s.heard,
 		Peer: s.peer,
 	})
 	s.keeper = keeper.New(s.configuration())
@@ -157,6 +163,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	defer s.keeper.Stop()
+	defer s.recorder.Close()
 	s.start(background)
 	web := &http.Server{Handler: s.Handler(), ErrorLog: s.config.Log.Std("", 0)}
 	go web.Serve(listener)
@@ -175,11 +182,15 @@
 		s.recover(ctx)
 		go loop(ctx, statusEvery, func(ctx context.Context) { s.engine.fresh(ctx) })
 		go loop(ctx, auditEvery, s.audit)
+		go loop(ctx, eventsEvery, s.readEvents)
 	}
 	go loop(ctx, statusEvery, s.watchLeaving)
 	go loop(ctx, statusEvery, func(context.Context) { s.attempts.end(s.gate.Expire(time.Now())) })
 	go loop(ctx, lonelyEvery, s.lonely)
 	go loop(ctx, time.Second, s.readList)
+	if s.engine == nil {
+		go loop(ctx, sweepEvery, s.sweep)
+	}
 	go s.reporter.Run(ctx)
 }
 
