Clocks behind and roles between processes, for configuration and membership

Cause: a VM replaced by one whose clock is behind starts with a lower boot number and was not heard until its predecessor was forgotten; the age of the configuration followed the wall clock; any process with a certificate, sidecars too, could push changes to entries.

Change: a lower boot counts once the predecessor is gone; confirmations keep their monotonic reading; wire.Peers Push and Borrow are for the role entry. A small addition to core/certifier tells whether a call comes from a role.

--- a/core/certifier/peer.go
+++ b/core/certifier/peer.go
@@ -34,3 +34,10 @@
 
 // URL returns the base URL of a process at an ip:port.
 func (p *Peer) URL(address string) string { return p.scheme + address }
+
+// Admits reports whether a call comes from a process of one of the roles. Where
+// clients show no certificate, because connections are plain or there is no
+// authority, any call is admitted.
+func Admits(q *http.Request, roles ...string) bool {
+	return q.TLS == nil || len(q.TLS.PeerCertificates) == 0 || prove(*q.TLS, roles) == nil
+}
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -26,7 +26,7 @@
 type Keeper struct {
 	config    Config
 	state     atomic.Pointer[State]
-	confirmed atomic.Int64 // unix nanoseconds
+	confirmed atomic.Pointer[time.Time] // with its monotonic reading
 	known     atomic.Uint64
 	started   atomic.Bool
 	born      time.Time
@@ -64,11 +64,10 @@
 // Confirmed returns when the store or a peer last confirmed that the state in
 // force is the newest; the zero time if never.
 func (k *Keeper) Confirmed() time.Time {
-	n := k.confirmed.Load()
-	if n == 0 {
-		return time.Time{}
+	if at := k.confirmed.Load(); at != nil {
+		return *at
 	}
-	return time.Unix(0, n)
+	return time.Time{}
 }
 
 func (k *Keeper) receive(o offer) {
@@ -129,7 +128,7 @@
 func (k *Keeper) Confirm(at time.Time) {
 	for {
 		old := k.confirmed.Load()
-		if at.UnixNano() <= old || k.confirmed.CompareAndSwap(old, at.UnixNano()) {
+		if old != nil && !at.After(*old) || k.confirmed.CompareAndSwap(old, &at) {
 			return
 		}
 	}
--- a/core/watcher/watcher.go
+++ b/core/watcher/watcher.go
@@ -143,7 +143,7 @@
 func (w *Watcher) hear(report *wire.Report, now time.Time) bool {
 	id := ider.Server(report.GetServer())
 	r, found := w.known[id]
-	if found && !newer(report, r.Report) {
+	if found && !newer(report, r.Report) && !replaces(report, r) {
 		return false
 	}
 	if !found {
@@ -155,6 +155,13 @@
 	return true
 }
 
+// replaces reports whether a report of an older boot may take the place of a
+// server that is gone: a VM whose clock is behind its predecessor's starts with
+// a lower boot number.
+func replaces(report *wire.Report, r *record) bool {
+	return !r.gone.IsZero() && report.GetBoot() != r.GetBoot()
+}
+
 func newer(a, b *wire.Report) bool {
 	if a.GetBoot() != b.GetBoot() {
 		return a.GetBoot() > b.GetBoot()
--- a/core/watcher/watcher_test.go
+++ b/core/watcher/watcher_test.go
@@ -171,3 +171,34 @@
 		}
 	})
 }
+
+// TestReplacementWithAClockBehind starts a server again with a lower boot
+// number: it is taken once the old one is gone, and not before.
+func TestReplacementWithAClockBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := New(Config{})
+		defer w.Stop()
+		hear := func(name string, boot, serial uint64, running int32) {
+			w.Hear(&wire.Report{Server: name, Boot: boot, Serial: serial, Running: running})
+			synctest.Wait()
+		}
+		hear("other", 1, 1, 0)
+		hear("other2", 1, 1, 0)
+		hear("s", 100, 1, 7)
+		hear("s", 90, 1, 2)
+		is.Equal(w.View().Servers[2].GetRunning(), int32(7))
+		time.Sleep(4 * time.Second)
+		hear("other", 1, 2, 0)
+		hear("other2", 1, 2, 0)
+		w.Fail("s")
+		synctest.Wait()
+		is.Equal(len(w.View().Gone), 1)
+		hear("s", 90, 2, 2)
+		time.Sleep(2 * time.Second) // held for a while
+		w.Tick()
+		synctest.Wait()
+		is.Equal(len(w.View().Servers), 3)
+		is.Equal(w.View().Servers[2].GetRunning(), int32(2))
+	})
+}
--- a/entry/internal/gossiper/gossiper_test.go
+++ b/entry/internal/gossiper/gossiper_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"bamboohill/core/certifier"
 	"bamboohill/core/keeper"
 	"bamboohill/core/puller"
 	"bamboohill/core/ranker"
@@ -337,3 +343,34 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestSidecarsDoNotPush calls as processes of several roles.
+func TestSidecarsDoNotPush(t *testing.T) {
+	shown := func(role string) *tls.ConnectionState {
+		return &tls.ConnectionState{PeerCertificates: []*x509.Certificate{{Subject: pkix.Name{OrganizationalUnit: []string{role}}}}}
+	}
+	for name, test := range map[string]struct {
+		call  string
+		state *tls.ConnectionState
+		want  int
+	}{
+		"entry pushes":    {"Push", shown(certifier.Entry), http.StatusOK},
+		"sidecar pushes":  {"Push", shown(certifier.Sidecar), http.StatusForbidden},
+		"sidecar borrows": {"Borrow", shown(certifier.Sidecar), http.StatusForbidden},
+		"sidecar greets":  {"Greet", shown(certifier.Sidecar), http.StatusOK},
+		"plain push":      {"Push", nil, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(1, 0, 0)
+			defer f.stop()
+			q := httptest.NewRequestWithContext(t.Context(), http.MethodPost, wire.PeersPathPrefix+test.call, strings.NewReader("{}"))
+			q.Header.Set("Content-Type", "application/json")
+			q.TLS = test.state
+			w := httptest.NewRecorder()
+			f.entries[0].gossip.Handler().ServeHTTP(w, q)
+			if w.Code != test.want {
+				t.Errorf("status %d, want %d", w.Code, test.want)
+			}
+		})
+	}
+}
--- a/entry/internal/gossiper/roster.go
+++ b/entry/internal/gossiper/roster.go
@@ -72,11 +72,11 @@
 // member's leaving. It reports whether the member was gone and is back.
 func (r *roster) hear(w *wire.Member, at, now time.Time) bool {
 	m := r.name(w.GetAddress(), false)
-	if m == nil || w.GetBoot() < m.boot || w.GetBoot() == m.boot && !at.After(m.heard) {
+	if m == nil || !m.newer(w.GetBoot(), at) {
 		return false
 	}
 	back := !m.gone.IsZero()
-	if w.GetBoot() > m.boot {
+	if w.GetBoot() != m.boot {
 		m.leaving = false
 	}
 	m.boot = w.GetBoot()
@@ -96,6 +96,16 @@
 	return back
 }
 
+// newer reports whether a hearing of a boot at a time says more than what is
+// known. An older boot counts once the member is gone: a VM whose clock is
+// behind its predecessor's starts with a lower number.
+func (m *member) newer(boot uint64, at time.Time) bool {
+	if boot == m.boot {
+		return at.After(m.heard)
+	}
+	return boot > m.boot || !m.gone.IsZero() && at.After(m.heard)
+}
+
 // hold keeps a member that came back out of the live ones for a while, longer
 // each time.
 func (m *member) hold(now time.Time) {
--- a/entry/internal/gossiper/roster_test.go
+++ b/entry/internal/gossiper/roster_test.go
@@ -89,6 +89,23 @@
 	is.Equal(len(c.live(c.now)), 3)
 }
 
+func TestRosterReplacementWithAClockBehind(t *testing.T) {
+	is := is.New(t)
+	c := newClock("b", "c")
+	c.heard("a", 100)
+	c.second(false, "b", "c")
+	c.heard("a", 90)
+	is.Equal(c.all["a"].boot, uint64(100))
+	for range 10 {
+		c.second(true, "b", "c")
+	}
+	is.Equal(c.live(c.now), []string{"b", "c"})
+	c.heard("a", 90)
+	is.Equal(c.all["a"].boot, uint64(90))
+	c.now = c.now.Add(holdFirst)
+	is.Equal(len(c.live(c.now)), 3)
+}
+
 func TestRosterHear(t *testing.T) {
 	at := time.Unix(1000, 0)
 	for name, test := range map[string]struct {
--- a/entry/internal/gossiper/serve.go
+++ b/entry/internal/gossiper/serve.go
@@ -3,15 +3,30 @@
 import (
 	"context"
 	"net/http"
+	"path"
 	"time"
 
+	"bamboohill/core/certifier"
 	"bamboohill/wire"
 
 	"github.com/twitchtv/twirp"
 )
 
-// Handler serves wire.Peers.
-func (g *Gossiper) Handler() http.Handler { return wire.NewPeersServer(service{g}) }
+// Handler serves wire.Peers. Sidecars may greet, pull and accuse; what is left
+// is between entries.
+func (g *Gossiper) Handler() http.Handler {
+	next := wire.NewPeersServer(service{g})
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		switch path.Base(q.URL.Path) {
+		case "Push", "Borrow":
+			if !certifier.Admits(q, certifier.Entry) {
+				http.Error(w, "for entries only", http.StatusForbidden)
+				return
+			}
+		}
+		next.ServeHTTP(w, q)
+	})
+}
 
 // service serves the calls of wire.Peers.
 type service struct {
