--- a/core/keeper/commit.go
+++ b/core/keeper/commit.go
@@ -11,6 +11,7 @@
 	"bamboohill/core/storer"
 	"bamboohill/wire"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -102,6 +103,7 @@
 	var seen rows
 	var doubt error
 	known := false
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(p.ID), 0))
 	for n := range commitTries {
 		var err error
 		if known {
@@ -128,7 +130,7 @@
 		default:
 			return c, err
 		}
-		if err := pause(ctx, time.Duration(rand.Int64N(int64(min(commitPause<<min(n, 6), commitLongest))))); err != nil {
+		if err := pause(ctx, time.Duration(random.Int64N(int64(min(commitPause<<min(n, 6), commitLongest))))); err != nil {
 			return nil, unread(err, doubt)
 		}
 	}
@@ -194,7 +196,8 @@
 	}
 	entry, err := table.Get(ctx, changeKey(sequence))
 	if err != nil {
-		return nil, &storer.DoubtError{Cause: err}
+		// The change was made: the cause must not be found as a *DownError.
+		return nil, &storer.DoubtError{Cause: fmt.Errorf("keeper: change %d can't be read: %s", sequence, err.Error())}
 	}
 	if entry.Version == 0 {
 		return &wire.Change{Sequence: sequence}, nil
