Orders to engines: wanted state under leases, converged by the sidecar

Cause: a model that a plan names and no engine has was refused for ever; nobody gave engines orders.

Change: core/orderer plans one change at a time and writes wanted rows in a transaction that checks the lease row; each sidecar converges its engine with a fencing number, one load an order, within a fleet-wide budget row; each entry runs a placer.

Ruled out: expiry times in lease rows (clocks); unloading what no plan allows at once (it costs the weight store and protects nothing).

Before: model=crew not run for ever.

--- /dev/null
+++ b/core/orderer/lease.go
@@ -0,0 +1,131 @@
+package orderer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"bamboohill/core/storer"
+)
+
+// LeaseKey returns the lease row of a failure domain.
+func LeaseKey(domain string) string { return "order/lease/" + domain }
+
+// Grant is a lease as its holder last knew it.
+type Grant struct {
+	Key     string
+	Number  uint64 // rises with each change of holder
+	Version uint64 // of the lease row
+}
+
+// lease is the value of a lease row.
+type lease struct {
+	Holder string `json:"holder"`
+	Number uint64 `json:"number"`
+}
+
+// LostError says that a lease is another's by now; nothing was written.
+type LostError struct {
+	Grant Grant
+}
+
+// Error implements error.
+func (e *LostError) Error() string {
+	return fmt.Sprintf("orderer: lease %s number %d is lost", e.Grant.Key, e.Grant.Number)
+}
+
+// LesseeConfig describes a Lessee. Name must be of one process and start. Term
+// is how long a lease row must stand still until another may take it; a holder
+// calls Step several times a term. Now is the clock, time.Now if nil.
+type LesseeConfig struct {
+	Table storer.Table
+	Key   string
+	Name  string
+	Term  time.Duration
+	Now   func() time.Time
+}
+
+// Lessee holds one lease or waits for it. It is not safe for concurrent use.
+type Lessee struct {
+	config LesseeConfig
+	seen   uint64 // version of the row
+	since  time.Time
+	known  bool
+}
+
+// NewLessee returns a lessee that holds nothing. It panics if Table is nil or
+// Name empty.
+func NewLessee(config LesseeConfig) *Lessee {
+	if config.Table == nil {
+		panic("orderer: nil table")
+	}
+	if config.Name == "" {
+		panic("orderer: no name")
+	}
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	return &Lessee{config: config}
+}
+
+// Step renews the lease, takes it once it has lapsed, or waits. It costs a
+// read, and two reads and a write when it takes or renews. Held is only a
+// belief by the time that the caller looks at it: Write is what decides.
+func (l *Lessee) Step(ctx context.Context) (grant Grant, held bool, err error) {
+	row, err := l.config.Table.Get(ctx, l.config.Key)
+	if err != nil {
+		return Grant{}, false, err
+	}
+	var now lease
+	if row.Version > 0 {
+		if err := json.Unmarshal(row.Value, &now); err != nil {
+			return Grant{}, false, err
+		}
+	}
+	next := now
+	if now.Holder != l.config.Name {
+		if row.Version > 0 && !l.lapsed(row.Version) {
+			return Grant{}, false, nil
+		}
+		next = lease{Holder: l.config.Name, Number: now.Number + 1}
+	}
+	return l.take(ctx, row.Version, next)
+}
+
+// lapsed reports whether the row has stood still for the term.
+func (l *Lessee) lapsed(version uint64) bool {
+	now := l.config.Now()
+	if !l.known || version != l.seen {
+		l.seen, l.since, l.known = version, now, true
+	}
+	return now.Sub(l.since) >= l.config.Term
+}
+
+func (l *Lessee) take(ctx context.Context, version uint64, next lease) (Grant, bool, error) {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return Grant{}, false, err
+	}
+	err = l.config.Table.Commit(ctx, storer.Txn{
+		Checks: []storer.Check{{Key: l.config.Key, Version: version}},
+		Puts:   []storer.Put{{Key: l.config.Key, Value: value}},
+	})
+	var conflict *storer.ConflictError
+	if errors.As(err, &conflict) {
+		return Grant{}, false, nil
+	}
+	if err != nil {
+		return Grant{}, false, err
+	}
+	row, err := l.config.Table.Get(ctx, l.config.Key)
+	if err != nil {
+		return Grant{}, false, err
+	}
+	var now lease
+	if err := json.Unmarshal(row.Value, &now); err != nil {
+		return Grant{}, false, err
+	}
+	return Grant{Key: l.config.Key, Number: now.Number, Version: row.Version}, now == next, nil
+}
--- /dev/null
+++ b/core/orderer/orderer_test.go
@@ -0,0 +1,234 @@
+package orderer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bamboohill/core/generator"
+	"bamboohill/core/storer"
+
+	"github.com/matryer/is"
+)
+
+// memory is a table service without faults.
+type memory struct {
+	mu   sync.Mutex
+	rows map[string]storer.Row
+}
+
+func newMemory() *memory { return &memory{rows: map[string]storer.Row{}} }
+
+func (m *memory) Get(_ context.Context, key string) (storer.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	row := m.rows[key]
+	row.Key = key
+	return row, nil
+}
+
+func (m *memory) Scan(_ context.Context, prefix, after string, _ int) ([]storer.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var rows []storer.Row
+	for key, row := range m.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+func (m *memory) Commit(_ context.Context, txn storer.Txn) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	conflict := &storer.ConflictError{}
+	for _, c := range txn.Checks {
+		if row := m.rows[c.Key]; row.Version != c.Version {
+			row.Key = c.Key
+			conflict.Rows = append(conflict.Rows, row)
+		}
+	}
+	if len(conflict.Rows) > 0 {
+		return conflict
+	}
+	for _, p := range txn.Puts {
+		m.rows[p.Key] = storer.Row{Key: p.Key, Value: p.Value, Version: m.rows[p.Key].Version + 1}
+	}
+	return nil
+}
+
+func model(name string) generator.Model { return generator.Model{Name: name, Version: "1"} }
+
+// TestPausedHolder pauses a holder for longer than its lease: what it writes
+// afterwards changes nothing.
+func TestPausedHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, table := t.Context(), newMemory()
+		lessee := func(name string) *Lessee {
+			return NewLessee(LesseeConfig{Table: table, Key: LeaseKey("ikeja"), Name: name, Term: 3 * time.Second})
+		}
+		write := func(g Grant, version uint64, name string) error {
+			return Write(ctx, table, g, []Wanted{{Key: WantKey("ikeja", "e1"), Version: version, Want: Want{Models: []generator.Model{model(name)}}}})
+		}
+		a, b := lessee("a"), lessee("b")
+		old, held, err := a.Step(ctx)
+		is.NoErr(err)
+		is.True(held)
+		is.NoErr(write(old, 0, "base"))
+		for range 3 { // b waits while a renews
+			time.Sleep(time.Second)
+			_, held, _ = b.Step(ctx)
+			is.True(!held)
+			old, held, _ = a.Step(ctx)
+			is.True(held)
+		}
+		_, held, _ = b.Step(ctx)
+		is.True(!held)
+		time.Sleep(3 * time.Second) // a is paused
+		now, held, err := b.Step(ctx)
+		is.NoErr(err)
+		is.True(held)
+		is.Equal(now.Number, old.Number+1)
+		is.NoErr(write(now, 1, "survey"))
+		var lost *LostError
+		is.True(errors.As(write(old, 2, "base"), &lost)) // a goes on
+		w, err := ReadWant(ctx, table, "ikeja", "e1")
+		is.NoErr(err)
+		is.Equal(w.Want.Models[0].Name, "survey")
+		is.Equal(w.Want.Number, now.Number)
+		_, held, _ = a.Step(ctx)
+		is.True(!held)
+	})
+}
+
+// TestPlan checks single decisions.
+func TestPlan(t *testing.T) {
+	base, survey, crew := model("base"), model("survey"), model("crew")
+	tuned := model("base")
+	tuned.Adapters = []string{"wind"}
+	all := func(models ...generator.Model) []Server {
+		return []Server{{"e1", models}, {"e2", models}, {"e3", models}}
+	}
+	for name, c := range map[string]struct {
+		servers []Server
+		needs   []Need
+		want    string
+	}{
+		"near enough":            {all(base, survey), []Need{{base, 0.6}, {survey, 0.4}}, "<nil>"},
+		"no copy, free slot":     {all(base), []Need{{base, 1}, {crew, 0}}, "&{e1 [base crew]}"},
+		"no copy, spare model":   {all(base, survey), []Need{{base, 0.9}, {survey, 0.1}, {crew, 0}}, "&{e1 [base crew]}"},
+		"no copy, no spare":      {all(base, survey), []Need{{base, 0.9}, {survey, 0.9}, {crew, 0}}, "<nil>"},
+		"unallowed gives way":    {all(base, survey), []Need{{base, 1}, {crew, 0}}, "&{e1 [base crew]}"},
+		"unallowed may stay":     {all(base, survey), []Need{{base, 1}}, "<nil>"},
+		"adapter that is named":  {all(base), []Need{{tuned, 1}}, "&{e1 [base+wind]}"},
+		"short within the band":  {[]Server{{"e1", []generator.Model{base}}, {"e2", []generator.Model{survey}}}, []Need{{base, 0.7}, {survey, 0.3}}, "<nil>"},
+		"short beyond the band":  {[]Server{{"e1", []generator.Model{base}}, {"e2", []generator.Model{survey}}}, []Need{{base, 0.8}, {survey, 0.2}}, "&{e2 [survey base]}"},
+		"nothing allowed at all": {all(base), nil, "<nil>"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(show(Plan(c.servers, c.needs, Policy{})), c.want)
+		})
+	}
+}
+
+func show(c *Change) string {
+	if c == nil {
+		return "<nil>"
+	}
+	var names []string
+	for _, m := range c.Models {
+		names = append(names, strings.Join(append([]string{m.Name}, m.Adapters...), "+"))
+	}
+	return fmt.Sprintf("&{%s %v}", c.Server, names)
+}
+
+// rounds plans under a steady load whose shares are measured with noise, and
+// returns the changes in the first half and in the second.
+func rounds(n int, band float64, seed uint64) (first, second int) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	names := []string{"a", "b", "c", "d", "e", "f"}
+	load := []float64{0.31, 0.24, 0.19, 0.12, 0.09, 0.05}
+	servers := make([]Server, 14)
+	for i := range servers {
+		servers[i] = Server{ID: fmt.Sprintf("e%02d", i), Models: []generator.Model{model("a"), model("b")}}
+	}
+	for i := range n {
+		var needs []Need
+		for j, name := range names {
+			needs = append(needs, Need{Model: model(name), Share: load[j] * (0.85 + 0.3*random.Float64())})
+		}
+		c := Plan(servers, needs, Policy{Slots: 2, Band: band})
+		if c == nil {
+			continue
+		}
+		for j := range servers {
+			if servers[j].ID == c.Server {
+				servers[j].Models = c.Models
+			}
+		}
+		if i < n/2 {
+			first++
+		} else {
+			second++
+		}
+	}
+	return first, second
+}
+
+// TestSteady demands that a steady load causes no change once it has settled.
+func TestSteady(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		first, second := rounds(400, 0, seed)
+		is.True(first > 0)
+		is.Equal(second, 0)
+	}
+}
+
+// BenchmarkSteady reports the changes after settling, with the band and
+// without.
+func BenchmarkSteady(b *testing.B) {
+	for _, band := range []float64{defaultBand, 1e-9} {
+		b.Run(fmt.Sprintf("band=%.1f", band), func(b *testing.B) {
+			var first, second int
+			for range b.N {
+				first, second = 0, 0
+				for seed := range uint64(20) {
+					f, s := rounds(400, band, seed)
+					first, second = first+f, second+s
+				}
+			}
+			b.ReportMetric(float64(first)/20, "settling")
+			b.ReportMetric(float64(second)/20, "settled")
+		})
+	}
+}
+
+// TestBudget has many sidecars ask at once: the fleet keeps the rate.
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newMemory()
+		taken := 0
+		for range 100 { // ten seconds
+			for range 14 {
+				ok, err := Budget{Table: table, Rate: 2, Burst: 2}.Take(t.Context())
+				is.NoErr(err)
+				if ok {
+					taken++
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.True(taken >= 19 && taken <= 22) // burst and 2 a second
+	})
+}
--- /dev/null
+++ b/entry/internal/placer/placer.go
@@ -0,0 +1,232 @@
+// Package placer decides, while this entry holds the lease of a failure
+// domain, which models the engines there should have loaded: within what the
+// plans allow, by the demand that this entry sees.
+//
+// # Usage
+//
+//	p := placer.New(placer.Config{Table: table, Keeper: k, Watcher: w, Name: id, Every: 5 * time.Second})
+//	go p.Run(ctx)
+//	p.Note(model, version, tokens) // for each request
+//
+// Every entry runs one; the lease rows decide which of them acts where. The
+// platform's balancer spreads callers evenly, so the shares of the models that
+// one entry sees stand for those of all.
+package placer
+
+import (
+	"context"
+	"math"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"bamboohill/core/generator"
+	"bamboohill/core/keeper"
+	"bamboohill/core/orderer"
+	"bamboohill/core/storer"
+	"bamboohill/core/watcher"
+	"bamboohill/wire"
+
+	"github.com/phuslu/log"
+)
+
+// Bounds of the placer.
+const (
+	termSteps = 3               // steps until a lease lapses
+	halfLife  = 5 * time.Minute // of demand
+	minimum   = 100_000         // tokens of demand below which shares mean nothing
+)
+
+// Config describes a Placer. Name must be of one process and start.
+type Config struct {
+	Table   storer.Table
+	Keeper  *keeper.Keeper
+	Watcher *watcher.Watcher
+	Log     *log.Logger
+	Name    string
+	Every   time.Duration // between two steps
+}
+
+// kind is what demand is counted by; an empty version takes any.
+type kind struct{ name, version string }
+
+// Placer writes wanted states.
+type Placer struct {
+	config Config
+	leases map[string]*orderer.Lessee // by failure domain; Run's goroutine alone
+
+	mu     sync.Mutex
+	demand map[kind]float64 // tokens, fading
+}
+
+// New returns a placer that does nothing yet.
+func New(config Config) *Placer {
+	return &Placer{config: config, leases: map[string]*orderer.Lessee{}, demand: map[kind]float64{}}
+}
+
+// Note counts one request for a model.
+func (p *Placer) Note(model, version string, tokens int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.demand[kind{model, version}] += float64(tokens)
+}
+
+// Run steps until the context ends.
+func (p *Placer) Run(ctx context.Context) {
+	t := time.NewTicker(p.config.Every)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		p.fade()
+		if !p.config.Keeper.Ready() {
+			continue
+		}
+		for domain, servers := range p.domains() {
+			if err := p.step(ctx, domain, servers); err != nil {
+				p.config.Log.Warn().Str("event", "place").Str("domain", domain).Err(err).Msg("")
+			}
+		}
+	}
+}
+
+func (p *Placer) fade() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	factor := math.Exp2(-float64(p.config.Every) / float64(halfLife))
+	for k, tokens := range p.demand {
+		p.demand[k] = tokens * factor
+		if tokens < 1 {
+			delete(p.demand, k)
+		}
+	}
+}
+
+// domains returns the model engines in view by failure domain.
+func (p *Placer) domains() map[string][]watcher.Server {
+	all := map[string][]watcher.Server{}
+	for _, s := range p.config.Watcher.View().Servers {
+		if s.GetKind() == wire.Kind_KIND_MODEL && s.GetState() == wire.State_STATE_OPEN && len(s.GetOffers()) > 0 {
+			all[s.GetDomain()] = append(all[s.GetDomain()], s)
+		}
+	}
+	return all
+}
+
+// step holds the lease of a failure domain and, if it does, writes at most one
+// change there. A change waits until the last one is loaded.
+func (p *Placer) step(ctx context.Context, domain string, servers []watcher.Server) error {
+	l := p.leases[domain]
+	if l == nil {
+		l = orderer.NewLessee(orderer.LesseeConfig{
+			Table: p.config.Table, Key: orderer.LeaseKey(domain), Name: p.config.Name, Term: termSteps * p.config.Every,
+		})
+		p.leases[domain] = l
+	}
+	grant, held, err := l.Step(ctx)
+	if err != nil || !held {
+		return err
+	}
+	wants, err := orderer.ReadWants(ctx, p.config.Table, domain)
+	if err != nil {
+		return err
+	}
+	var fleet []orderer.Server
+	for _, s := range servers {
+		models := loaded(s)
+		if w, found := wants[orderer.WantKey(domain, s.GetServer())]; found {
+			models = w.Want.Models
+		}
+		fleet = append(fleet, orderer.Server{ID: s.GetServer(), Models: models})
+	}
+	change := orderer.Plan(fleet, p.needs(fleet), orderer.Policy{})
+	if change == nil {
+		return nil
+	}
+	w := wants[orderer.WantKey(domain, change.Server)]
+	w.Key = orderer.WantKey(domain, change.Server)
+	w.Want.Models = change.Models
+	err = orderer.Write(ctx, p.config.Table, grant, []orderer.Wanted{w})
+	p.config.Log.Info().Str("event", "placed").Str("domain", domain).Str("server", change.Server).
+		Uint64("lease", grant.Number).Int("models", len(change.Models)).Err(err).Msg("")
+	return err
+}
+
+func loaded(s watcher.Server) []generator.Model {
+	var models []generator.Model
+	for _, o := range s.GetOffers() {
+		models = append(models, generator.Model{Name: o.GetModel(), Version: o.GetVersion(), Adapters: o.GetAdapters()})
+	}
+	return models
+}
+
+// needs returns the models that plans name, with their shares of demand. A
+// model without a version stands for every version that is there.
+func (p *Placer) needs(fleet []orderer.Server) []orderer.Need {
+	var needs []orderer.Need
+	add := func(name, version string, adapters []string) {
+		i := slices.IndexFunc(needs, func(n orderer.Need) bool { return n.Model.Name == name && n.Model.Version == version })
+		if i < 0 {
+			i = len(needs)
+			needs = append(needs, orderer.Need{Model: generator.Model{Name: name, Version: version}})
+		}
+		m := &needs[i].Model
+		m.Adapters = append(m.Adapters, adapters...)
+		slices.Sort(m.Adapters)
+		m.Adapters = slices.Compact(m.Adapters)
+	}
+	for _, row := range p.config.Keeper.State().Rows(keeper.KindPlan) {
+		for _, o := range row.GetRecord().GetPlan().GetOffers() {
+			adapters := slices.DeleteFunc(slices.Clone(o.GetAdapters()), func(a string) bool { return a == "*" })
+			for _, version := range versions(fleet, o) {
+				add(o.GetModel(), version, adapters)
+			}
+		}
+	}
+	p.share(needs)
+	return needs
+}
+
+// versions returns the versions that an offer of a plan stands for.
+func versions(fleet []orderer.Server, o *wire.Offer) []string {
+	if o.GetModel() == "*" || strings.TrimSpace(o.GetModel()) == "" {
+		return nil
+	}
+	if o.GetVersion() != "" {
+		return []string{o.GetVersion()}
+	}
+	var all []string
+	for _, s := range fleet {
+		for _, m := range s.Models {
+			if m.Name == o.GetModel() && !slices.Contains(all, m.Version) {
+				all = append(all, m.Version)
+			}
+		}
+	}
+	return all
+}
+
+// share fills in the shares of demand.
+func (p *Placer) share(needs []orderer.Need) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	total := 0.0
+	for _, tokens := range p.demand {
+		total += tokens
+	}
+	if total < minimum {
+		return
+	}
+	count := map[string]float64{}
+	for _, n := range needs {
+		count[n.Model.Name]++
+	}
+	for i, n := range needs {
+		own := p.demand[kind{n.Model.Name, n.Model.Version}] + p.demand[kind{n.Model.Name, ""}]/count[n.Model.Name]
+		needs[i].Share = own / total
+	}
+}
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -12,6 +12,7 @@
 	"expvar"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,7 @@
 	"bamboohill/entry/internal/administrator"
 	"bamboohill/entry/internal/dispatcher"
 	"bamboohill/entry/internal/gossiper"
+	"bamboohill/entry/internal/placer"
 	"bamboohill/entry/internal/proposer"
 	"bamboohill/entry/internal/receiver"
 	"bamboohill/entry/internal/settings"
@@ -39,6 +41,8 @@
 	idleLimit   = 2 * time.Minute
 	stopLimit   = 2 * time.Minute
 	accuseLimit = 2 * time.Second
+	placePolls  = 10 // polls of the configuration between two steps of the placer
+	placeMost   = 5 * time.Second
 )
 
 // Config describes a Server.
@@ -58,6 +62,7 @@
 	watcher  *watcher.Watcher
 	suspects *accuser.Accuser
 	gossiper *gossiper.Gossiper
+	placer   *placer.Placer
 	stopping atomic.Bool
 	outer    http.Handler
 	inner    http.Handler
@@ -80,9 +85,16 @@
 	s.suspects = accuser.New(accuser.Config{})
 	s.join()
 	proposals := proposer.New(proposer.Config{Peer: certifier.NewPeer(s.certs, certifier.Sidecar)})
+	s.placer = placer.New(placer.Config{
+		Table: s.table, Keeper: s.keeper, Watcher: s.watcher, Log: config.Log,
+		Name: set.Inner + "/" + strconv.FormatUint(s.boot, 10), Every: min(placeMost, placePolls*time.Duration(set.Poll)*time.Millisecond),
+	})
 	d := dispatcher.New(dispatcher.Config{
 		Watcher: s.watcher, Keeper: s.keeper, Entry: set.Inner, Log: config.Log, Suspects: s.suspects, Accuse: s.accuse,
 		Propose: func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (dispatcher.Attempt, error) {
+			if p.GetModel() != "" {
+				s.placer.Note(p.GetModel(), p.GetVersion(), p.GetPrompt()+p.GetAnswer())
+			}
 			return proposals.Propose(ctx, address, p, payload)
 		},
 	})
@@ -178,6 +190,7 @@
 		return err
 	}
 	go s.gossiper.Run(background)
+	go s.placer.Run(background)
 	go s.keeper.Poll(background, time.Duration(s.config.Settings.Poll)*time.Millisecond, nil)
 	for _, c := range []*certifier.Store{s.certs, s.front} {
 		go c.Watch(background)
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -169,6 +169,7 @@
 		s.recover(ctx)
 		go loop(ctx, statusEvery, func(ctx context.Context) { s.engine.fresh(ctx) })
 		go loop(ctx, auditEvery, s.audit)
+		go s.converge(ctx)
 	}
 	go loop(ctx, statusEvery, s.watchLeaving)
 	go loop(ctx, statusEvery, func(context.Context) { s.attempts.end(s.gate.Expire(time.Now())) })
