--- a/entry/internal/gossiper/spread.go
+++ b/entry/internal/gossiper/spread.go
@@ -4,13 +4,20 @@
 	"cmp"
 	"context"
 	"slices"
+	"strings"
+	"time"
 
+	"bamboohill/core/keeper"
+	"bamboohill/core/ranker"
 	"bamboohill/core/watcher"
 	"bamboohill/wire"
-
-	"github.com/cespare/xxhash/v2"
 )
 
+// pushedChanges is how many changes a push to another entry carries at most:
+// more than one, so that two that overtake each other leave no gap. An entry
+// that is further behind catches up by itself.
+const pushedChanges = 4
+
 // Spread pushes what is in force here to every live entry, at once. The
 // entries push it to the sidecars that they hear.
 func (g *Gossiper) Spread(ctx context.Context) {
@@ -18,7 +25,7 @@
 	state := g.config.Keeper.State()
 	g.each(ctx, g.Live(), func(ctx context.Context, a string) {
 		g.mu.Lock()
-		after := g.peers[a]
+		after := max(g.peers[a], state.Sequence-min(state.Sequence, pushedChanges))
 		g.mu.Unlock()
 		reply, err := g.peer(a).Push(ctx, state.Since(min(after, state.Sequence)))
 		g.mu.Lock()
@@ -29,17 +36,58 @@
 	})
 }
 
+// lazyAfter lies between two pushes to one sidecar when entries are many,
+// unless a change is urgent. It is within the time that a change may take.
+const lazyAfter = 6 * time.Second
+
+// urgent reports whether a gate decides by one of the changes: what is in
+// service and who is pardoned. Accounts and plans are looked at by entries.
+func urgent(batch *wire.Batch) bool {
+	return slices.ContainsFunc(batch.GetChanges(), func(c *wire.Change) bool {
+		kind, _, _ := strings.Cut(c.GetKey(), "/")
+		return kind == keeper.KindDomain || kind == keeper.KindVM || kind == keeper.KindPardon
+	})
+}
+
 // spreadLoop pushes to sidecars whenever this entry's configuration or view
-// has changed.
+// has changed, and what was put off when its time has come.
 func (g *Gossiper) spreadLoop(ctx context.Context) {
+	t := time.NewTicker(g.config.Every)
+	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-t.C:
 		case <-g.wake:
-			g.pushServers(ctx)
 		}
+		g.pushServers(ctx)
+	}
+}
+
+// due reports whether this entry is to push to a sidecar that is behind, now;
+// the lock is held.
+func (g *Gossiper) due(s watcher.Server, state *keeper.State, entries []string, now time.Time) bool {
+	hurry := urgent(state.Since(g.taken(s)))
+	if !ranker.Among(s.GetServer(), entries, g.config.Address, g.copies(hurry)) {
+		return false
 	}
+	m := g.sent[s.GetServer()]
+	return hurry || len(g.roster.all) < gapEntries || m.boot != s.GetBoot() || now.Sub(m.at) >= lazyAfter
+}
+
+// copies is how many entries push to one sidecar: as Config says, else all
+// while they are few, one when they are many, and two what is urgent.
+func (g *Gossiper) copies(hurry bool) int {
+	switch {
+	case g.config.Copies > 0:
+		return g.config.Copies
+	case len(g.roster.all) < gapEntries:
+		return len(g.roster.all) + 1
+	case hurry:
+		return 2
+	}
+	return 1
 }
 
 // pushServers pushes the configuration in force to the sidecars that are
@@ -48,18 +96,21 @@
 	state := g.config.Keeper.State()
 	entries := append(g.Live(), g.config.Address)
 	behind := map[string]watcher.Server{}
+	after := map[string]uint64{}
+	now := time.Now()
 	var addresses []string
 	g.mu.Lock()
 	for _, s := range g.config.Watcher.View().Servers {
-		if g.taken(s) < state.Sequence && g.mine(s.GetServer(), entries) {
+		if g.taken(s) < state.Sequence && g.due(s, state, entries, now) {
 			behind[s.GetAddress()] = s
+			after[s.GetAddress()] = g.taken(s)
 			addresses = append(addresses, s.GetAddress())
 		}
 	}
 	g.mu.Unlock()
 	g.each(ctx, addresses, func(ctx context.Context, a string) {
 		s := behind[a]
-		batch := state.Since(s.GetSequence())
+		batch := state.Since(after[a])
 		if batch.Snapshot != nil {
 			// It is far behind: tell it so, and let it pull.
 			batch = &wire.Batch{Sequence: state.Sequence}
@@ -68,22 +119,20 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if err == nil {
-			g.sent[s.GetServer()] = mark{boot: s.GetBoot(), sequence: reply.GetSequence()}
+			g.sent[s.GetServer()] = mark{boot: s.GetBoot(), sequence: reply.GetSequence(), at: now}
 		}
 	})
 }
 
-// mine reports whether this entry is among those that push to a server.
-func (g *Gossiper) mine(server string, entries []string) bool {
-	if g.config.Copies <= 0 || len(entries) <= g.config.Copies {
-		return true
-	}
-	slices.SortFunc(entries, func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(server+a), xxhash.Sum64String(server+b))
-	})
-	return slices.Contains(entries[:g.config.Copies], g.config.Address)
+// Named returns the entries that a heartbeat's reply names to a server: this
+// one and the others that rank first for it, a few more than it beats to.
+func (g *Gossiper) Named(server string) []string {
+	return ranker.First(server, append(g.Live(), g.config.Address), namedWidth)
 }
 
+// namedWidth is how many entries one reply names.
+const namedWidth = 6
+
 // Accuse tells every live entry of a crash suspect.
 func (g *Gossiper) Accuse(ctx context.Context, a *wire.Accusation) {
 	g.each(ctx, g.Live(), func(ctx context.Context, address string) { g.peer(address).Accuse(ctx, a) })
@@ -112,7 +161,6 @@
 			}
 		}
 	}
-	add(g.standings())
 	entries = []Standing{{Name: g.config.Address, Sequence: g.config.Keeper.State().Sequence}}
 	known := g.surveyed()
 	answers := make(chan *wire.Greeting, len(known))
@@ -124,6 +172,8 @@
 			silent <- a
 		}
 	})
+	// Looked at last: those that do not answer have taken their time.
+	add(g.standings())
 	close(answers)
 	close(silent)
 	for w := range answers {
--- a/load/main.go
+++ b/load/main.go
@@ -41,7 +41,9 @@
 	return []*cli.Command{
 		runCommand(),
 		probeCommand(),
+		strangersCommand(),
 		experimentCommand(),
+		measureCommand(),
 	}
 }
 
--- a/sidecar/internal/server/propose.go
+++ b/sidecar/internal/server/propose.go
@@ -11,6 +11,7 @@
 
 	"bamboohill/core/convictor"
 	"bamboohill/core/framer"
+	"bamboohill/core/hinter"
 	"bamboohill/sidecar/internal/gatekeeper"
 	"bamboohill/sidecar/internal/runner"
 	"bamboohill/wire"
@@ -40,7 +41,7 @@
 		Request: p.GetRequest(), Attempt: p.GetAttempt(), Position: p.GetPosition(), Sink: w, Flush: func() { flusher.Flush() },
 	})
 	if s.keeper.Heard(p.GetSequence()) {
-		s.catchUp(p.GetSequence())
+		s.catchUp(p.GetSequence(), p.GetEntry())
 	}
 	if refused := s.enter(p); refused != nil {
 		refused.Report = s.Report()
@@ -127,7 +128,8 @@
 	if refused := s.hand(ctx, p); refused != nil {
 		return refused
 	}
-	own := s.attempts.begin(p.GetAttempt(), p.GetGang() != "", cancel)
+	own := s.attempts.begin(p, cancel)
+	s.noter.Expect(hinter.Read(body))
 	defer s.attempts.remove(p.GetAttempt())
 	frames.Accept(s.Report())
 	refused := s.runner.Model(ctx, p, body, frames, runner.Hooks{Report: s.Report, First: s.first(p), Span: s.span(p)})
@@ -181,6 +183,7 @@
 	start := time.Now()
 	return func() {
 		took := time.Since(start)
+		s.attempts.first(p.GetAttempt())
 		ahead := before + s.attempts.offered.Load() - offered
 		if s.gate.First(p.GetAttempt(), took, s.engine.expected(ahead)) {
 			s.counts.slow.Add(1)
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -22,6 +22,7 @@
 	"bamboohill/core/accuser"
 	"bamboohill/core/certifier"
 	"bamboohill/core/generator"
+	"bamboohill/core/hinter"
 	"bamboohill/core/keeper"
 	"bamboohill/core/puller"
 	"bamboohill/core/storer"
@@ -40,6 +41,7 @@
 	maxBody     = 64 << 20 // bytes of one payload
 	statusEvery = 100 * time.Millisecond
 	statusLimit = time.Second
+	lonelyEvery = time.Second      // of the table service while hardly any entry replies
 	pollEvery   = 30 * time.Second // of the table service; changes come by push and heartbeat
 	idleLimit   = time.Minute
 )
@@ -60,6 +62,7 @@
 	gate     *gatekeeper.Gate
 	engine   *engine // nil beside a plain service
 	attempts *attempts
+	noter    *hinter.Noter // of the prefix cache
 	leaving  leaving
 	suspects *accuser.Accuser
 	runner   *runner.Runner
@@ -97,6 +100,7 @@
 		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleLimit}},
 		gate:     gatekeeper.New(gatekeeper.Config{Cold: set.Gate.Cold, Warm: set.Gate.Warm}),
 		attempts: newAttempts(),
+		noter:    hinter.NewNoter(),
 		suspects: accuser.New(accuser.Config{}),
 	}
 	if set.Platform.List != "" {
@@ -113,7 +117,7 @@
 	s.runner = runner.New(run)
 	s.recorder = newRecorder(s)
 	s.reporter = reporter.New(reporter.Config{
-		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Report: s.Report, Heard: s.heard,
+		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Report: s.beat, Heard: s.heard,
 		Peer: s.peer,
 	})
 	s.keeper = keeper.New(s.configuration())
@@ -125,7 +129,7 @@
 func (s *Server) configuration() keeper.Config {
 	set := s.config.Settings
 	config := keeper.Config{
-		Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Near: true, Changed: s.suspects.Pardon,
+		Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Changed: s.suspects.Pardon,
 		Peers: puller.New(puller.Config{Addresses: s.reporter.Known, Peer: s.peer}),
 	}
 	if set.Platform.Objects != "" {
@@ -134,11 +138,20 @@
 	return config
 }
 
-// catchUp brings this sidecar to a sequence number, within a bound.
-func (s *Server) catchUp(sequence uint64) {
+// lonely reads the configuration often while fewer than two entries reply to
+// heartbeats: the one that does may itself be cut off.
+func (s *Server) lonely(ctx context.Context) {
+	if s.reporter.Answered() < 2 {
+		s.keeper.Refresh(ctx)
+	}
+}
+
+// catchUp brings this sidecar to a sequence number that an entry has in force,
+// within a bound.
+func (s *Server) catchUp(sequence uint64, entry string) {
 	ctx, cancel := context.WithTimeout(context.Background(), statusLimit)
 	defer cancel()
-	s.keeper.CatchUp(ctx, sequence)
+	s.keeper.CatchUp(ctx, sequence, entry)
 }
 
 // Run serves until the context ends, then leaves; see leave.
@@ -170,9 +183,11 @@
 		go loop(ctx, statusEvery, func(ctx context.Context) { s.engine.fresh(ctx) })
 		go loop(ctx, auditEvery, s.audit)
 		go s.converge(ctx)
+		go loop(ctx, eventsEvery, s.readEvents)
 	}
 	go loop(ctx, statusEvery, s.watchLeaving)
 	go loop(ctx, statusEvery, func(context.Context) { s.attempts.end(s.gate.Expire(time.Now())) })
+	go loop(ctx, lonelyEvery, s.lonely)
 	go loop(ctx, time.Second, s.readList)
 	if s.engine == nil {
 		go loop(ctx, sweepEvery, s.sweep)
