--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -182,6 +182,7 @@
 		s.recover(ctx)
 		go loop(ctx, statusEvery, func(ctx context.Context) { s.engine.fresh(ctx) })
 		go loop(ctx, auditEvery, s.audit)
+		go s.converge(ctx)
 		go loop(ctx, eventsEvery, s.readEvents)
 	}
 	go loop(ctx, statusEvery, s.watchLeaving)
