tracer: a span for each hop, and counters of both programs

The settings had a trace section that did nothing and was not checked, and /debug/vars of an entry showed no requests.

core/tracer wraps the handler and the transport of each hop: request and attempt at the entry, gate and backend at the sidecar, joined by the W3C trace context.

/debug/vars counts ended requests by outcome, attempts, reasons, refusals by code and body bytes at the entry, proposals and refusals by reason at the sidecar; both have /healthz and /readyz.

Run with stdout exporters and a caller's trace: the four spans of one request, in two processes, carry the caller's trace id.

--- /dev/null
+++ b/core/tracer/tracer.go
@@ -0,0 +1,164 @@
+// Package tracer makes a span for each hop of a request and passes the trace
+// on between processes in the headers of the W3C trace context.
+//
+// # Usage
+//
+//	t, err := tracer.New(tracer.Config{Program: "entry", Exporter: tracer.OTLP, Endpoint: "127.0.0.1:4318"})
+//	defer t.Stop(ctx)
+//	web.Handler = t.Handler("request", handler)
+//	client.Transport = t.Transport("attempt", client.Transport)
+//
+// Handler starts a span for each call that comes in, Transport one for each
+// call that goes out on behalf of a traced one; it ends when the answer's body
+// is closed. Calls outside a trace, such as heartbeats, make no spans.
+package tracer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+// Values of Config.Exporter.
+const (
+	None   = "none"
+	Stdout = "stdout"
+	OTLP   = "otlp"
+)
+
+// Exporters lists the values of Config.Exporter.
+var Exporters = []string{None, Stdout, OTLP}
+
+// ErrExporter is returned for an exporter that is not one of Exporters.
+var ErrExporter = eris.New("tracer: exporter must be none, stdout or otlp")
+
+// Config describes a Tracer. The zero Exporter means None.
+type Config struct {
+	Program  string
+	Exporter string
+	Endpoint string    // of the collector for OTLP, IP:PORT
+	Sink     io.Writer // for Stdout, os.Stdout if nil
+}
+
+// Tracer makes spans. It is safe for concurrent use.
+type Tracer struct {
+	tracer trace.Tracer
+	stop   func(context.Context) error
+}
+
+// scope names the source of spans.
+const scope = "bamboohill"
+
+// headers is the form in which a trace goes between processes.
+var headers = propagation.TraceContext{}
+
+// New returns a tracer.
+func New(config Config) (*Tracer, error) {
+	var out sdk.SpanExporter
+	switch config.Exporter {
+	case "", None:
+		return &Tracer{tracer: noop.NewTracerProvider().Tracer(scope), stop: func(context.Context) error { return nil }}, nil
+	case Stdout:
+		if config.Sink == nil {
+			config.Sink = os.Stdout
+		}
+		var err error
+		if out, err = stdouttrace.New(stdouttrace.WithWriter(config.Sink)); err != nil {
+			return nil, eris.Wrap(err, "tracer: stdout")
+		}
+	case OTLP:
+		out = newCollector(config.Endpoint)
+	default:
+		return nil, eris.Wrapf(ErrExporter, "exporter %q", config.Exporter)
+	}
+	name := resource.NewSchemaless(attribute.String("service.name", config.Program))
+	provider := sdk.NewTracerProvider(sdk.WithBatcher(out), sdk.WithResource(name))
+	return &Tracer{tracer: provider.Tracer(scope), stop: provider.Shutdown}, nil
+}
+
+// Stop sends the spans that wait and ends the tracer.
+func (t *Tracer) Stop(ctx context.Context) error { return t.stop(ctx) }
+
+// Handler starts a span for each call of next, as a part of the caller's trace
+// if there is one. The answer's headers that are named become attributes.
+func (t *Tracer) Handler(name string, next http.Handler, answer ...string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		ctx := headers.Extract(q.Context(), propagation.HeaderCarrier(q.Header))
+		ctx, span := t.tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(
+			attribute.String("http.request.method", q.Method), attribute.String("url.path", q.URL.Path)))
+		defer span.End()
+		next.ServeHTTP(w, q.WithContext(ctx))
+		for _, h := range answer {
+			if v := w.Header().Get(h); v != "" {
+				span.SetAttributes(attribute.String(h, v))
+			}
+		}
+	})
+}
+
+// Transport returns base with a span for each call that belongs to a trace.
+// The call goes on unchanged but for the headers of the trace context.
+func (t *Tracer) Transport(name string, base http.RoundTripper) http.RoundTripper {
+	if base == nil {
+		base = http.DefaultTransport
+	}
+	return &transport{tracer: t.tracer, name: name, base: base}
+}
+
+type transport struct {
+	tracer trace.Tracer
+	name   string
+	base   http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *transport) RoundTrip(q *http.Request) (*http.Response, error) {
+	if !trace.SpanContextFromContext(q.Context()).IsValid() {
+		return t.base.RoundTrip(q)
+	}
+	ctx, span := t.tracer.Start(q.Context(), t.name, trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
+		attribute.String("server.address", q.URL.Host), attribute.String("url.path", q.URL.Path)))
+	clone := q.Clone(ctx)
+	clone.GetBody = q.GetBody
+	headers.Inject(ctx, propagation.HeaderCarrier(clone.Header))
+	reply, err := t.base.RoundTrip(clone)
+	if err != nil {
+		span.SetStatus(codes.Error, "no answer")
+		span.End()
+		return nil, err
+	}
+	span.SetAttributes(attribute.Int("http.response.status_code", reply.StatusCode))
+	reply.Body = &body{ReadCloser: reply.Body, span: span}
+	return reply, nil
+}
+
+// body ends a span when it is closed.
+type body struct {
+	io.ReadCloser
+	span trace.Span
+	once sync.Once
+}
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	b.once.Do(func() { b.span.End() })
+	return b.ReadCloser.Close()
+}
+
+// Known reports whether an exporter may stand in the settings.
+func Known(exporter string) bool {
+	return exporter == "" || slices.Contains(Exporters, exporter)
+}
--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -36,6 +36,7 @@
 
 // Receiver serves callers.
 type Receiver struct {
+	counts counts
 	config Config
 	bodies *budget
 }
@@ -148,14 +149,14 @@
 func (r *Receiver) complete(w http.ResponseWriter, q *http.Request, chat bool) {
 	request, f := r.open(w, q)
 	if f != nil {
-		f.write(w)
+		r.refuse(w, f)
 		return
 	}
 	held := &hold{budget: r.bodies}
 	defer held.free()
 	p, f := r.prompt(w, q, request, chat, held)
 	if f != nil {
-		f.write(w)
+		r.refuse(w, f)
 		return
 	}
 	request.Payload = p.prompt
@@ -208,19 +209,19 @@
 func (r *Receiver) plain(w http.ResponseWriter, q *http.Request) {
 	request, f := r.open(w, q)
 	if f != nil {
-		f.write(w)
+		r.refuse(w, f)
 		return
 	}
 	service := q.PathValue("service")
 	if !allowsService(request.Plan, service) {
-		denied(http.StatusForbidden, "service_not_allowed", "the plan does not allow this service").write(w)
+		r.refuse(w, denied(http.StatusForbidden, "service_not_allowed", "the plan does not allow this service"))
 		return
 	}
 	held := &hold{budget: r.bodies}
 	defer held.free()
 	body, f := r.read(w, q, request.Deadline, held)
 	if f != nil {
-		f.write(w)
+		r.refuse(w, f)
 		return
 	}
 	hash := sha256.Sum256(body)
@@ -278,7 +279,7 @@
 func (r *Receiver) models(w http.ResponseWriter, q *http.Request) {
 	request, f := r.open(w, q)
 	if f != nil {
-		f.write(w)
+		r.refuse(w, f)
 		return
 	}
 	type model struct {
@@ -296,7 +297,14 @@
 	}{"list", list})
 }
 
+// refuse answers a request that no attempt was made for.
+func (r *Receiver) refuse(w http.ResponseWriter, f *Failure) {
+	r.counts.refusals.Add(f.Code, 1)
+	f.write(w)
+}
+
 func (r *Receiver) log(q *dispatcher.Request, result dispatcher.Result) {
+	r.counts.ended(result)
 	r.config.Log.Info().Str("event", "request").Str("request", string(q.ID)).Str("account", q.Account.GetName()).
 		Str("outcome", result.Outcome.String()).Str("reason", result.Reason.String()).Int("attempts", result.Attempts).
 		Int64("position", result.Position).Msg("")
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -21,6 +21,7 @@
 	"bamboohill/core/keeper"
 	"bamboohill/core/puller"
 	"bamboohill/core/storer"
+	"bamboohill/core/tracer"
 	"bamboohill/core/watcher"
 	"bamboohill/entry/internal/administrator"
 	"bamboohill/entry/internal/dispatcher"
@@ -69,6 +70,8 @@
 	stopping atomic.Bool
 	outer    http.Handler
 	inner    http.Handler
+	tracer   *tracer.Tracer
+	vars     func() map[string]expvar.Var
 }
 
 // New returns an entry that does not run yet. The error is that of reading the
@@ -87,7 +90,12 @@
 	s.watcher = watcher.New(watcher.Config{})
 	s.suspects = accuser.New(accuser.Config{})
 	s.join()
-	proposals := proposer.New(proposer.Config{Peer: certifier.NewPeer(s.certs, certifier.Sidecar)})
+	if s.tracer, err = tracer.New(tracer.Config{Program: "entry", Exporter: set.Trace.Exporter, Endpoint: set.Trace.Endpoint}); err != nil {
+		return nil, err
+	}
+	sidecars := certifier.NewPeer(s.certs, certifier.Sidecar)
+	sidecars.Client.Transport = s.tracer.Transport("attempt", sidecars.Client.Transport)
+	proposals := proposer.New(proposer.Config{Peer: sidecars})
 	d := dispatcher.New(dispatcher.Config{
 		Watcher: s.watcher, Keeper: s.keeper, Entry: set.Inner, Log: config.Log, Suspects: s.suspects, Accuse: s.accuse,
 		Propose: func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (dispatcher.Attempt, error) {
@@ -101,7 +109,8 @@
 	admin := administrator.New(administrator.Config{
 		Keeper: s.keeper, Watcher: s.watcher, Gossiper: s.gossiper, Operators: set.Operators, Log: config.Log,
 	})
-	s.outer = s.route(calls.Handler(), admin.Handler())
+	s.vars = calls.Vars
+	s.outer = s.route(s.tracer.Handler("request", calls.Handler(), receiver.RequestHeader, receiver.OutcomeHeader), admin.Handler())
 	s.inner = s.routeInner()
 	return s, nil
 }
@@ -158,7 +167,9 @@
 	mux := http.NewServeMux()
 	mux.Handle(wire.HeartbeatsPathPrefix, wire.NewHeartbeatsServer(beats{s}))
 	mux.Handle(wire.PeersPathPrefix, s.gossiper.Handler())
-	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /debug/vars", s.serveVars)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", s.serveReady)
 	return mux
 }
 
@@ -175,6 +186,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
+	defer s.tracer.Stop(background)
 	defer s.keeper.Stop()
 	defer s.watcher.Stop()
 	set := s.config.Settings
--- a/entry/internal/settings/settings.go
+++ b/entry/internal/settings/settings.go
@@ -13,6 +13,7 @@
 	"bamboohill/core/certifier"
 	"bamboohill/core/checker"
 	"bamboohill/core/logger"
+	"bamboohill/core/tracer"
 )
 
 // Settings is what one entry needs to know.
@@ -57,7 +58,7 @@
 
 // Trace says where spans go.
 type Trace struct {
-	Exporter string `toml:"exporter"` // none, stdout or otlp
+	Exporter string `toml:"exporter"` // none, stdout or otlp; none if empty
 	Endpoint string `toml:"endpoint"` // for otlp
 }
 
@@ -110,6 +111,8 @@
 		add(len(o.Hash) == hashDigits, "operator.hash", "must be a SHA-256 of 64 hexadecimal digits")
 		add(o.Role == Read || o.Role == Write, "operator.role", "must be read or write")
 	}
+	add(tracer.Known(s.Trace.Exporter), "trace.exporter", "must be none, stdout or otlp")
+	add(s.Trace.Exporter != tracer.OTLP || isAddress(s.Trace.Endpoint), "trace.endpoint", "must be IP:PORT for otlp")
 	return bad
 }
 
--- a/sidecar/internal/server/propose.go
+++ b/sidecar/internal/server/propose.go
@@ -39,18 +39,21 @@
 	frames := framer.NewWriter(framer.WriterConfig{
 		Request: p.GetRequest(), Attempt: p.GetAttempt(), Position: p.GetPosition(), Sink: w, Flush: func() { flusher.Flush() },
 	})
+	s.counts.proposals.Add(1)
 	if s.keeper.Heard(p.GetSequence()) {
 		s.catchUp(p.GetSequence())
 	}
 	if refused := s.enter(p); refused != nil {
 		refused.Report = s.Report()
 		refused.Suspects = s.against(p.GetFingerprint())
+		s.counts.refusals.Add(refused.GetReason().String(), 1)
 		frames.Refuse(refused)
 		return
 	}
 	if refused := s.run(w, q, p, frames); refused != nil {
 		refused.Report = s.Report()
 		refused.Suspects = s.against(p.GetFingerprint())
+		s.counts.refusals.Add(refused.GetReason().String(), 1)
 		frames.Refuse(refused)
 	}
 }
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -16,6 +16,7 @@
 	"expvar"
 	"io"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,7 @@
 	"bamboohill/core/keeper"
 	"bamboohill/core/puller"
 	"bamboohill/core/storer"
+	"bamboohill/core/tracer"
 	"bamboohill/sidecar/internal/gatekeeper"
 	"bamboohill/sidecar/internal/reporter"
 	"bamboohill/sidecar/internal/runner"
@@ -67,16 +69,19 @@
 	list     *storer.VMs // nil if not set
 	client   *http.Client
 	counts   counts
+	tracer   *tracer.Tracer
 }
 
 // counts is what the sidecar shows of itself at /debug/vars.
 type counts struct {
-	mended  expvar.Int // tokens freed that no live request owned
-	strange expvar.Int // tokens held now for no live request
-	lost    expvar.Int // attempts that the engine did not know
-	crashes expvar.Int // deaths of the engine seen
-	moved   expvar.Int // streams handed over
-	slow    expvar.Int // first tokens taken for a sign of a cold start
+	proposals expvar.Int
+	refusals  expvar.Map // by reason
+	mended    expvar.Int // tokens freed that no live request owned
+	strange   expvar.Int // tokens held now for no live request
+	lost      expvar.Int // attempts that the engine did not know
+	crashes   expvar.Int // deaths of the engine seen
+	moved     expvar.Int // streams handed over
+	slow      expvar.Int // first tokens taken for a sign of a cold start
 }
 
 // New returns a sidecar that does not run yet. The error is that of reading
@@ -87,12 +92,17 @@
 	if err != nil {
 		return nil, err
 	}
+	spans, err := tracer.New(tracer.Config{Program: "sidecar", Exporter: set.Trace.Exporter, Endpoint: set.Trace.Endpoint})
+	if err != nil {
+		return nil, err
+	}
 	s := &Server{
 		config:   config,
+		tracer:   spans,
 		certs:    certs,
 		peer:     certifier.NewPeer(certs, certifier.Entry),
 		boot:     uint64(time.Now().UnixMicro()),
-		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleLimit}},
+		client:   &http.Client{Transport: spans.Transport("backend", &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleLimit})},
 		gate:     gatekeeper.New(gatekeeper.Config{Cold: set.Gate.Cold, Warm: set.Gate.Warm}),
 		attempts: newAttempts(),
 		suspects: accuser.New(accuser.Config{}),
@@ -102,7 +112,7 @@
 	}
 	run := runner.Config{Service: set.Backend, Client: s.client}
 	if set.Kind == settings.Model {
-		port := generator.New(generator.Config{Address: set.Backend})
+		port := generator.New(generator.Config{Address: set.Backend, Client: s.client})
 		s.engine = newEngine(port, s.observe)
 		run.Engine = port
 	} else {
@@ -146,6 +156,7 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
+	defer s.tracer.Stop(background)
 	defer s.keeper.Stop()
 	s.start(background)
 	web := &http.Server{Handler: s.Handler(), ErrorLog: s.config.Log.Std("", 0)}
@@ -188,13 +199,23 @@
 // Handler returns the HTTP interface to entries.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /propose", s.propose)
+	mux.Handle("POST /propose", s.tracer.Handler("gate", http.HandlerFunc(s.propose)))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", s.serveReady)
 	mux.HandleFunc("GET /debug/vars", s.serveVars)
 	mux.Handle(wire.GatePathPrefix, wire.NewGateServer(gate{s}))
 	return mux
 }
 
+// serveReady says whether proposals can be taken.
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.keeper.Ready() {
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, "ready\n")
+}
+
 // serveVars shows the sidecar's own counts; expvar's global page would mix
 // those of several sidecars in one test process.
 func (s *Server) serveVars(w http.ResponseWriter, _ *http.Request) {
@@ -202,6 +223,9 @@
 	bytes := new(expvar.Int)
 	bytes.Set(certifier.InnerBytes())
 	m.Set("inner_bytes", bytes)
+	m.Set("proposals", &s.counts.proposals)
+	m.Set("refusals", &s.counts.refusals)
+	m.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
 	m.Set("memory_mended", &s.counts.mended)
 	m.Set("memory_strange", &s.counts.strange)
 	m.Set("attempts_lost", &s.counts.lost)
--- a/sidecar/internal/settings/settings.go
+++ b/sidecar/internal/settings/settings.go
@@ -13,6 +13,7 @@
 	"bamboohill/core/certifier"
 	"bamboohill/core/checker"
 	"bamboohill/core/logger"
+	"bamboohill/core/tracer"
 )
 
 // Kinds of backend server.
@@ -55,7 +56,7 @@
 
 // Trace says where spans go.
 type Trace struct {
-	Exporter string `toml:"exporter"` // none, stdout or otlp
+	Exporter string `toml:"exporter"` // none, stdout or otlp; none if empty
 	Endpoint string `toml:"endpoint"` // for otlp
 }
 
@@ -94,6 +95,8 @@
 	add(s.TLS.Whole(), "tls", "must name certificate, key and authority, or none")
 	add(s.Beat >= 10, "beat", "must be at least 10 milliseconds")
 	add(s.Drain >= 0, "drain", "must not be negative")
+	add(tracer.Known(s.Trace.Exporter), "trace.exporter", "must be none, stdout or otlp")
+	add(s.Trace.Exporter != tracer.OTLP || isAddress(s.Trace.Endpoint), "trace.endpoint", "must be IP:PORT for otlp")
 	return bad
 }
 
