--- a/core/router/estimate.go
+++ b/core/router/estimate.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"bamboohill/core/ider"
 	"bamboohill/core/watcher"
 	"bamboohill/wire"
 )
@@ -82,9 +81,7 @@
 		speed = r.config.Speed
 	}
 	e := estimate{}
-	if r.config.Hints != nil && r.on(Prefix) {
-		e.cached = min(r.config.Hints.Cached(ider.Server(server.GetServer()), s.job.Chain), s.job.Prompt-1)
-	}
+	e.cached = s.cached(server.GetServer())
 	e.work = max(1, s.job.Prompt-e.cached)
 	e.alone = float64(e.work) / speed
 	running := float64(server.GetRunning()) + float64(o.running)
@@ -181,5 +178,5 @@
 	slack := s.job.Deadline.Sub(s.now).Seconds() - answer - urgent*e.alone
 	wait := patience[s.class] + stretch*e.alone
 	least := patience[s.class]/2 + e.alone
-	return int32(max(least, min(wait, slack)) * 1000)
+	return int32(min(max(least, min(wait, slack))*1000, classGap))
 }
--- a/sidecar/internal/server/propose.go
+++ b/sidecar/internal/server/propose.go
@@ -11,6 +11,7 @@
 
 	"bamboohill/core/convictor"
 	"bamboohill/core/framer"
+	"bamboohill/core/hinter"
 	"bamboohill/sidecar/internal/gatekeeper"
 	"bamboohill/sidecar/internal/runner"
 	"bamboohill/wire"
@@ -41,7 +42,7 @@
 	})
 	s.counts.proposals.Add(1)
 	if s.keeper.Heard(p.GetSequence()) {
-		s.catchUp(p.GetSequence())
+		s.catchUp(p.GetSequence(), p.GetEntry())
 	}
 	if refused := s.enter(p); refused != nil {
 		refused.Report = s.Report()
@@ -111,6 +112,11 @@
 	if s.engine != nil {
 		return s.runModel(ctx, cancel, p, body, frames)
 	}
+	if p.GetCall() != wire.Call_CALL_REPEATABLE {
+		refused := s.once(ctx, p, body, frames)
+		s.gate.Leave(p.GetAttempt(), refused == nil)
+		return refused
+	}
 	if refused := s.gate.Hand(p.GetAttempt()); refused != nil {
 		return refused
 	}
@@ -125,7 +131,8 @@
 	if refused := s.hand(ctx, p); refused != nil {
 		return refused
 	}
-	own := s.attempts.begin(p.GetAttempt(), p.GetGang() != "", cancel)
+	own := s.attempts.begin(p, cancel)
+	s.noter.Expect(hinter.Read(body))
 	defer s.attempts.remove(p.GetAttempt())
 	frames.Accept(s.Report())
 	refused := s.runner.Model(ctx, p, body, frames, runner.Hooks{Report: s.Report, First: s.first(p), Span: s.span(p)})
@@ -179,6 +186,7 @@
 	start := time.Now()
 	return func() {
 		took := time.Since(start)
+		s.attempts.first(p.GetAttempt())
 		ahead := before + s.attempts.offered.Load() - offered
 		if s.gate.First(p.GetAttempt(), took, s.engine.expected(ahead)) {
 			s.counts.slow.Add(1)
