Other entries know of a crash before its request is tried or answered again

The accusation went out beside the work and only to entries that were already heard; and an entry that learnt of a conviction at a gate waited for the conviction's end, up to the deadline, before it said so.

Change: the dispatcher tells the other entries of news before the next attempt or the last word, within half a second; accusations go to every known entry; an entry refused at a gate judges anew at once, and later pauses are a second at most.

TestOthersKnowOfACrashFirst and TestConvictedAtTheGateIsRefusedAtOnce; the latter failed first.

Conclusion: held for a caller that waits for its answer. One that sends the same prompt through several entries at the same moment can still meet engines that know nothing yet.

--- a/entry/internal/dispatcher/attempt.go
+++ b/entry/internal/dispatcher/attempt.go
@@ -101,9 +101,7 @@
 	case *wire.Frame_Refused:
 		d.config.Watcher.Hear(b.Refused.GetReport())
 		for _, a := range b.Refused.GetSuspects() {
-			if d.config.Suspects.Hear(a) && d.config.Accuse != nil {
-				go d.config.Accuse(a)
-			}
+			d.accuse(a)
 		}
 		return refused(b.Refused, position), true
 	}
@@ -113,6 +111,15 @@
 	return step{}, false
 }
 
+// accuse takes an accusation and, if it is news, tells the other entries before
+// anything else is done with the request: a caller that is answered may send it
+// again at once, through any of them.
+func (d *Dispatcher) accuse(a *wire.Accusation) {
+	if d.config.Suspects.Hear(a) && d.config.Accuse != nil {
+		d.config.Accuse(a)
+	}
+}
+
 func refused(r *wire.Refused, position int64) step {
 	s := step{cache: cache{handle: r.GetExported(), tokens: r.GetTokens()}, sequence: r.GetReport().GetSequence()}
 	s.Outcome = r.GetOutcome()
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -115,7 +115,7 @@
 	Tokener  *tokener.Tokener
 	Limits   Limits // of client accounts, none if nil
 	Suspects *accuser.Accuser
-	Accuse   func(*wire.Accusation) // tells the other entries; may be nil
+	Accuse   func(*wire.Accusation) // returns once the other entries were told; may be nil
 	Watches  Watches
 	Entry    string // this entry's inner address
 	Log      *log.Logger
--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -32,6 +32,7 @@
 	answers  []answer
 	attempts []*wire.Proposal
 	servers  []string
+	accuse   func(*wire.Accusation)
 	crossed  int // the first so many answers carry another attempt's id
 }
 
@@ -53,6 +54,17 @@
 
 var hang answer // an answer that never comes
 
+// crash is the answer of a server whose engine has died of the request.
+func (s *scripted) crash(server string) answer {
+	return func(w *framer.Writer) {
+		w.Accept(nil)
+		w.Refuse(&wire.Refused{
+			Reason: wire.Reason_REASON_CRASH, Outcome: wire.Outcome_OUTCOME_FAILED,
+			Suspects: []*wire.Accusation{{Fingerprint: s.attempts[0].GetFingerprint(), Server: server, Boot: 1}},
+		})
+	}
+}
+
 func (s *scripted) propose(ctx context.Context, address string, p *wire.Proposal, _ []byte) (dispatcher.Attempt, error) {
 	do := s.answers[min(len(s.attempts), len(s.answers)-1)]
 	s.attempts = append(s.attempts, p)
@@ -126,7 +138,7 @@
 	}
 	synctest.Wait()
 	d := dispatcher.New(dispatcher.Config{
-		Watcher: w, Propose: s.propose, Keeper: k, Log: &log.Logger{Level: log.ErrorLevel}, Random: func() float64 { return 0.5 },
+		Watcher: w, Propose: s.propose, Accuse: s.accuse, Keeper: k, Log: &log.Logger{Level: log.ErrorLevel}, Random: func() float64 { return 0.5 },
 	})
 	start := time.Now()
 	result := d.Do(t.Context(), &dispatcher.Request{
@@ -207,16 +219,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := &scripted{}
-		crash := func(server string) answer {
-			return func(w *framer.Writer) {
-				w.Accept(nil)
-				w.Refuse(&wire.Refused{
-					Reason: wire.Reason_REASON_CRASH, Outcome: wire.Outcome_OUTCOME_FAILED,
-					Suspects: []*wire.Accusation{{Fingerprint: s.attempts[0].GetFingerprint(), Server: server, Boot: 1}},
-				})
-			}
-		}
-		s.answers = []answer{crash("a"), refuse(wire.Reason_REASON_ALONE), crash("b"), rest(4)}
+		s.answers = []answer{s.crash("a"), refuse(wire.Reason_REASON_ALONE), s.crash("b"), rest(4)}
 		result, _ := run(t, s, wire.Call_CALL_REPEATABLE, &sink{})
 		is.Equal(len(s.attempts), 3) // two crashes and one wait for an empty server
 		is.Equal([]bool{s.attempts[0].GetAlone(), s.attempts[1].GetAlone(), s.attempts[2].GetAlone()}, []bool{false, true, true})
@@ -227,6 +230,42 @@
 	})
 }
 
+func TestOthersKnowOfACrashFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &scripted{}
+		told := 0
+		s.accuse = func(*wire.Accusation) {
+			time.Sleep(100 * time.Millisecond)
+			told++
+			is.Equal(len(s.attempts), told) // before the next attempt and before the last word
+		}
+		s.answers = []answer{s.crash("a"), s.crash("b")}
+		result, took := run(t, s, wire.Call_CALL_REPEATABLE, &sink{})
+		is.Equal(result.Reason, wire.Reason_REASON_SUSPECT)
+		is.Equal(told, 2)
+		is.True(took >= 200*time.Millisecond)
+	})
+}
+
+func TestConvictedAtTheGateIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &scripted{}
+		s.answers = []answer{func(w *framer.Writer) {
+			f := s.attempts[0].GetFingerprint()
+			w.Refuse(&wire.Refused{
+				Reason: wire.Reason_REASON_SUSPECT, Outcome: wire.Outcome_OUTCOME_NOT_RUN, RetryMs: time.Hour.Milliseconds(),
+				Suspects: []*wire.Accusation{{Fingerprint: f, Server: "a", Boot: 1}, {Fingerprint: f, Server: "b", Boot: 1}},
+			})
+		}}
+		result, took := run(t, s, wire.Call_CALL_REPEATABLE, &sink{})
+		is.Equal(result.Outcome, wire.Outcome_OUTCOME_NOT_RUN)
+		is.Equal(len(s.attempts), 1)
+		is.True(took < time.Second)
+	})
+}
+
 func TestHandedOverCacheIsImported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/entry/internal/dispatcher/suspect.go
+++ b/entry/internal/dispatcher/suspect.go
@@ -14,6 +14,7 @@
 const (
 	soloTries = 40
 	soloPause = 100 * time.Millisecond
+	soloMost  = time.Second
 )
 
 // judge returns the servers that a request may use: all of them, the one place
@@ -57,13 +58,17 @@
 }
 
 // waitAlone waits for the next try of a suspect. Such tries run nothing, so
-// they have a count of their own in place of the retry budget.
+// they have a count of their own in place of the retry budget. An entry that
+// has just learnt of the suspect judges anew at once.
 func (d *Dispatcher) waitAlone(ctx context.Context, c *course) bool {
 	if c.solo == 0 {
 		return false
 	}
 	c.solo--
-	t := time.NewTimer(max(soloPause, c.result.Retry))
+	if c.result.Reason == wire.Reason_REASON_SUSPECT && c.solo == soloTries-1 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(min(max(soloPause, c.result.Retry), soloMost))
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/entry/internal/gossiper/spread.go
+++ b/entry/internal/gossiper/spread.go
@@ -133,9 +133,10 @@
 // namedWidth is how many entries one reply names.
 const namedWidth = 6
 
-// Accuse tells every live entry of a crash suspect.
+// Accuse tells every known entry of a crash suspect, also those that have not
+// been heard yet: a suspect may be sent through any of them.
 func (g *Gossiper) Accuse(ctx context.Context, a *wire.Accusation) {
-	g.each(ctx, g.Live(), func(ctx context.Context, address string) { g.peer(address).Accuse(ctx, a) })
+	g.each(ctx, g.Known(), func(ctx context.Context, address string) { g.peer(address).Accuse(ctx, a) })
 }
 
 // Borrow asks an account's home entry for a share of its limits.
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -47,7 +47,7 @@
 	headerBytes = 64 << 10
 	idleLimit   = 2 * time.Minute
 	stopLimit   = 2 * time.Minute
-	accuseLimit = 2 * time.Second
+	accuseLimit = 500 * time.Millisecond
 )
 
 // Shares of an entry's memory: what callers' bodies may take, and from where
