The fleet's check that nobody goes back looks at every change of state

And the check for going back looked between steps only, where a process had healed.

Change: every new state of every process is looked at as it comes into force.

Unchanged code: none.

--- a/entry/internal/gossiper/converge_test.go
+++ b/entry/internal/gossiper/converge_test.go
@@ -12,34 +12,6 @@
 	"bamboohill/wire"
 )
 
-// watch remembers the highest sequence number seen in force at each process
-// and reports one that goes back.
-type watch struct {
-	seen map[*keeper.Keeper]uint64
-}
-
-func (w *watch) look(t *testing.T, f *fleet) {
-	t.Helper()
-	for _, k := range f.keepers() {
-		sequence := k.State().Sequence
-		if sequence < w.seen[k] {
-			t.Errorf("a process went from change %d back to %d", w.seen[k], sequence)
-		}
-		w.seen[k] = sequence
-	}
-}
-
-func (f *fleet) keepers() []*keeper.Keeper {
-	var all []*keeper.Keeper
-	for _, e := range f.entries {
-		all = append(all, e.keeper)
-	}
-	for _, s := range f.sidecars {
-		all = append(all, s.keeper)
-	}
-	return all
-}
-
 // run lets every entry poll and greet as it does in service, and every sidecar
 // beat to its entries.
 func (f *fleet) run(ctx context.Context) {
@@ -114,24 +86,26 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				f.run(ctx)
 				random := rand.New(rand.NewPCG(seed, 9))
-				w := &watch{seen: map[*keeper.Keeper]uint64{}}
 				accepted := uint64(0)
 				for n := range 60 {
 					if f.step(ctx, random, n) {
 						accepted++
 					}
 					time.Sleep(time.Duration(random.IntN(900)) * time.Millisecond)
-					w.look(t, f)
 				}
 				f.table.setDown(false)
 				for _, e := range f.entries {
 					f.net.setCut(e.address, false)
 				}
 				time.Sleep(3 * time.Second)
-				w.look(t, f)
 				if n := f.behind(accepted); n > 0 {
-					t.Errorf("%d of %d processes are behind change %d", n, len(f.keepers()), accepted)
+					t.Errorf("%d of %d processes are behind change %d", n, len(f.entries)+len(f.sidecars), accepted)
+				}
+				f.mu.Lock()
+				for _, text := range f.back {
+					t.Errorf("went back: %s", text)
 				}
+				f.mu.Unlock()
 				cancel()
 				time.Sleep(5 * time.Second)
 				f.stop()
--- a/entry/internal/gossiper/gossiper_test.go
+++ b/entry/internal/gossiper/gossiper_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,6 +36,20 @@
 	entries  []*entry
 	sidecars []*sidecar
 	stops    []func()
+
+	mu   sync.Mutex
+	last map[string]uint64 // sequence number that each process had in force last
+	back []string          // processes that went back
+}
+
+// changed notes that a process has another configuration in force.
+func (f *fleet) changed(name string, sequence uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if sequence <= f.last[name] {
+		f.back = append(f.back, fmt.Sprintf("%s from %d to %d", name, f.last[name], sequence))
+	}
+	f.last[name] = sequence
 }
 
 type entry struct {
@@ -68,7 +83,7 @@
 }
 
 func newFleet(entries, sidecars, copies int) *fleet {
-	f := &fleet{net: newNetwork(), table: &memoryTable{rows: map[string]storer.Row{}}}
+	f := &fleet{last: map[string]uint64{}, net: newNetwork(), table: &memoryTable{rows: map[string]storer.Row{}}}
 	var addresses []string
 	for i := range entries {
 		addresses = append(addresses, fmt.Sprintf("10.0.%d.%d:1", i/250, i%250))
@@ -77,7 +92,7 @@
 		e := &entry{address: a, watcher: watcher.New(watcher.Config{Forget: time.Hour, Silence: time.Hour})}
 		peer := f.net.peer()
 		e.keeper = keeper.New(keeper.Config{
-			Table: f.table, Changed: func(*keeper.State) { e.gossip.Wake() },
+			Table: f.table, Changed: func(state *keeper.State) { f.changed(a, state.Sequence); e.gossip.Wake() },
 			Peers: puller.New(puller.Config{Addresses: func() []string { return e.gossip.Known() }, Self: a, Peer: peer}),
 		})
 		e.gossip = New(Config{
@@ -100,7 +115,8 @@
 	peer := f.net.peer()
 	s := &sidecar{name: name, address: address}
 	s.keeper = keeper.New(keeper.Config{
-		Table: f.table, Peers: puller.New(puller.Config{Addresses: func() []string { return entries }, Peer: peer}),
+		Table: f.table, Changed: func(state *keeper.State) { f.changed(name, state.Sequence) },
+		Peers: puller.New(puller.Config{Addresses: func() []string { return entries }, Peer: peer}),
 	})
 	mux := http.NewServeMux()
 	mux.Handle(wire.GatePathPrefix, wire.NewGateServer(s))
