--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -26,11 +26,13 @@
 	"bamboohill/core/puller"
 	"bamboohill/core/router"
 	"bamboohill/core/storer"
+	"bamboohill/core/tracer"
 	"bamboohill/core/watcher"
 	"bamboohill/entry/internal/administrator"
 	"bamboohill/entry/internal/borrower"
 	"bamboohill/entry/internal/dispatcher"
 	"bamboohill/entry/internal/gossiper"
+	"bamboohill/entry/internal/placer"
 	"bamboohill/entry/internal/proposer"
 	"bamboohill/entry/internal/receiver"
 	"bamboohill/entry/internal/settings"
@@ -72,11 +74,14 @@
 	watcher  *watcher.Watcher
 	suspects *accuser.Accuser
 	gossiper *gossiper.Gossiper
+	placer   *placer.Placer
 	borrower *borrower.Borrower
 	hints    *hinter.Hinter
 	stopping atomic.Bool
 	outer    http.Handler
 	inner    http.Handler
+	tracer   *tracer.Tracer
+	vars     func() map[string]expvar.Var
 }
 
 // New returns an entry that does not run yet. The error is that of reading the
@@ -96,7 +101,13 @@
 	s.suspects = accuser.New(accuser.Config{})
 	s.hints = hinter.New(hinter.Config{})
 	s.join()
-	proposals := proposer.New(proposer.Config{Peer: certifier.NewPeer(s.certs, certifier.Sidecar)})
+	s.placer = s.newPlacer()
+	if s.tracer, err = tracer.New(tracer.Config{Program: "entry", Exporter: set.Trace.Exporter, Endpoint: set.Trace.Endpoint}); err != nil {
+		return nil, err
+	}
+	sidecars := certifier.NewPeer(s.certs, certifier.Sidecar)
+	sidecars.Client.Transport = s.tracer.Transport("attempt", sidecars.Client.Transport)
+	proposals := proposer.New(proposer.Config{Peer: sidecars})
 	s.borrower = borrower.New(borrower.Config{
 		Self: set.Inner, Live: s.gossiper.Live, Borrow: s.gossiper.Borrow, Plan: s.plan,
 		Backlog: func() time.Duration { return limiter.Backlog(s.watcher.View().Servers) },
@@ -109,6 +120,9 @@
 		}),
 		Watcher: s.watcher, Keeper: s.keeper, Entry: set.Inner, Log: config.Log, Suspects: s.suspects, Accuse: s.accuse,
 		Propose: func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (dispatcher.Attempt, error) {
+			if p.GetModel() != "" {
+				s.placer.Note(p.GetModel(), p.GetVersion(), p.GetPrompt()+p.GetAnswer())
+			}
 			return proposals.Propose(ctx, address, p, payload)
 		},
 	})
@@ -119,7 +133,8 @@
 	admin := administrator.New(administrator.Config{
 		Keeper: s.keeper, Watcher: s.watcher, Gossiper: s.gossiper, Operators: set.Operators, Log: config.Log,
 	})
-	s.outer = s.route(calls.Handler(), admin.Handler())
+	s.vars = calls.Vars
+	s.outer = s.route(s.tracer.Handler("request", calls.Handler(), receiver.RequestHeader, receiver.OutcomeHeader), admin.Handler())
 	s.inner = s.routeInner()
 	return s, nil
 }
@@ -153,7 +168,6 @@
 		members.List = storer.NewVMs(storer.Config{Address: set.Platform.List})
 	}
 	s.gossiper = gossiper.New(members)
-	s.publish()
 }
 
 // plan returns the plan of an account in force, nil if there is none.
@@ -191,7 +205,9 @@
 	mux := http.NewServeMux()
 	mux.Handle(wire.HeartbeatsPathPrefix, wire.NewHeartbeatsServer(beats{s}))
 	mux.Handle(wire.PeersPathPrefix, s.gossiper.Handler())
-	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /debug/vars", s.serveVars)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", s.serveReady)
 	return mux
 }
 
@@ -208,6 +224,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
+	defer s.tracer.Stop(background)
 	defer s.keeper.Stop()
 	defer s.watcher.Stop()
 	set := s.config.Settings
@@ -223,6 +240,7 @@
 		return err
 	}
 	go s.gossiper.Run(background)
+	go s.placer.Run(background)
 	go s.borrower.Run(background)
 	go s.keeper.Poll(background, time.Duration(s.config.Settings.Poll)*time.Millisecond, nil)
 	for _, c := range []*certifier.Store{s.certs, s.front} {
