A failure domain's worth of dead entries holds up nobody's push

Cause: one limit bounded all calls of a round together; more hung entries than are called at once used it up, and those after them were not called at all.

Change: each call has the limit.

--- a/entry/internal/gossiper/gossiper.go
+++ b/entry/internal/gossiper/gossiper.go
@@ -23,7 +23,7 @@
 	listEvery    = 10 // greetings between two readings of the list of VMs
 	fanout       = 3  // entries greeted at once
 	gapEntries   = 32 // entries for which rounds come a multiple of Every apart
-	spreadWidth  = 32 // pushes under way at once
+	spreadWidth  = 64 // pushes under way at once
 	probeWidth   = 8  // silent servers asked at once
 )
 
@@ -220,16 +220,16 @@
 	g.Wake()
 }
 
-// each calls do for every address at once, within the limit.
+// each calls do for every address, many at once, and gives each call the limit.
 func (g *Gossiper) each(ctx context.Context, addresses []string, do func(context.Context, string)) {
-	ctx, cancel := context.WithTimeout(ctx, g.config.Limit)
-	defer cancel()
 	var all sync.WaitGroup
 	slots := make(chan struct{}, spreadWidth)
 	for _, a := range addresses {
 		slots <- struct{}{}
 		all.Go(func() {
 			defer func() { <-slots }()
+			ctx, cancel := context.WithTimeout(ctx, g.config.Limit)
+			defer cancel()
 			do(ctx, a)
 		})
 	}
--- a/entry/internal/gossiper/gossiper_test.go
+++ b/entry/internal/gossiper/gossiper_test.go
@@ -282,6 +282,29 @@
 	})
 }
 
+// TestDeadEntriesDelayNobodyLong hangs a failure domain's worth of entries, more
+// than are called at once, while a change is pushed.
+func TestDeadEntriesDelayNobodyLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(spreadWidth+36, 0, 0)
+		ctx, cancel := context.WithCancel(t.Context())
+		f.start(ctx)
+		synctest.Wait()
+		dead := f.entries[1 : spreadWidth+21]
+		for _, e := range dead {
+			f.net.setHung(e.address)
+		}
+		start := time.Now()
+		sequence := f.change(ctx, 1, f.entries[0])
+		is.Equal(f.behind(sequence), len(dead))
+		is.True(time.Since(start) <= 2*f.entries[0].gossip.config.Limit)
+		cancel()
+		f.stop()
+		time.Sleep(time.Minute)
+	})
+}
+
 // TestCutOneWay loses the heartbeats of two servers; one still answers when it
 // is asked, the other does not.
 func TestCutOneWay(t *testing.T) {
--- a/entry/internal/gossiper/memory_test.go
+++ b/entry/internal/gossiper/memory_test.go
@@ -21,12 +21,13 @@
 	mu        sync.Mutex
 	listeners map[string]chan net.Conn
 	cut       map[string]bool // addresses that nobody reaches
+	hung      map[string]bool // addresses that never answer
 	bytes     atomic.Int64
 	calls     atomic.Int64
 }
 
 func newNetwork() *network {
-	return &network{listeners: map[string]chan net.Conn{}, cut: map[string]bool{}}
+	return &network{listeners: map[string]chan net.Conn{}, cut: map[string]bool{}, hung: map[string]bool{}}
 }
 
 var errRefused = errors.New("connection refused")
@@ -79,11 +80,15 @@
 
 func (t trip) RoundTrip(q *http.Request) (*http.Response, error) {
 	t.n.mu.Lock()
-	cut := t.n.cut[q.URL.Host]
+	cut, hung := t.n.cut[q.URL.Host], t.n.hung[q.URL.Host]
 	t.n.mu.Unlock()
 	if cut {
 		return nil, errRefused
 	}
+	if hung {
+		<-q.Context().Done()
+		return nil, q.Context().Err()
+	}
 	t.n.calls.Add(1)
 	return t.next.RoundTrip(q)
 }
@@ -185,3 +190,9 @@
 	defer n.mu.Unlock()
 	n.cut[address] = cut
 }
+
+func (n *network) setHung(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hung[address] = true
+}
--- a/operator/internal/runner/runner_test.go
+++ b/operator/internal/runner/runner_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"encoding/pem"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -99,3 +102,17 @@
 		})
 	}
 }
+
+func TestEntryBehindTLS(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("[]")) }))
+	defer s.Close()
+	file := filepath.Join(t.TempDir(), "ca.pem")
+	text := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: s.Certificate().Raw})
+	is.NoErr(os.WriteFile(file, text, 0o600))
+	t.Setenv("BAMBOOHILL_ENTRIES", s.URL)
+	t.Setenv("BAMBOOHILL_KEY", "secret")
+	var out bytes.Buffer
+	is.Equal(Main(t.Context(), []string{"bamboohill", "plan", "list"}, &out, &out), ExitStore)
+	is.Equal(Main(t.Context(), []string{"bamboohill", "--ca-file", file, "plan", "list"}, &out, &out), ExitOK)
+}
