A start in an outage never makes do with too few peers

Cause: after five seconds a process started from whoever answered. An entry that is cut off also named nobody, and so passed for the only one there is.

Change: several peers must answer, or all that are known if fewer, however long it takes; a greeting counts the entries that its sender knows, gone ones included. The row for the old rule in TestEnough said the opposite and is replaced by stricter ones (one of two, two of many, one that counts but names none).

The price: a process that starts in an outage while too few entries answer is not ready until they or the store are back.

--- a/core/keeper/fetch.go
+++ b/core/keeper/fetch.go
@@ -32,30 +32,23 @@
 // stands for the newest, when so many are known.
 const Several = 3
 
-// patience is how long a start waits for several peers before it takes what
-// answers.
-const patience = 5 * time.Second
-
 // startPause lies between two tries to start.
 const startPause = 200 * time.Millisecond
 
 // Evidence is what a process that starts without the store knows.
 type Evidence struct {
-	Known   int           // peers
-	Answers int           // of peers that are ready
-	Best    uint64        // highest sequence number among the answers
-	Heard   uint64        // highest sequence number heard from anybody
-	Waited  time.Duration // since the process started
+	Known   int    // peers
+	Answers int    // of peers that are ready
+	Best    uint64 // highest sequence number among the answers
+	Heard   uint64 // highest sequence number heard from anybody
 }
 
 // Enough reports whether a process may start from peers: several have
-// answered, or all that are known, or after some patience at least one, and
-// nobody has been heard to have more.
+// answered, or all that are known if they are fewer, and nobody has been heard
+// to have more. However long it waits, it never makes do with less: a start
+// from one peer that missed a change would take the change back.
 func Enough(e Evidence) bool {
-	if e.Answers == 0 || e.Best < e.Heard {
-		return false
-	}
-	return e.Answers >= min(Several, e.Known) || e.Waited >= patience
+	return e.Answers >= max(1, min(Several, e.Known)) && e.Best >= e.Heard
 }
 
 // Fresh reports whether a configuration that was last confirmed at a time is
@@ -212,7 +205,7 @@
 	known, answers := k.config.Peers.Ask(ctx)
 	answers = slices.DeleteFunc(answers, func(a Answer) bool { return !a.Ready })
 	slices.SortStableFunc(answers, func(a, b Answer) int { return cmp.Compare(b.Sequence, a.Sequence) })
-	e := Evidence{Known: known, Answers: len(answers), Waited: asked.Sub(k.born)}
+	e := Evidence{Known: known, Answers: len(answers)}
 	if len(answers) > 0 {
 		e.Best = answers[0].Sequence
 	}
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -29,7 +29,6 @@
 	confirmed atomic.Pointer[time.Time] // with its monotonic reading
 	known     atomic.Uint64
 	started   atomic.Bool
-	born      time.Time
 	turn      chan struct{} // held by the one that reads the store
 	asking    chan struct{} // held by the one that catches up from peers
 	writing   chan struct{} // held by the one that commits
@@ -49,7 +48,7 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
-	k := &Keeper{config: config, turn: make(chan struct{}, 1), asking: make(chan struct{}, 1), writing: make(chan struct{}, 1), born: config.Now()}
+	k := &Keeper{config: config, turn: make(chan struct{}, 1), asking: make(chan struct{}, 1), writing: make(chan struct{}, 1)}
 	k.state.Store(Empty())
 	k.owner = spawner.Spawn(spawner.Config[offer]{Name: "keeper", Receive: k.receive})
 	return k
--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -19,13 +19,16 @@
 		e    Evidence
 		want bool
 	}{
-		"nobody answers":                     {Evidence{Known: 5, Waited: time.Hour}, false},
-		"one of many":                        {Evidence{Known: 5, Answers: 1, Best: 4}, false},
-		"one of many after patience":         {Evidence{Known: 5, Answers: 1, Best: 4, Waited: patience}, true},
-		"the only one known":                 {Evidence{Known: 1, Answers: 1, Best: 4}, true},
-		"several":                            {Evidence{Known: 5, Answers: 3, Best: 4}, true},
-		"several, but somebody has more":     {Evidence{Known: 5, Answers: 3, Best: 4, Heard: 5}, false},
-		"patience does not excuse old state": {Evidence{Known: 5, Answers: 1, Best: 4, Heard: 5, Waited: time.Hour}, false},
+		"nobody answers":                 {Evidence{Known: 5}, false},
+		"nobody is known":                {Evidence{}, false},
+		"one of many":                    {Evidence{Known: 5, Answers: 1, Best: 4}, false},
+		"two of many":                    {Evidence{Known: 5, Answers: 2, Best: 4}, false},
+		"one of two":                     {Evidence{Known: 2, Answers: 1, Best: 4}, false},
+		"the only one known":             {Evidence{Known: 1, Answers: 1, Best: 4}, true},
+		"both":                           {Evidence{Known: 2, Answers: 2, Best: 4}, true},
+		"several":                        {Evidence{Known: 5, Answers: 3, Best: 4}, true},
+		"several, somebody has more":     {Evidence{Known: 5, Answers: 3, Best: 4, Heard: 5}, false},
+		"the only one, others have more": {Evidence{Known: 1, Answers: 1, Best: 4, Heard: 5}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if got := Enough(test.e); got != test.want {
--- a/core/puller/puller.go
+++ b/core/puller/puller.go
@@ -61,23 +61,32 @@
 	return wire.NewPeersProtobufClient(p.config.Peer.URL(address), p.config.Peer.Client)
 }
 
-// Ask implements keeper.Peers. An entry that does not answer counts as known.
+// Ask implements keeper.Peers. An entry that does not answer counts as known,
+// and so does one that an answer counts without naming it: an entry that is
+// cut off names nobody, and must not pass for the only one.
 func (p *Puller) Ask(ctx context.Context) (int, []keeper.Answer) {
 	known := p.others(p.config.Addresses())
 	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
 	asked := known[:min(width, len(known))]
-	answers, named := p.round(ctx, asked)
-	for _, a := range p.others(named) {
+	answers, said := p.round(ctx, asked)
+	for _, a := range p.others(said.names) {
 		if !slices.Contains(known, a) {
 			known = append(known, a)
 		}
 	}
 	if len(answers) < keeper.Several && len(known) > len(asked) {
 		rest := known[len(asked):]
-		more, _ := p.round(ctx, rest[:min(width, len(rest))])
+		more, also := p.round(ctx, rest[:min(width, len(rest))])
 		answers = append(answers, more...)
+		said.most = max(said.most, also.most)
 	}
-	return len(known), answers
+	return max(len(known), said.most), answers
+}
+
+// hearsay is what the answers of a round say of other entries.
+type hearsay struct {
+	names []string
+	most  int // entries that exist according to one answer
 }
 
 func (p *Puller) others(addresses []string) []string {
@@ -87,13 +96,13 @@
 
 // round asks some entries at once and returns what they answer and the entries
 // that they name.
-func (p *Puller) round(ctx context.Context, addresses []string) ([]keeper.Answer, []string) {
+func (p *Puller) round(ctx context.Context, addresses []string) ([]keeper.Answer, hearsay) {
 	ctx, cancel := context.WithTimeout(ctx, p.config.Timeout)
 	defer cancel()
 	var all sync.WaitGroup
 	var mu sync.Mutex
 	var answers []keeper.Answer
-	var named []string
+	var said hearsay
 	for _, address := range addresses {
 		all.Go(func() {
 			g, err := p.peer(address).Greet(ctx, &wire.Greeting{})
@@ -106,12 +115,22 @@
 				Address: address, Sequence: g.GetSequence(), Ready: g.GetReady(), Age: time.Duration(g.GetAgeMs()) * time.Millisecond,
 			})
 			for _, m := range g.GetMembers() {
-				named = append(named, m.GetAddress())
+				said.names = append(said.names, m.GetAddress())
 			}
+			said.most = max(said.most, p.count(int(g.GetKnown())))
 		})
 	}
 	all.Wait()
-	return answers, named
+	return answers, said
+}
+
+// count returns how many peers this process has when an entry knows so many
+// others: as many for another entry, one more for a sidecar.
+func (p *Puller) count(others int) int {
+	if p.config.Self == "" {
+		return others + 1
+	}
+	return others
 }
 
 // Pull implements keeper.Peers.
--- a/entry/internal/gossiper/gossiper.go
+++ b/entry/internal/gossiper/gossiper.go
@@ -273,6 +273,7 @@
 	return &wire.Greeting{
 		Address: g.config.Address, Boot: g.config.Boot, Sequence: g.config.Keeper.State().Sequence,
 		Leaving: g.leaving.Load(), AgeMs: age, Ready: g.config.Keeper.Ready(),
+		Known:   int32(len(g.roster.all)),
 		Members: g.roster.sample(sampleSize, now, g.random),
 	}
 }
