--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -242,7 +242,7 @@
 	go s.gossiper.Run(background)
 	go s.placer.Run(background)
 	go s.borrower.Run(background)
-	go s.keeper.Poll(background, time.Duration(s.config.Settings.Poll)*time.Millisecond, nil)
+	go s.keeper.Poll(background, time.Duration(s.config.Settings.Poll)*time.Millisecond, s.polled())
 	for _, c := range []*certifier.Store{s.certs, s.front} {
 		go c.Watch(background)
 	}
--- a/entry/internal/server/vars.go
+++ b/entry/internal/server/vars.go
@@ -36,3 +36,20 @@
 	w.Header().Set("Content-Type", "application/json")
 	io.WriteString(w, m.String()+"\n")
 }
+
+// polled returns what to do after each try to confirm the configuration: a
+// failure is written to the log when it begins, and its end.
+func (s *Server) polled() func(error) {
+	failing := false
+	return func(err error) {
+		if (err != nil) == failing {
+			return
+		}
+		failing = err != nil
+		event := "configuration_confirmed"
+		if failing {
+			event = "configuration_unconfirmed"
+		}
+		s.config.Log.Warn().Str("event", event).Bool("ready", s.keeper.Ready()).Err(err).Msg("")
+	}
+}
