--- a/entry/internal/gossiper/gossiper_test.go
+++ b/entry/internal/gossiper/gossiper_test.go
@@ -190,7 +190,7 @@
 func TestManyEntriesPutOffWhatGatesDoNotNeed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newFleet(gapEntries+2, 8, 1)
+		f := newFleet(gapEntries+2, 8, 0)
 		ctx, cancel := context.WithCancel(t.Context())
 		f.start(ctx)
 		synctest.Wait()
