--- a/entry/internal/server/vars.go
+++ b/entry/internal/server/vars.go
@@ -2,12 +2,22 @@
 
 import (
 	"expvar"
+	"io"
+	"net/http"
+	"runtime"
 	"time"
+
+	"bamboohill/core/certifier"
 )
 
-// publish shows the configuration and the membership of this entry at
-// /debug/vars. In a process with several entries the first is shown.
-func (s *Server) publish() {
+// serveVars shows the entry's own counts, configuration and membership beside
+// expvar's memstats; expvar's global page would mix those of several entries
+// in one test process.
+func (s *Server) serveVars(w http.ResponseWriter, _ *http.Request) {
+	m := new(expvar.Map).Init()
+	for name, v := range s.vars() {
+		m.Set(name, v)
+	}
 	for name, value := range map[string]func() any{
 		"configuration_sequence": func() any { return s.keeper.State().Sequence },
 		"configuration_known":    func() any { return s.keeper.Known() },
@@ -17,9 +27,12 @@
 		"entries_known":          func() any { return len(s.gossiper.Known()) },
 		"servers_offered":        func() any { return len(s.watcher.View().Servers) },
 		"servers_gone":           func() any { return len(s.watcher.View().Gone) },
+		"goroutines":             func() any { return runtime.NumGoroutine() },
+		"inner_bytes":            func() any { return certifier.InnerBytes() },
 	} {
-		if expvar.Get(name) == nil {
-			expvar.Publish(name, expvar.Func(value))
-		}
+		m.Set(name, expvar.Func(value))
 	}
+	m.Set("memstats", expvar.Get("memstats"))
+	w.Header().Set("Content-Type", "application/json")
+	io.WriteString(w, m.String()+"\n")
 }
