--- a/sidecar/internal/recorder/protocol_test.go
+++ b/sidecar/internal/recorder/protocol_test.go
@@ -17,11 +17,14 @@
 	"pgregory.net/rapid"
 )
 
-// TestMain fixes the seed of the generated scripts; -rapid.seed overrides it.
+// TestMain fixes the seed and the number of the generated scripts; the flags
+// -rapid.seed and -rapid.checks override them.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		flag.Set("rapid.seed", "20261203")
+	for name, value := range map[string][2]string{"rapid.seed": {"0", "20261203"}, "rapid.checks": {"100", "2000"}} {
+		if flag.Lookup(name).Value.String() == value[0] {
+			flag.Set(name, value[1])
+		}
 	}
 	os.Exit(m.Run())
 }
--- a/sidecar/internal/recorder/recorder_test.go
+++ b/sidecar/internal/recorder/recorder_test.go
@@ -135,3 +135,31 @@
 		is.Equal(runs, 2)
 	})
 }
+
+// TestLateVoid voids a claim with a write that the table applies only after
+// the next holder of the key has run it: the write must change nothing.
+func TestLateVoid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table, runs := newFakeTable(), 0
+		first, second := New(Config{Table: table, VM: "first"}), New(Config{Table: table, VM: "second"})
+		defer first.Close()
+		defer second.Close()
+		table.set(slow)
+		time.AfterFunc(time.Second, func() { table.set(ghost) })
+		time.AfterFunc(4*time.Second, func() { table.set(healthy) })
+		late := first.Do(t.Context(), call("k", "x", 2*time.Second), answering(&runs))
+		is.Equal(late.Refused.GetOutcome(), wire.Outcome_OUTCOME_NOT_RUN)
+		first.Wait(t.Context())
+		losing := func(context.Context) (*Answer, error) {
+			runs++
+			return nil, errService
+		}
+		ran := second.Do(t.Context(), call("k", "x", 2*time.Second), losing)
+		is.Equal(ran.Refused.GetOutcome(), wire.Outcome_OUTCOME_UNKNOWN)
+		table.ghosts.Wait()
+		again := second.Do(t.Context(), call("k", "x", 2*time.Second), losing)
+		is.Equal(again.Refused.GetReason(), wire.Reason_REASON_DUPLICATE)
+		is.Equal(runs, 1)
+	})
+}
--- a/sidecar/internal/server/once.go
+++ b/sidecar/internal/server/once.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"expvar"
 	"fmt"
 	"net/http"
 	"sync"
@@ -145,5 +146,17 @@
 	return &kept
 }
 
+// recorderVars shows what the recorder asked of the table service.
+func (s *Server) recorderVars(m *expvar.Map) {
+	stats := s.recorder.Stats()
+	for name, n := range map[string]int64{
+		"once_transactions": stats.Groups.Load(), "once_rows": stats.Ops.Load(), "once_reads": stats.Reads.Load(),
+	} {
+		v := new(expvar.Int)
+		v.Set(n)
+		m.Set(name, v)
+	}
+}
+
 // sweep deletes old rows of the recorder.
 func (s *Server) sweep(ctx context.Context) { s.recorder.Sweep(ctx) }
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -231,6 +231,7 @@
 	m.Set("engine_crashes", &s.counts.crashes)
 	m.Set("streams_moved", &s.counts.moved)
 	m.Set("cold_by_first_token", &s.counts.slow)
+	s.recorderVars(m)
 	w.Header().Set("Content-Type", "application/json")
 	io.WriteString(w, m.String()+"\n")
 }
