--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -26,6 +26,7 @@
 	"bamboohill/core/puller"
 	"bamboohill/core/router"
 	"bamboohill/core/storer"
+	"bamboohill/core/tracer"
 	"bamboohill/core/watcher"
 	"bamboohill/entry/internal/administrator"
 	"bamboohill/entry/internal/borrower"
@@ -79,6 +80,8 @@
 	stopping atomic.Bool
 	outer    http.Handler
 	inner    http.Handler
+	tracer   *tracer.Tracer
+	vars     func() map[string]expvar.Var
 }
 
 // New returns an entry that does not run yet. The error is that of reading the
@@ -99,7 +102,12 @@
 	s.hints = hinter.New(hinter.Config{})
 	s.join()
 	s.placer = s.newPlacer()
-	proposals := proposer.New(proposer.Config{Peer: certifier.NewPeer(s.certs, certifier.Sidecar)})
+	if s.tracer, err = tracer.New(tracer.Config{Program: "entry", Exporter: set.Trace.Exporter, Endpoint: set.Trace.Endpoint}); err != nil {
+		return nil, err
+	}
+	sidecars := certifier.NewPeer(s.certs, certifier.Sidecar)
+	sidecars.Client.Transport = s.tracer.Transport("attempt", sidecars.Client.Transport)
+	proposals := proposer.New(proposer.Config{Peer: sidecars})
 	s.borrower = borrower.New(borrower.Config{
 		Self: set.Inner, Live: s.gossiper.Live, Borrow: s.gossiper.Borrow, Plan: s.plan,
 		Backlog: func() time.Duration { return limiter.Backlog(s.watcher.View().Servers) },
@@ -125,7 +133,8 @@
 	admin := administrator.New(administrator.Config{
 		Keeper: s.keeper, Watcher: s.watcher, Gossiper: s.gossiper, Operators: set.Operators, Log: config.Log,
 	})
-	s.outer = s.route(calls.Handler(), admin.Handler())
+	s.vars = calls.Vars
+	s.outer = s.route(s.tracer.Handler("request", calls.Handler(), receiver.RequestHeader, receiver.OutcomeHeader), admin.Handler())
 	s.inner = s.routeInner()
 	return s, nil
 }
@@ -159,7 +168,6 @@
 		members.List = storer.NewVMs(storer.Config{Address: set.Platform.List})
 	}
 	s.gossiper = gossiper.New(members)
-	s.publish()
 }
 
 // plan returns the plan of an account in force, nil if there is none.
@@ -197,7 +205,9 @@
 	mux := http.NewServeMux()
 	mux.Handle(wire.HeartbeatsPathPrefix, wire.NewHeartbeatsServer(beats{s}))
 	mux.Handle(wire.PeersPathPrefix, s.gossiper.Handler())
-	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /debug/vars", s.serveVars)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", s.serveReady)
 	return mux
 }
 
@@ -214,6 +224,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
+	defer s.tracer.Stop(background)
 	defer s.keeper.Stop()
 	defer s.watcher.Stop()
 	set := s.config.Settings
