--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -143,6 +143,9 @@
 // writeGrace is how long after its deadline a request's answer may be written.
 const writeGrace = time.Second
 
+// maxKey is the longest idempotency key in bytes.
+const maxKey = 255
+
 // maxTimeout is the longest timeout that a caller may ask for.
 const maxTimeout = time.Hour
 
@@ -236,6 +239,10 @@
 	if request.Call == wire.Call_CALL_ONCE && request.Key == "" {
 		request.Key = string(request.ID)
 	}
+	if len(request.Key) > maxKey {
+		invalid("bad_key", KeyHeader+" must be at most 255 bytes").write(w)
+		return
+	}
 	if request.Key != "" {
 		w.Header().Set(KeyHeader, request.Key)
 	}
--- a/sidecar/internal/recorder/sweeper.go
+++ b/sidecar/internal/recorder/sweeper.go
@@ -10,15 +10,16 @@
 // Sweep reads the next page of rows and deletes those that are older than
 // Retention, under a check of the version that it read: a row that was written
 // since stays. It costs one read and, if there is anything to delete, a share
-// of a transaction. It returns how many rows it deleted.
-func (r *Recorder) Sweep(ctx context.Context) (int, error) {
+// of a transaction. It returns how many rows it deleted and whether there are
+// more pages before it starts again from the first.
+func (r *Recorder) Sweep(ctx context.Context) (deleted int, more bool, err error) {
 	r.mu.Lock()
 	after := r.cursor
 	r.mu.Unlock()
 	r.stats.read()
 	rows, err := r.config.Table.Scan(ctx, prefix, after, sweepPage)
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	next := ""
 	if len(rows) == sweepPage {
@@ -38,7 +39,7 @@
 			sent = append(sent, o)
 		}
 	}
-	return r.deleted(sent), nil
+	return r.deleted(sent), next != "", nil
 }
 
 func (r *Recorder) deleted(sent []*op) int {
--- a/sidecar/internal/server/once.go
+++ b/sidecar/internal/server/once.go
@@ -15,8 +15,11 @@
 	"bamboohill/wire"
 )
 
-// sweepEvery is how often a sidecar looks for old rows of its recorder.
-const sweepEvery = 30 * time.Second
+// How often a sidecar reads a page of its recorder's rows for old ones.
+const (
+	sweepEvery = time.Second
+	sweepRest  = 5 * time.Minute // after the last page
+)
 
 func newRecorder(s *Server) *recorder.Recorder {
 	set := s.config.Settings
@@ -158,5 +161,15 @@
 	}
 }
 
-// sweep deletes old rows of the recorder.
-func (s *Server) sweep(ctx context.Context) { s.recorder.Sweep(ctx) }
+// sweep deletes old rows of the recorder until the context ends.
+func (s *Server) sweep(ctx context.Context) {
+	var rest time.Time
+	loop(ctx, sweepEvery, func(ctx context.Context) {
+		if time.Now().Before(rest) {
+			return
+		}
+		if _, more, err := s.recorder.Sweep(ctx); err != nil || !more {
+			rest = time.Now().Add(sweepRest)
+		}
+	})
+}
--- a/sidecar/internal/server/orders.go
+++ b/sidecar/internal/server/orders.go
@@ -27,7 +27,11 @@
 		Budget: orderer.Budget{Table: table, Rate: loadRate, Burst: loadBurst},
 	})
 	every := convergeBeats * time.Duration(set.Beat) * time.Millisecond
-	time.Sleep(time.Duration(rand.Int64N(int64(every))))
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(time.Duration(rand.Int64N(int64(every)))): // sidecars started together drift apart
+	}
 	loop(ctx, every, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, convergeLimit)
 		defer cancel()
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -201,7 +201,7 @@
 	go loop(ctx, lonelyEvery, s.lonely)
 	go loop(ctx, time.Second, s.readList)
 	if s.engine == nil {
-		go loop(ctx, sweepEvery, s.sweep)
+		go s.sweep(ctx)
 	}
 	go s.reporter.Run(ctx)
 }
