Refuse an engine's output that names another job

Change: chunks name their job, the sidecar ends the attempt on any other's. The stand-in's fault swap now exchanges chunks of running jobs; it used to make up a text that no real check could tell.

Ruled out: comparing prompt token counts at the end: too late, and often equal.

--- a/core/generator/generator.go
+++ b/core/generator/generator.go
@@ -59,6 +59,7 @@
 
 // Chunk is one piece of a stream.
 type Chunk struct {
+	Job      string   `json:"job"` // whose output this is
 	Position int64    `json:"position"`
 	Texts    []string `json:"texts,omitempty"`
 	End      bool     `json:"end,omitempty"`
--- a/sidecar/internal/runner/runner.go
+++ b/sidecar/internal/runner/runner.go
@@ -82,7 +82,7 @@
 		return refuseEngine(err)
 	}
 	defer stream.Close()
-	return relay(stream, frames, hooks)
+	return relay(p.GetAttempt(), stream, frames, hooks)
 }
 
 // drop frees an imported cache that no job took. If this fails too, the audit
@@ -94,12 +94,15 @@
 }
 
 // relay passes a stream on up to its end.
-func relay(stream *generator.Stream, frames *framer.Writer, hooks Hooks) *wire.Refused {
+func relay(attempt string, stream *generator.Stream, frames *framer.Writer, hooks Hooks) *wire.Refused {
 	for first := true; ; {
 		c, err := stream.Next()
 		if err != nil {
 			return &wire.Refused{Reason: wire.Reason_REASON_CRASH, Outcome: wire.Outcome_OUTCOME_FAILED, Detail: err.Error()}
 		}
+		if c.Job != attempt {
+			return &wire.Refused{Reason: wire.Reason_REASON_ENGINE, Outcome: wire.Outcome_OUTCOME_FAILED, Detail: "output of another job"}
+		}
 		if c.Moved {
 			return &wire.Refused{Reason: wire.Reason_REASON_MOVED, Outcome: wire.Outcome_OUTCOME_FAILED}
 		}
--- a/standin/answerer/engine.go
+++ b/standin/answerer/engine.go
@@ -210,9 +210,6 @@
 		delete(e.exports, spec.Import)
 	}
 	j.left = float64(max(0, j.prompt-j.cached) / spans)
-	if e.Faults.Get(Swap) != 0 {
-		j.seed++
-	}
 	return j
 }
 
@@ -303,21 +300,41 @@
 		j.next++
 		j.due--
 		if n := e.Faults.Get(Truncate); n > 0 && j.next-j.Position >= int64(n) {
-			j.chunks <- generator.Chunk{Position: position, Texts: texts}
+			e.emit(j, generator.Chunk{Position: position, Texts: texts})
 			e.drop(j)
 			return
 		}
 	}
 	if len(texts) > 0 {
-		j.chunks <- generator.Chunk{Position: position, Texts: texts}
+		e.emit(j, generator.Chunk{Position: position, Texts: texts})
 	}
 	if j.next >= j.Answer {
 		e.finish(j)
 	}
 }
 
+// emit sends one chunk on a job's stream. With the fault swap on, it goes out
+// on the stream of another job that decodes, if there is one.
+func (e *Engine) emit(j *job, c generator.Chunk) {
+	c.Job = j.ID
+	if e.Faults.Get(Swap) == 0 {
+		j.chunks <- c
+		return
+	}
+	to := j
+	for _, other := range e.jobs {
+		if other != j && other.ready && (to == j || other.ID < to.ID) {
+			to = other
+		}
+	}
+	select {
+	case to.chunks <- c:
+	default: // its reader is behind
+	}
+}
+
 func (e *Engine) finish(j *job) {
-	j.chunks <- generator.Chunk{End: true, Position: j.next, Prompt: j.prompt, Cached: j.cached, Finish: "length"}
+	e.emit(j, generator.Chunk{End: true, Position: j.next, Prompt: j.prompt, Cached: j.cached, Finish: "length"})
 	e.drop(j)
 	e.ended++
 	if e.ended >= e.config.Warmup {
@@ -343,7 +360,7 @@
 	done := j.prompt - int64(j.left)
 	handle := fmt.Sprintf("%s-%d", id, e.boot)
 	e.exports[handle] = export{tokens: done, prompt: done}
-	j.chunks <- generator.Chunk{Position: j.next, Moved: true}
+	e.emit(j, generator.Chunk{Position: j.next, Moved: true})
 	e.drop(j)
 	return generator.Cache{Handle: handle, Tokens: done}, nil
 }
