--- a/sidecar/internal/server/once.go
+++ b/sidecar/internal/server/once.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"expvar"
 	"fmt"
 	"net/http"
 	"sync"
@@ -14,8 +15,11 @@
 	"bamboohill/wire"
 )
 
-// sweepEvery is how often a sidecar looks for old rows of its recorder.
-const sweepEvery = 30 * time.Second
+// How often a sidecar reads a page of its recorder's rows for old ones.
+const (
+	sweepEvery = time.Second
+	sweepRest  = 5 * time.Minute // after the last page
+)
 
 func newRecorder(s *Server) *recorder.Recorder {
 	set := s.config.Settings
@@ -145,5 +149,27 @@
 	return &kept
 }
 
-// sweep deletes old rows of the recorder.
-func (s *Server) sweep(ctx context.Context) { s.recorder.Sweep(ctx) }
+// recorderVars shows what the recorder asked of the table service.
+func (s *Server) recorderVars(m *expvar.Map) {
+	stats := s.recorder.Stats()
+	for name, n := range map[string]int64{
+		"once_transactions": stats.Groups.Load(), "once_rows": stats.Ops.Load(), "once_reads": stats.Reads.Load(),
+	} {
+		v := new(expvar.Int)
+		v.Set(n)
+		m.Set(name, v)
+	}
+}
+
+// sweep deletes old rows of the recorder until the context ends.
+func (s *Server) sweep(ctx context.Context) {
+	var rest time.Time
+	loop(ctx, sweepEvery, func(ctx context.Context) {
+		if time.Now().Before(rest) {
+			return
+		}
+		if _, more, err := s.recorder.Sweep(ctx); err != nil || !more {
+			rest = time.Now().Add(sweepRest)
+		}
+	})
+}
