Fair shares: one account alone is not limited, and a pause is no lack

Cause: load on real processes (two entries, six engines, one account without limits, 50 requests a second) was refused 25 times in 966 as over its limits in the first seconds. What an entry gets done was measured from zero at the start and after a pause, and an account had to share with nobody.

Change: one account alone is let through; the first measures are corrected for their short time; the best measure fades over two minutes.

--- a/core/limiter/fair.go
+++ b/core/limiter/fair.go
@@ -17,8 +17,12 @@
 	defaultLeast  = 10_000.0
 )
 
-// doneMemory is how far back the work that gets done is measured.
-const doneMemory = 4 * time.Second
+// The work that gets done is measured over doneMemory, and the best measure
+// fades over peakMemory: after a pause the measure of the moment is too low.
+const (
+	doneMemory = 4 * time.Second
+	peakMemory = 2 * time.Minute
+)
 
 // levelEvery is how often the fair level is worked out anew.
 const levelEvery = 100 * time.Millisecond
@@ -27,8 +31,8 @@
 // while it is short, so that the measure can rise, and less the longer it is.
 const (
 	probe  = 1.05
-	slope  = 0.1 // less for each further Calm of backlog
-	floor  = 0.6
+	slope  = 0.2 // less for each further Calm of backlog
+	floor  = 0.5
 	relief = 3 // sharing ends when the backlog is Calm divided by it
 )
 
@@ -50,6 +54,8 @@
 	backlog  time.Duration
 	claims   map[ider.Account]*claim
 	done     rate    // tokens of work a second served
+	peak     float64 // the best of done, fading
+	born     time.Time
 	level    float64 // tokens of work a second for each unit of weight
 	levelled time.Time
 }
@@ -118,9 +124,28 @@
 	}
 }
 
+// able returns the work a second that the entry can have done, or infinity
+// while it has served for too short to know.
+func (f *fair) able(now time.Time) float64 {
+	age := now.Sub(f.born)
+	done := f.done.get(now, doneMemory)
+	switch {
+	case age < doneMemory/8:
+		return math.Inf(1)
+	case age < 2*doneMemory:
+		return max(f.config.Least, done/(1-math.Exp(-age.Seconds()/doneMemory.Seconds())))
+	}
+	f.peak = max(f.config.Least, done, f.peak)
+	return f.peak
+}
+
 // relevel works out the level: the accounts' demands, each cut to the level
 // times its weight, add up to the work that gets done.
 func (f *fair) relevel(now time.Time) {
+	if f.born.IsZero() {
+		f.born = now
+	}
+	f.peak *= math.Exp(-min(now.Sub(f.levelled), peakMemory).Seconds() / peakMemory.Seconds())
 	f.levelled = now
 	type demand struct{ wants, weight float64 }
 	var demands []demand
@@ -135,8 +160,11 @@
 		weights += c.weight
 	}
 	slices.SortFunc(demands, func(a, b demand) int { return cmp.Compare(a.wants/a.weight, b.wants/b.weight) })
-	left := f.target() * max(f.config.Least, f.done.get(now, doneMemory))
+	left := f.target() * f.able(now)
 	f.level = math.Inf(1)
+	if len(demands) < 2 {
+		return // nobody to share with
+	}
 	for _, d := range demands {
 		if level := left / weights; d.wants > level*d.weight {
 			f.level = level
--- a/core/limiter/limiter_test.go
+++ b/core/limiter/limiter_test.go
@@ -251,6 +251,7 @@
 		want    map[string]float64
 	}{
 		"room for all":       {offered: map[string]float64{"a": 40_000, "b": 20_000, "c": 10_000}, want: map[string]float64{"a": 40_000, "b": 20_000, "c": 10_000}},
+		"alone":              {offered: map[string]float64{"a": 400_000}, want: map[string]float64{"a": 400_000}},
 		"one large":          {offered: map[string]float64{"a": 400_000, "b": 20_000, "c": 10_000}, want: map[string]float64{"a": 70_000, "b": 20_000, "c": 10_000}},
 		"two large":          {offered: map[string]float64{"a": 400_000, "b": 200_000, "c": 10_000}, want: map[string]float64{"a": 45_000, "b": 45_000, "c": 10_000}},
 		"two large, weights": {offered: map[string]float64{"a": 400_000, "b": 400_000, "c": 10_000}, weights: map[string]float64{"a": 2, "b": 1, "c": 1}, want: map[string]float64{"a": 60_000, "b": 30_000, "c": 10_000}},
