--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -11,13 +11,12 @@
 )
 
 // Config describes a Keeper. Objects may be nil: then only the log is read.
-// Peers may be nil: then only the store is read. Near asks peers before the
-// store, for processes too many to read it. Now is the clock, time.Now if nil.
+// Peers may be nil: then only the store is read. Now is the clock, time.Now if
+// nil.
 type Config struct {
 	Table   storer.Table
 	Objects storer.Objects
 	Peers   Peers
-	Near    bool
 	Now     func() time.Time
 	// Changed is called on the keeper's goroutine after each new state.
 	Changed func(*State)
@@ -27,11 +26,12 @@
 type Keeper struct {
 	config    Config
 	state     atomic.Pointer[State]
-	confirmed atomic.Int64 // unix nanoseconds
+	confirmed atomic.Pointer[time.Time] // with its monotonic reading
 	known     atomic.Uint64
 	started   atomic.Bool
 	born      time.Time
-	turn      chan struct{} // held by the one that reads store or peers
+	turn      chan struct{} // held by the one that reads the store
+	asking    chan struct{} // held by the one that catches up from peers
 	writing   chan struct{} // held by the one that commits
 	owner     *spawner.Ref[offer]
 }
@@ -49,7 +49,7 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
-	k := &Keeper{config: config, turn: make(chan struct{}, 1), writing: make(chan struct{}, 1), born: config.Now()}
+	k := &Keeper{config: config, turn: make(chan struct{}, 1), asking: make(chan struct{}, 1), writing: make(chan struct{}, 1), born: config.Now()}
 	k.state.Store(Empty())
 	k.owner = spawner.Spawn(spawner.Config[offer]{Name: "keeper", Receive: k.receive})
 	return k
@@ -64,11 +64,10 @@
 // Confirmed returns when the store or a peer last confirmed that the state in
 // force is the newest; the zero time if never.
 func (k *Keeper) Confirmed() time.Time {
-	n := k.confirmed.Load()
-	if n == 0 {
-		return time.Time{}
+	if at := k.confirmed.Load(); at != nil {
+		return *at
 	}
-	return time.Unix(0, n)
+	return time.Time{}
 }
 
 func (k *Keeper) receive(o offer) {
@@ -129,7 +128,7 @@
 func (k *Keeper) Confirm(at time.Time) {
 	for {
 		old := k.confirmed.Load()
-		if at.UnixNano() <= old || k.confirmed.CompareAndSwap(old, at.UnixNano()) {
+		if old != nil && !at.After(*old) || k.confirmed.CompareAndSwap(old, &at) {
 			return
 		}
 	}
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -12,6 +12,7 @@
 	"expvar"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -25,11 +26,13 @@
 	"bamboohill/core/puller"
 	"bamboohill/core/router"
 	"bamboohill/core/storer"
+	"bamboohill/core/tracer"
 	"bamboohill/core/watcher"
 	"bamboohill/entry/internal/administrator"
 	"bamboohill/entry/internal/borrower"
 	"bamboohill/entry/internal/dispatcher"
 	"bamboohill/entry/internal/gossiper"
+	"bamboohill/entry/internal/placer"
 	"bamboohill/entry/internal/proposer"
 	"bamboohill/entry/internal/receiver"
 	"bamboohill/entry/internal/settings"
@@ -38,7 +41,7 @@
 	"github.com/phuslu/log"
 )
 
-// Bounds of the callers' connections.
+// Bounds of the connections from other processes, and of a stop.
 const (
 	headerLimit = 10 * time.Second
 	headerBytes = 64 << 10
@@ -47,6 +50,13 @@
 	accuseLimit = 2 * time.Second
 )
 
+// Shares of an entry's memory: what callers' bodies may take, and from where
+// on garbage is collected at once.
+const (
+	bodyShare    = 0.75
+	garbageShare = 0.9
+)
+
 // Config describes a Server.
 type Config struct {
 	Settings settings.Settings
@@ -64,11 +74,14 @@
 	watcher  *watcher.Watcher
 	suspects *accuser.Accuser
 	gossiper *gossiper.Gossiper
+	placer   *placer.Placer
 	borrower *borrower.Borrower
 	hints    *hinter.Hinter
 	stopping atomic.Bool
 	outer    http.Handler
 	inner    http.Handler
+	tracer   *tracer.Tracer
+	vars     func() map[string]expvar.Var
 }
 
 // New returns an entry that does not run yet. The error is that of reading the
@@ -88,7 +101,13 @@
 	s.suspects = accuser.New(accuser.Config{})
 	s.hints = hinter.New(hinter.Config{})
 	s.join()
-	proposals := proposer.New(proposer.Config{Peer: certifier.NewPeer(s.certs, certifier.Sidecar)})
+	s.placer = s.newPlacer()
+	if s.tracer, err = tracer.New(tracer.Config{Program: "entry", Exporter: set.Trace.Exporter, Endpoint: set.Trace.Endpoint}); err != nil {
+		return nil, err
+	}
+	sidecars := certifier.NewPeer(s.certs, certifier.Sidecar)
+	sidecars.Client.Transport = s.tracer.Transport("attempt", sidecars.Client.Transport)
+	proposals := proposer.New(proposer.Config{Peer: sidecars})
 	s.borrower = borrower.New(borrower.Config{
 		Self: set.Inner, Live: s.gossiper.Live, Borrow: s.gossiper.Borrow, Plan: s.plan,
 		Backlog: func() time.Duration { return limiter.Backlog(s.watcher.View().Servers) },
@@ -101,17 +120,21 @@
 		}),
 		Watcher: s.watcher, Keeper: s.keeper, Entry: set.Inner, Log: config.Log, Suspects: s.suspects, Accuse: s.accuse,
 		Propose: func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (dispatcher.Attempt, error) {
+			if p.GetModel() != "" {
+				s.placer.Note(p.GetModel(), p.GetVersion(), p.GetPrompt()+p.GetAnswer())
+			}
 			return proposals.Propose(ctx, address, p, payload)
 		},
 	})
 	calls := receiver.New(receiver.Config{
-		Keeper: s.keeper, Dispatcher: d, Log: config.Log, Body: set.Bounds.Body, Memory: set.Bounds.Memory,
+		Keeper: s.keeper, Dispatcher: d, Log: config.Log, Body: set.Bounds.Body, Memory: int64(bodyShare * float64(set.Bounds.Memory)),
 		Timeout: time.Duration(set.Bounds.Timeout) * time.Millisecond,
 	})
 	admin := administrator.New(administrator.Config{
 		Keeper: s.keeper, Watcher: s.watcher, Gossiper: s.gossiper, Operators: set.Operators, Log: config.Log,
 	})
-	s.outer = s.route(calls.Handler(), admin.Handler())
+	s.vars = calls.Vars
+	s.outer = s.route(s.tracer.Handler("request", calls.Handler(), receiver.RequestHeader, receiver.OutcomeHeader), admin.Handler())
 	s.inner = s.routeInner()
 	return s, nil
 }
@@ -124,6 +147,7 @@
 		Table: s.table,
 		Peers: puller.New(puller.Config{Addresses: func() []string { return s.gossiper.Known() }, Self: set.Inner, Peer: entries}),
 		Changed: func(state *keeper.State) {
+			s.config.Log.Info().Str("event", "configuration").Uint64("sequence", state.Sequence).Msg("")
 			s.suspects.Pardon(state)
 			s.gossiper.Wake()
 		},
@@ -133,7 +157,7 @@
 	}
 	s.keeper = keeper.New(config)
 	members := gossiper.Config{
-		Address: set.Inner, Boot: s.boot, Seeds: set.Entries, Keeper: s.keeper, Watcher: s.watcher,
+		Address: set.Inner, Boot: s.boot, Seeds: set.Entries, Keeper: s.keeper, Watcher: s.watcher, Log: s.config.Log,
 		Accuse: func(a *wire.Accusation) { s.suspects.Hear(a) },
 		Borrow: func(ctx context.Context, q *wire.BorrowRequest) (*wire.BorrowReply, error) {
 			return s.borrower.Lend(ctx, q)
@@ -181,7 +205,9 @@
 	mux := http.NewServeMux()
 	mux.Handle(wire.HeartbeatsPathPrefix, wire.NewHeartbeatsServer(beats{s}))
 	mux.Handle(wire.PeersPathPrefix, s.gossiper.Handler())
-	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /debug/vars", s.serveVars)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", s.serveReady)
 	return mux
 }
 
@@ -198,17 +224,23 @@
 func (s *Server) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
+	defer s.tracer.Stop(background)
 	defer s.keeper.Stop()
 	defer s.watcher.Stop()
-	outer, err := s.listen(ctx, s.config.Settings.Address, s.outer, s.front)
+	set := s.config.Settings
+	debug.SetMemoryLimit(int64(garbageShare * float64(set.Bounds.Memory)))
+	callers := s.web(s.outer)
+	receiver.Protect(callers, set.Bounds.Connections)
+	outer, err := s.listen(ctx, set.Address, callers, s.front)
 	if err != nil {
 		return err
 	}
-	inner, err := s.listen(ctx, s.config.Settings.Inner, s.inner, s.certs, certifier.Entry, certifier.Sidecar)
+	inner, err := s.listen(ctx, set.Inner, s.web(s.inner), s.certs, certifier.Entry, certifier.Sidecar)
 	if err != nil {
 		return err
 	}
 	go s.gossiper.Run(background)
+	go s.placer.Run(background)
 	go s.borrower.Run(background)
 	go s.keeper.Poll(background, time.Duration(s.config.Settings.Poll)*time.Millisecond, nil)
 	for _, c := range []*certifier.Store{s.certs, s.front} {
@@ -224,17 +256,20 @@
 	return err
 }
 
+func (s *Server) web(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerLimit, MaxHeaderBytes: headerBytes, IdleTimeout: idleLimit,
+		ErrorLog: s.config.Log.Std("", 0),
+	}
+}
+
 func (s *Server) listen(
-	ctx context.Context, address string, handler http.Handler, certs *certifier.Store, roles ...string,
+	ctx context.Context, address string, web *http.Server, certs *certifier.Store, roles ...string,
 ) (*http.Server, error) {
 	listener, err := certs.Listen(ctx, address, roles...)
 	if err != nil {
 		return nil, err
 	}
-	web := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerLimit, MaxHeaderBytes: headerBytes, IdleTimeout: idleLimit,
-		ErrorLog: s.config.Log.Std("", 0),
-	}
 	go web.Serve(listener)
 	s.config.Log.Info().Str("event", "listening").Str("address", address).Msg("")
 	return web, nil
@@ -249,7 +284,7 @@
 func (b beats) Beat(_ context.Context, report *wire.Report) (*wire.BeatReply, error) {
 	b.s.watcher.Hear(report)
 	b.s.hints.Hear(report)
-	reply := &wire.BeatReply{Suspects: b.s.suspects.Suspects(), Entries: append(b.s.gossiper.Live(), b.s.config.Settings.Inner)}
+	reply := &wire.BeatReply{Suspects: b.s.suspects.Suspects(), Entries: b.s.gossiper.Named(report.GetServer())}
 	if b.s.keeper.Ready() {
 		reply.Sequence = b.s.keeper.State().Sequence
 	}
--- a/entry/internal/settings/settings.go
+++ b/entry/internal/settings/settings.go
@@ -13,6 +13,7 @@
 	"bamboohill/core/certifier"
 	"bamboohill/core/checker"
 	"bamboohill/core/logger"
+	"bamboohill/core/tracer"
 )
 
 // Settings is what one entry needs to know.
@@ -42,8 +43,10 @@
 // Bounds limits what callers may send.
 type Bounds struct {
 	Body    int64 `toml:"body"`    // bytes of one request
-	Memory  int64 `toml:"memory"`  // bytes of all requests' bodies at once
+	Memory  int64 `toml:"memory"`  // bytes of the process; three quarters of it may be callers' bodies
 	Timeout int   `toml:"timeout"` // milliseconds, when neither caller nor plan says
+	// Connections is how many connections of callers may be open at once.
+	Connections int `toml:"connections"`
 }
 
 // Operator is a key of the administration API.
@@ -55,7 +58,7 @@
 
 // Trace says where spans go.
 type Trace struct {
-	Exporter string `toml:"exporter"` // none, stdout or otlp
+	Exporter string `toml:"exporter"` // none, stdout or otlp; none if empty
 	Endpoint string `toml:"endpoint"` // for otlp
 }
 
@@ -71,6 +74,8 @@
 	defaultMemory  = 512 << 20
 	defaultTimeout = 60_000
 	defaultPoll    = 1000
+
+	defaultConnections = 4096
 )
 
 // hashDigits is the length of an operator's key hash.
@@ -95,8 +100,9 @@
 	}
 	add(isAddress(s.Platform.Table), "platform.table", "must be IP:PORT")
 	add(s.Bounds.Body > 0, "bounds.body", "must be a number of bytes above 0")
-	add(s.Bounds.Memory >= s.Bounds.Body, "bounds.memory", "must be at least bounds.body")
+	add(s.Bounds.Memory >= 2*s.Bounds.Body, "bounds.memory", "must be at least twice bounds.body")
 	add(s.Bounds.Timeout > 0, "bounds.timeout", "must be above 0 milliseconds")
+	add(s.Bounds.Connections > 0, "bounds.connections", "must be at least 1")
 	add(s.TLS.Whole(), "tls", "must name certificate, key and authority, or none")
 	add((s.Front.Certificate == "") == (s.Front.Key == ""), "front", "must name certificate and key, or none")
 	add(s.Poll >= 10, "poll", "must be at least 10 milliseconds")
@@ -105,6 +111,8 @@
 		add(len(o.Hash) == hashDigits, "operator.hash", "must be a SHA-256 of 64 hexadecimal digits")
 		add(o.Role == Read || o.Role == Write, "operator.role", "must be read or write")
 	}
+	add(tracer.Known(s.Trace.Exporter), "trace.exporter", "must be none, stdout or otlp")
+	add(s.Trace.Exporter != tracer.OTLP || isAddress(s.Trace.Endpoint), "trace.endpoint", "must be IP:PORT for otlp")
 	return bad
 }
 
@@ -121,6 +129,9 @@
 	if s.Bounds.Timeout == 0 {
 		s.Bounds.Timeout = defaultTimeout
 	}
+	if s.Bounds.Connections == 0 {
+		s.Bounds.Connections = defaultConnections
+	}
 	if s.Poll == 0 {
 		s.Poll = defaultPoll
 	}
--- a/sidecar/internal/gatekeeper/gate.go
+++ b/sidecar/internal/gatekeeper/gate.go
@@ -159,8 +159,8 @@
 		return refusal(wire.Reason_REASON_BOOT, retryStale)
 	case p.GetRemainingMs() <= 0:
 		return refusal(wire.Reason_REASON_LATE, 0)
-	case twice:
-		return refusal(wire.Reason_REASON_DUPLICATE, 0)
+	case twice: // the same attempt is in hand
+		return &wire.Refused{Reason: wire.Reason_REASON_DUPLICATE, Outcome: wire.Outcome_OUTCOME_UNKNOWN}
 	case !f.Alive:
 		return refusal(wire.Reason_REASON_ENGINE, retryDown)
 	case !f.Model:
--- a/sidecar/internal/reporter/reporter.go
+++ b/sidecar/internal/reporter/reporter.go
@@ -11,7 +11,6 @@
 package reporter
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -20,9 +19,8 @@
 	"time"
 
 	"bamboohill/core/certifier"
+	"bamboohill/core/ranker"
 	"bamboohill/wire"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Width is how many entries hear one backend server.
@@ -55,6 +53,9 @@
 	config Config
 	mu     sync.Mutex
 	known  map[string]*entry
+
+	replies  int // to the beat under way
+	answered int // to the last beat
 }
 
 // New returns a reporter.
@@ -87,14 +88,25 @@
 	}
 }
 
+// Answered returns how many entries replied to the last beat.
+func (r *Reporter) Answered() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answered
+}
+
 // Beat sends one report to the chosen entries and waits for their replies.
 func (r *Reporter) Beat(ctx context.Context) {
 	report := r.config.Report()
+	report.EveryMs = r.config.Every.Milliseconds()
 	var all sync.WaitGroup
 	for _, address := range r.pick(report.GetServer()) {
 		all.Go(func() { r.send(ctx, address, report) })
 	}
 	all.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answered, r.replies = r.replies, 0
 }
 
 func (r *Reporter) send(ctx context.Context, address string, report *wire.Report) {
@@ -120,6 +132,7 @@
 	case e == nil:
 	case answered:
 		e.failed = 0
+		r.replies++
 	default:
 		e.failed++
 		if e.failed >= forgetAfter && !e.fixed {
@@ -143,9 +156,7 @@
 func (r *Reporter) pick(server string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := slices.SortedFunc(maps.Keys(r.known), func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(server+a), xxhash.Sum64String(server+b))
-	})
+	known := ranker.First(server, slices.Collect(maps.Keys(r.known)), len(r.known))
 	var picked, resting []string
 	for _, a := range known {
 		if r.known[a].failed >= restAfter {
--- a/sidecar/internal/server/crash.go
+++ b/sidecar/internal/server/crash.go
@@ -53,6 +53,7 @@
 	s.config.Log.Warn().Str("event", "crash").Str("server", s.config.Settings.Server).Int("suspects", len(suspects)).Msg("")
 	for _, a := range suspects {
 		a.Server = s.config.Settings.Server
+		s.config.Log.Warn().Str("event", "suspect").Str("fingerprint", a.GetFingerprint()).Bool("alone", a.GetAlone()).Msg("")
 	}
 	s.tell(suspects)
 }
@@ -83,7 +84,7 @@
 // suspects comes here, what it lacks goes there.
 func (s *Server) heard(address string, reply *wire.BeatReply) {
 	if s.keeper.Heard(reply.GetSequence()) {
-		s.catchUp(reply.GetSequence())
+		s.catchUp(reply.GetSequence(), address)
 	}
 	for _, a := range reply.GetSuspects() {
 		s.suspects.Hear(a)
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -16,6 +16,7 @@
 	"expvar"
 	"io"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +27,9 @@
 	"bamboohill/core/keeper"
 	"bamboohill/core/puller"
 	"bamboohill/core/storer"
+	"bamboohill/core/tracer"
 	"bamboohill/sidecar/internal/gatekeeper"
+	"bamboohill/sidecar/internal/recorder"
 	"bamboohill/sidecar/internal/reporter"
 	"bamboohill/sidecar/internal/runner"
 	"bamboohill/sidecar/internal/settings"
@@ -40,6 +43,7 @@
 	maxBody     = 64 << 20 // bytes of one payload
 	statusEvery = 100 * time.Millisecond
 	statusLimit = time.Second
+	lonelyEvery = time.Second      // of the table service while hardly any entry replies
 	pollEvery   = 30 * time.Second // of the table service; changes come by push and heartbeat
 	idleLimit   = time.Minute
 )
@@ -64,21 +68,25 @@
 	leaving  leaving
 	suspects *accuser.Accuser
 	runner   *runner.Runner
+	recorder *recorder.Recorder
 	keeper   *keeper.Keeper
 	reporter *reporter.Reporter
 	list     *storer.VMs // nil if not set
 	client   *http.Client
 	counts   counts
+	tracer   *tracer.Tracer
 }
 
 // counts is what the sidecar shows of itself at /debug/vars.
 type counts struct {
-	mended  expvar.Int // tokens freed that no live request owned
-	strange expvar.Int // tokens held now for no live request
-	lost    expvar.Int // attempts that the engine did not know
-	crashes expvar.Int // deaths of the engine seen
-	moved   expvar.Int // streams handed over
-	slow    expvar.Int // first tokens taken for a sign of a cold start
+	proposals expvar.Int
+	refusals  expvar.Map // by reason
+	mended    expvar.Int // tokens freed that no live request owned
+	strange   expvar.Int // tokens held now for no live request
+	lost      expvar.Int // attempts that the engine did not know
+	crashes   expvar.Int // deaths of the engine seen
+	moved     expvar.Int // streams handed over
+	slow      expvar.Int // first tokens taken for a sign of a cold start
 }
 
 // New returns a sidecar that does not run yet. The error is that of reading
@@ -89,12 +97,17 @@
 	if err != nil {
 		return nil, err
 	}
+	spans, err := tracer.New(tracer.Config{Program: "sidecar", Exporter: set.Trace.Exporter, Endpoint: set.Trace.Endpoint})
+	if err != nil {
+		return nil, err
+	}
 	s := &Server{
 		config:   config,
+		tracer:   spans,
 		certs:    certs,
 		peer:     certifier.NewPeer(certs, certifier.Entry),
 		boot:     uint64(time.Now().UnixMicro()),
-		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleLimit}},
+		client:   &http.Client{Transport: spans.Transport("backend", &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleLimit})},
 		gate:     gatekeeper.New(gatekeeper.Config{Cold: set.Gate.Cold, Warm: set.Gate.Warm}),
 		attempts: newAttempts(),
 		noter:    hinter.NewNoter(),
@@ -105,13 +118,14 @@
 	}
 	run := runner.Config{Service: set.Backend, Client: s.client}
 	if set.Kind == settings.Model {
-		port := generator.New(generator.Config{Address: set.Backend})
+		port := generator.New(generator.Config{Address: set.Backend, Client: s.client})
 		s.engine = newEngine(port, s.observe)
 		run.Engine = port
 	} else {
 		s.gate.Observe(true)
 	}
 	s.runner = runner.New(run)
+	s.recorder = newRecorder(s)
 	s.reporter = reporter.New(reporter.Config{
 		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Report: s.beat, Heard: s.heard,
 		Peer: s.peer,
@@ -125,7 +139,7 @@
 func (s *Server) configuration() keeper.Config {
 	set := s.config.Settings
 	config := keeper.Config{
-		Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Near: true, Changed: s.suspects.Pardon,
+		Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Changed: s.suspects.Pardon,
 		Peers: puller.New(puller.Config{Addresses: s.reporter.Known, Peer: s.peer}),
 	}
 	if set.Platform.Objects != "" {
@@ -134,11 +148,20 @@
 	return config
 }
 
-// catchUp brings this sidecar to a sequence number, within a bound.
-func (s *Server) catchUp(sequence uint64) {
+// lonely reads the configuration often while fewer than two entries reply to
+// heartbeats: the one that does may itself be cut off.
+func (s *Server) lonely(ctx context.Context) {
+	if s.reporter.Answered() < 2 {
+		s.keeper.Refresh(ctx)
+	}
+}
+
+// catchUp brings this sidecar to a sequence number that an entry has in force,
+// within a bound.
+func (s *Server) catchUp(sequence uint64, entry string) {
 	ctx, cancel := context.WithTimeout(context.Background(), statusLimit)
 	defer cancel()
-	s.keeper.CatchUp(ctx, sequence)
+	s.keeper.CatchUp(ctx, sequence, entry)
 }
 
 // Run serves until the context ends, then leaves; see leave.
@@ -149,7 +172,9 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
+	defer s.tracer.Stop(background)
 	defer s.keeper.Stop()
+	defer s.recorder.Close()
 	s.start(background)
 	web := &http.Server{Handler: s.Handler(), ErrorLog: s.config.Log.Std("", 0)}
 	go web.Serve(listener)
@@ -168,11 +193,16 @@
 		s.recover(ctx)
 		go loop(ctx, statusEvery, func(ctx context.Context) { s.engine.fresh(ctx) })
 		go loop(ctx, auditEvery, s.audit)
+		go s.converge(ctx)
 		go loop(ctx, eventsEvery, s.readEvents)
 	}
 	go loop(ctx, statusEvery, s.watchLeaving)
 	go loop(ctx, statusEvery, func(context.Context) { s.attempts.end(s.gate.Expire(time.Now())) })
+	go loop(ctx, lonelyEvery, s.lonely)
 	go loop(ctx, time.Second, s.readList)
+	if s.engine == nil {
+		go loop(ctx, sweepEvery, s.sweep)
+	}
 	go s.reporter.Run(ctx)
 }
 
@@ -192,13 +222,23 @@
 // Handler returns the HTTP interface to entries.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /propose", s.propose)
+	mux.Handle("POST /propose", s.tracer.Handler("gate", http.HandlerFunc(s.propose)))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", s.serveReady)
 	mux.HandleFunc("GET /debug/vars", s.serveVars)
 	mux.Handle(wire.GatePathPrefix, wire.NewGateServer(gate{s}))
 	return mux
 }
 
+// serveReady says whether proposals can be taken.
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.keeper.Ready() {
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, "ready\n")
+}
+
 // serveVars shows the sidecar's own counts; expvar's global page would mix
 // those of several sidecars in one test process.
 func (s *Server) serveVars(w http.ResponseWriter, _ *http.Request) {
@@ -206,6 +246,9 @@
 	bytes := new(expvar.Int)
 	bytes.Set(certifier.InnerBytes())
 	m.Set("inner_bytes", bytes)
+	m.Set("proposals", &s.counts.proposals)
+	m.Set("refusals", &s.counts.refusals)
+	m.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
 	m.Set("memory_mended", &s.counts.mended)
 	m.Set("memory_strange", &s.counts.strange)
 	m.Set("attempts_lost", &s.counts.lost)
