--- a/load/internal/experimenter/page.go
+++ b/load/internal/experimenter/page.go
@@ -121,6 +121,7 @@
 - of empty: first token over the prompt's own prefill on an idle engine without cache.
 - goodput: work finished in time, as if nothing were cached, of what all engines can do.
 - wasted: prefill done for requests that missed their deadline. hits: prompt tokens found cached.
+- the baselines' engines serve in order of arrival; row no-priority is the policy on such engines.
 - Jain: index of the accounts' parts of work finished in time.
 
 ![Short first token, p95, by load](plots/short-p95.png)
