No elastic share; answers are not slowed twice

Cause: (1) since long prompts may leave the elastic share where it has no memory, the share itself was not measured again; (2) a few requests in a thousand were refused at load 0.8 that would have finished: the reported speed of answers holds what the engine's load does to it, and the router slowed it by the load once more.

Tried besides: patience of 2 to 5 s for long prompts in place of 20 s.

Conclusion: the share does not pay and is reverted; engines that honour priorities do what it was for.

--- a/core/router/estimate.go
+++ b/core/router/estimate.go
@@ -34,7 +34,6 @@
 	penaltyFailed = 5
 	penaltyMemory = 30
 	penaltyBound  = 60
-	penaltyShare  = 20
 )
 
 // chunk is the prefill work that an engine does between two looks at its
@@ -93,7 +92,7 @@
 		prefill = math.Ceil(prefill/chunk)*chunk + chunk/2
 	}
 	e.first = slow * prefill / speed
-	e.whole = e.first + float64(s.job.Answer)/max(1, server.GetDecode())*slow
+	e.whole = e.first + float64(s.job.Answer)/max(1, server.GetDecode())
 	e.cost = e.first + s.penalty(server, &o, running, limit)
 	return e
 }
@@ -152,9 +151,6 @@
 	if s.r.on(Bound) && backlog > 0 && backlog+s.job.Prompt > s.r.config.Bound {
 		p += penaltyBound
 	}
-	if s.r.on(Share) && rank(server.GetServer()) > s.most {
-		p += penaltyShare
-	}
 	return p
 }
 
--- a/core/router/own.go
+++ b/core/router/own.go
@@ -48,7 +48,6 @@
 	server := ider.Server(c.Server.GetServer())
 	r.mu.Lock()
 	r.own[server] = append(r.own[server], placement{id: c.id, at: now, class: c.class, work: c.work, memory: c.memory})
-	r.demand.add(c.class, c.work)
 	r.mu.Unlock()
 	if r.config.Hints != nil && len(c.chain) > 0 {
 		r.config.Hints.Expect(server, c.chain)
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -2,11 +2,11 @@
 // expected time to the first token among a few candidates.
 //
 // The candidates are a few servers drawn at random (the power of d choices) and
-// those that may hold the start of the prompt in their prefix caches. Reports lag, so a router corrects them
-// by what it has itself placed since; without that, every request between two
-// reports goes to the same server. Long prompts take only an elastic share of
-// the servers, sized by measured demand, and a server whose backlog of long
-// prompts is over a bound takes no more of them while another can.
+// those that may hold the start of the prompt in their prefix caches. Reports
+// lag, so a router corrects them by what it has itself placed since; without
+// that, every request between two reports goes to the same server. A server
+// whose backlog of long prompts is over a bound takes no more of them while
+// another can.
 //
 // # Usage
 //
@@ -70,7 +70,6 @@
 const (
 	Prefix   Parts = 1 << iota // candidates and costs by prefix hints
 	Own                        // correction by own placements
-	Share                      // elastic share for long prompts
 	Bound                      // bound on a server's backlog of long prompts
 	Priority                   // priorities among requests at the engine
 	Aging                      // priorities that rise towards the deadline
@@ -142,9 +141,7 @@
 	random *rand.Rand
 	next   uint64
 	own    map[ider.Server][]placement
-	demand demand
 	list   []hinter.Holder // scratch of Pick
-	ranks  []uint64        // scratch of Pick
 }
 
 // New returns a router without placements.
@@ -178,7 +175,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := search{r: r, job: &job, servers: servers, now: now, class: classOf(job.Prompt)}
-	s.prepare()
 	s.hinted()
 	if wanted := s.candidates(); job.Wide || len(servers) <= 2*wanted {
 		s.all()
@@ -204,7 +200,6 @@
 	servers []watcher.Server
 	now     time.Time
 	class   class
-	most    uint64 // largest rank that a long prompt may use
 	known   bool
 	found   bool
 	best    estimate
@@ -256,9 +251,6 @@
 	const tries = 4
 	for range wanted * tries {
 		i := s.r.random.IntN(len(s.servers))
-		if rank(s.servers[i].GetServer()) > s.most {
-			continue
-		}
 		if s.consider(i) {
 			wanted--
 		}
