--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -30,7 +30,9 @@
 package limiter
 
 import (
+	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -120,6 +122,27 @@
 	mu       sync.Mutex
 	accounts map[ider.Account]*account
 	fair     *fair
+	counts   Counts
+}
+
+// Counts is what a Limiter has done and holds.
+type Counts struct {
+	Refused map[Kind]int64 // since the start
+	Shares  int            // in force
+	Sharing bool           // accounts share the work: the fleet is overloaded
+}
+
+// Counts returns what the limiter has done and holds.
+func (l *Limiter) Counts(now time.Time) Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := Counts{Refused: maps.Clone(l.counts.Refused), Sharing: l.fair.pressed}
+	for _, a := range l.accounts {
+		if now.Before(a.share.Until) {
+			c.Shares++
+		}
+	}
+	return c
 }
 
 // account is what an entry holds of one account.
@@ -145,7 +168,9 @@
 	if config.Idle <= 0 {
 		config.Idle = defaultIdle
 	}
-	return &Limiter{config: config, accounts: map[ider.Account]*account{}, fair: newFair(config.Fair)}
+	return &Limiter{
+		config: config, accounts: map[ider.Account]*account{}, fair: newFair(config.Fair), counts: Counts{Refused: map[Kind]int64{}},
+	}
 }
 
 // Release ends a request that was let through. Served says whether its work
@@ -160,11 +185,18 @@
 	defer l.mu.Unlock()
 	a := l.account(name, plan, now)
 	a.demand.add(1, now, demandMemory)
-	if err := l.check(name, a, now); err != nil {
-		return nil, err
+	err := l.check(name, a, now)
+	if err == nil {
+		if retry := l.fair.take(name, weight(plan), float64(work), now); retry > 0 {
+			err = &LimitError{Account: name, Kind: Fairness, Retry: retry}
+		}
 	}
-	if retry := l.fair.take(name, weight(plan), float64(work), now); retry > 0 {
-		return nil, &LimitError{Account: name, Kind: Fairness, Retry: retry}
+	if err != nil {
+		var limit *LimitError
+		if errors.As(err, &limit) {
+			l.counts.Refused[limit.Kind]++
+		}
+		return nil, err
 	}
 	a.running++
 	a.tokens--
--- a/core/limiter/limiter_test.go
+++ b/core/limiter/limiter_test.go
@@ -64,6 +64,9 @@
 			}
 			is.Equal(taken, test.taken)
 			is.Equal(kind(last), test.kind)
+			if test.kind != "" {
+				is.Equal(l.Counts(now).Refused[test.kind], int64(10-test.taken))
+			}
 			var borrow *limiter.BorrowError
 			is.Equal(errors.As(last, &borrow), test.taken == 0)
 		})
--- a/entry/internal/borrower/borrower.go
+++ b/entry/internal/borrower/borrower.go
@@ -76,6 +76,9 @@
 	return b.limiter.Take(account, plan, work, time.Now())
 }
 
+// Counts returns what this entry's limits have done and hold.
+func (b *Borrower) Counts() limiter.Counts { return b.limiter.Counts(time.Now()) }
+
 // Run renews shares before they end until the context ends.
 func (b *Borrower) Run(ctx context.Context) {
 	t := time.NewTicker(b.config.Every)
--- a/entry/internal/server/vars.go
+++ b/entry/internal/server/vars.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bamboohill/core/certifier"
+	"bamboohill/core/limiter"
 )
 
 // serveVars shows the entry's own counts, configuration and membership beside
@@ -27,6 +28,10 @@
 		"entries_known":          func() any { return len(s.gossiper.Known()) },
 		"servers_offered":        func() any { return len(s.watcher.View().Servers) },
 		"servers_gone":           func() any { return len(s.watcher.View().Gone) },
+		"backlog_ms":             func() any { return limiter.Backlog(s.watcher.View().Servers).Milliseconds() },
+		"limits_refused":         func() any { return s.borrower.Counts().Refused },
+		"limits_shares":          func() any { return s.borrower.Counts().Shares },
+		"limits_sharing":         func() any { return s.borrower.Counts().Sharing },
 		"goroutines":             func() any { return runtime.NumGoroutine() },
 		"inner_bytes":            func() any { return certifier.InnerBytes() },
 	} {
