--- a/load/internal/caller/caller.go
+++ b/load/internal/caller/caller.go
@@ -94,8 +94,13 @@
 // grace is how much longer than its timeout a caller waits for the final word.
 const grace = 2 * time.Second
 
+// alreadySent is the code of a call whose key another call holds that has not
+// ended. Sent again it gets the stored answer, so that is safe.
+const alreadySent = "already_sent"
+
 // Do sends a request and, if the settings ask for it, sends it again after a
-// refusal that says not-run, when Retry-After has passed and time is left.
+// refusal that says not-run or already sent, when Retry-After has passed and
+// time is left.
 func (c *Caller) Do(ctx context.Context, r planner.Request) Result {
 	limit := time.Duration(c.set.Timeout) * time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, limit+grace)
@@ -107,7 +112,7 @@
 		result := c.try(ctx, r, limit-time.Since(start))
 		result.Request, result.Tries, result.Total = r, tries, time.Since(start)
 		left := limit - time.Since(start) - result.Retry
-		if result.Outcome != NotRun || tries > c.set.Retries || left <= 0 || result.Status < http.StatusInternalServerError {
+		if !result.again() || tries > c.set.Retries || left <= 0 {
 			return result
 		}
 		select {
@@ -118,6 +123,11 @@
 	}
 }
 
+// again reports whether the same call may be sent again.
+func (r *Result) again() bool {
+	return r.Outcome == NotRun && r.Status >= http.StatusInternalServerError || r.Code == alreadySent
+}
+
 func (c *Caller) try(ctx context.Context, r planner.Request, left time.Duration) Result {
 	start := time.Now()
 	q, seed, err := c.build(ctx, r)
