checker: the right line for arrays of tables, inline tables and bad types

A fault in an element of an array of tables was given line 1, a second unknown key of one name the line of the first, a key of an inline table or a dotted key line 1, and a bad type its message with a line of its own inside.

Keys may name an element (operator[1].role); the programs do.

--- a/core/checker/checker.go
+++ b/core/checker/checker.go
@@ -17,6 +17,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"regexp"
 	"strings"
 
 	"github.com/BurntSushi/toml"
@@ -27,7 +28,7 @@
 
 // Problem is one fault in a settings file.
 type Problem struct {
-	Key     string // dotted, as in "table.address"
+	Key     string // dotted, as in "table.address" or "engine[1].address"
 	Allowed string // what may stand there
 }
 
@@ -63,12 +64,15 @@
 		return &Error{File: file, Lines: []string{syntax(file, text, err)}}
 	}
 	bad := &Error{File: file}
+	seen := map[string]int{}
 	for _, k := range meta.Undecoded() {
-		bad.Lines = append(bad.Lines, fmt.Sprintf("%s:%d: unknown key %q", file, line(text, k.String()), k.String()))
+		name := k.String()
+		bad.Lines = append(bad.Lines, fmt.Sprintf("%s:%d: unknown key %q", file, find(text, name, seen[name]), name))
+		seen[name]++
 	}
 	if c, ok := target.(Checked); ok {
 		for _, p := range c.Check() {
-			bad.Lines = append(bad.Lines, fmt.Sprintf("%s:%d: %s: %s", file, line(text, p.Key), p.Key, p.Allowed))
+			bad.Lines = append(bad.Lines, fmt.Sprintf("%s:%d: %s: %s", file, find(text, p.Key, 0), p.Key, p.Allowed))
 		}
 	}
 	if len(bad.Lines) == 0 {
@@ -77,42 +81,16 @@
 	return bad
 }
 
+// badType is the text of a value that does not fit its key.
+var badType = regexp.MustCompile(`^toml: line (\d+) \(last key "(.*)"\): (.*)$`)
+
 func syntax(file, text string, err error) string {
 	var parse toml.ParseError
 	if errors.As(err, &parse) {
 		return fmt.Sprintf("%s:%d: %s", file, parse.Position.Line, parse.Message)
 	}
-	message := err.Error()
-	for i, l := range strings.Split(text, "\n") {
-		k, _, found := strings.Cut(l, "=")
-		if found && strings.Contains(message, strings.TrimSpace(k)) && strings.TrimSpace(k) != "" {
-			return fmt.Sprintf("%s:%d: %s", file, i+1, message)
-		}
-	}
-	return fmt.Sprintf("%s:1: %s", file, message)
-}
-
-// line returns the line, counted from 1, that sets the dotted key, the line of
-// its table if the key is missing, or 1.
-func line(text, key string) int {
-	table, name := "", key
-	if i := strings.LastIndex(key, "."); i >= 0 {
-		table, name = key[:i], key[i+1:]
-	}
-	current, fallback := "", 1
-	for i, l := range strings.Split(text, "\n") {
-		l = strings.TrimSpace(l)
-		if strings.HasPrefix(l, "[") {
-			current = strings.Trim(strings.TrimSpace(strings.SplitN(l, "#", 2)[0]), "[] ")
-			if current == table || current == key {
-				fallback = i + 1
-			}
-			continue
-		}
-		k, _, found := strings.Cut(l, "=")
-		if found && current == table && strings.Trim(strings.TrimSpace(k), `"`) == name {
-			return i + 1
-		}
+	if m := badType.FindStringSubmatch(err.Error()); m != nil {
+		return fmt.Sprintf("%s:%s: %s: %s", file, m[1], m[2], m[3])
 	}
-	return fallback
+	return fmt.Sprintf("%s:1: %s", file, err)
 }
--- a/entry/internal/settings/settings.go
+++ b/entry/internal/settings/settings.go
@@ -7,6 +7,8 @@
 package settings
 
 import (
+	"encoding/hex"
+	"fmt"
 	"net/netip"
 	"slices"
 
@@ -106,10 +108,11 @@
 	add(s.TLS.Whole(), "tls", "must name certificate, key and authority, or none")
 	add((s.Front.Certificate == "") == (s.Front.Key == ""), "front", "must name certificate and key, or none")
 	add(s.Poll >= 10, "poll", "must be at least 10 milliseconds")
-	for _, o := range s.Operators {
-		add(o.Name != "", "operator.name", "must name the operator")
-		add(len(o.Hash) == hashDigits, "operator.hash", "must be a SHA-256 of 64 hexadecimal digits")
-		add(o.Role == Read || o.Role == Write, "operator.role", "must be read or write")
+	for i, o := range s.Operators {
+		at := fmt.Sprintf("operator[%d].", i)
+		add(o.Name != "", at+"name", "must name the operator")
+		add(isHash(o.Hash), at+"hash", "must be a SHA-256 of 64 hexadecimal digits")
+		add(o.Role == Read || o.Role == Write, at+"role", "must be read or write")
 	}
 	add(tracer.Known(s.Trace.Exporter), "trace.exporter", "must be none, stdout or otlp")
 	add(s.Trace.Exporter != tracer.OTLP || isAddress(s.Trace.Endpoint), "trace.endpoint", "must be IP:PORT for otlp")
@@ -137,6 +140,11 @@
 	}
 }
 
+func isHash(text string) bool {
+	_, err := hex.DecodeString(text)
+	return err == nil && len(text) == hashDigits
+}
+
 func isAddress(text string) bool {
 	_, err := netip.ParseAddrPort(text)
 	return err == nil
--- a/load/internal/settings/settings.go
+++ b/load/internal/settings/settings.go
@@ -7,6 +7,7 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 
 	"bamboohill/core/checker"
@@ -71,9 +72,10 @@
 	add(len(s.Entries) > 0 && allAddresses(s.Entries), "entries", "must hold at least one IP:PORT")
 	add(allAddresses(s.Runs), "runs", "must hold IP:PORT")
 	add(len(s.Accounts) > 0, "account", "at least one client account must be set")
-	for _, a := range s.Accounts {
-		add(a.Key != "", "account.key", "must be a caller's key")
-		add(a.Weight >= 0, "account.weight", "must not be negative")
+	for i, a := range s.Accounts {
+		at := fmt.Sprintf("account[%d].", i)
+		add(a.Key != "", at+"key", "must be a caller's key")
+		add(a.Weight >= 0, at+"weight", "must not be negative")
 	}
 	add(s.Rate > 0, "rate", "must be above 0 requests a second")
 	add(s.Seconds > 0, "seconds", "must be above 0")
--- a/standin/settings/settings.go
+++ b/standin/settings/settings.go
@@ -89,11 +89,11 @@
 	address("objects.address", s.Objects.Address, false)
 	address("list.address", s.List.Address, false)
 	address("weights.address", s.Weights.Address, false)
-	for _, e := range s.Engines {
-		address("engine.address", e.Address, true)
+	for i, e := range s.Engines {
+		address(fmt.Sprintf("engine[%d].address", i), e.Address, true)
 	}
-	for _, v := range s.Services {
-		address("service.address", v.Address, true)
+	for i, v := range s.Services {
+		address(fmt.Sprintf("service[%d].address", i), v.Address, true)
 	}
 	if s.Table.Address+s.Objects.Address+s.List.Address+s.Weights.Address == "" && len(s.Engines)+len(s.Services) == 0 {
 		bad = append(bad, checker.Problem{Key: "table", Allowed: "at least one system must be set"})
