--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -32,6 +32,7 @@
 	"bamboohill/entry/internal/borrower"
 	"bamboohill/entry/internal/dispatcher"
 	"bamboohill/entry/internal/gossiper"
+	"bamboohill/entry/internal/placer"
 	"bamboohill/entry/internal/proposer"
 	"bamboohill/entry/internal/receiver"
 	"bamboohill/entry/internal/settings"
@@ -73,6 +74,7 @@
 	watcher  *watcher.Watcher
 	suspects *accuser.Accuser
 	gossiper *gossiper.Gossiper
+	placer   *placer.Placer
 	borrower *borrower.Borrower
 	hints    *hinter.Hinter
 	stopping atomic.Bool
@@ -99,6 +101,7 @@
 	s.suspects = accuser.New(accuser.Config{})
 	s.hints = hinter.New(hinter.Config{})
 	s.join()
+	s.placer = s.newPlacer()
 	if s.tracer, err = tracer.New(tracer.Config{Program: "entry", Exporter: set.Trace.Exporter, Endpoint: set.Trace.Endpoint}); err != nil {
 		return nil, err
 	}
@@ -117,6 +120,9 @@
 		}),
 		Watcher: s.watcher, Keeper: s.keeper, Entry: set.Inner, Log: config.Log, Suspects: s.suspects, Accuse: s.accuse,
 		Propose: func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (dispatcher.Attempt, error) {
+			if p.GetModel() != "" {
+				s.placer.Note(p.GetModel(), p.GetVersion(), p.GetPrompt()+p.GetAnswer())
+			}
 			return proposals.Propose(ctx, address, p, payload)
 		},
 	})
@@ -234,6 +240,7 @@
 		return err
 	}
 	go s.gossiper.Run(background)
+	go s.placer.Run(background)
 	go s.borrower.Run(background)
 	go s.keeper.Poll(background, time.Duration(s.config.Settings.Poll)*time.Millisecond, nil)
 	for _, c := range []*certifier.Store{s.certs, s.front} {
