A suspect's proposal says what its entry knows against it

Cause: the gate at a suspect's place may have heard of one crash where the entry has heard of another; alone, neither convicts. answers-swapped asked four answers of two engines whose gates take two each, one of them broken, so a refusal that nothing ran was right and the script called it wrong.

Change: a solo proposal carries the accusations; the gate hears them before it judges.

--- a/core/accuser/accuser.go
+++ b/core/accuser/accuser.go
@@ -71,6 +71,17 @@
 	return a.suspects.Suspects(now)
 }
 
+// Against returns the accusations in force against one fingerprint.
+func (a *Accuser) Against(fingerprint string) []*wire.Accusation {
+	var known []*wire.Accusation
+	for _, m := range a.Suspects() {
+		if m.GetFingerprint() == fingerprint {
+			known = append(known, m)
+		}
+	}
+	return known
+}
+
 // Missing returns the accusations in force here that a list of another process
 // lacks: what that process has yet to hear.
 func (a *Accuser) Missing(theirs []*wire.Accusation) []*wire.Accusation {
--- a/entry/internal/dispatcher/attempt.go
+++ b/entry/internal/dispatcher/attempt.go
@@ -129,13 +129,22 @@
 	return s
 }
 
+// known returns what goes with the proposal of a suspect: the gate at its place
+// may have heard of fewer crashes.
+func (d *Dispatcher) known(q *Request) []*wire.Accusation {
+	if !q.alone {
+		return nil
+	}
+	return d.config.Suspects.Against(q.fingerprint)
+}
+
 func (d *Dispatcher) proposal(q *Request, choice router.Choice, c *course) *wire.Proposal {
 	return &wire.Proposal{
 		Request: string(q.ID), Attempt: string(ider.New[ider.Attempt]()), Account: q.Account.GetName(), Entry: d.config.Entry,
 		Boot: choice.Server.GetBoot(), Sequence: c.permitted, RemainingMs: time.Until(q.Deadline).Milliseconds(),
 		Priority: choice.Priority, Cached: choice.Cached, Call: q.Call, Key: q.Key, Hash: q.Hash, Model: q.Job.Model, Version: q.Job.Version,
 		Adapter: q.Job.Adapter, Prompt: q.Job.Prompt, Answer: q.Job.Answer, Position: c.result.Position,
-		Imported: c.cache.handle, Carried: c.cache.tokens, Fingerprint: q.fingerprint, Alone: q.alone,
+		Imported: c.cache.handle, Carried: c.cache.tokens, Fingerprint: q.fingerprint, Alone: q.alone, Suspects: d.known(q),
 		Method: q.Method, Path: q.Path, Type: q.Type,
 	}
 }
--- a/sidecar/internal/server/crash.go
+++ b/sidecar/internal/server/crash.go
@@ -101,6 +101,9 @@
 		return nil
 	}
 	fingerprint(p)
+	for _, a := range p.GetSuspects() {
+		s.suspects.Hear(a)
+	}
 	v := s.suspects.Judge(p.GetFingerprint())
 	if v.Ruling == convictor.Free || v.Ruling == convictor.Alone && p.GetAlone() {
 		return nil
@@ -112,15 +115,3 @@
 	}
 	return refused
 }
-
-// against returns the accusations in force against a fingerprint. They ride on
-// every refusal, so that the entry which tries again knows them at once.
-func (s *Server) against(fingerprint string) []*wire.Accusation {
-	var known []*wire.Accusation
-	for _, a := range s.suspects.Suspects() {
-		if a.GetFingerprint() == fingerprint {
-			known = append(known, a)
-		}
-	}
-	return known
-}
--- a/sidecar/internal/server/propose.go
+++ b/sidecar/internal/server/propose.go
@@ -46,14 +46,14 @@
 	}
 	if refused := s.enter(p); refused != nil {
 		refused.Report = s.Report()
-		refused.Suspects = s.against(p.GetFingerprint())
+		refused.Suspects = s.suspects.Against(p.GetFingerprint())
 		s.counts.refusals.Add(refused.GetReason().String(), 1)
 		frames.Refuse(refused)
 		return
 	}
 	if refused := s.run(w, q, p, frames); refused != nil {
 		refused.Report = s.Report()
-		refused.Suspects = s.against(p.GetFingerprint())
+		refused.Suspects = s.suspects.Against(p.GetFingerprint())
 		s.counts.refusals.Add(refused.GetReason().String(), 1)
 		frames.Refuse(refused)
 	}
