A proposal that reached nobody did not run

Cause: a booking proposed to a killed sidecar was called unknown although no connection to it could be made: once-unreached.txtar failed at its first booking after the kill.

Change: an error of the dial ends the attempt as not run, so it is tried elsewhere within the retry budget.

Ruled out: retrying calls that may not be repeated after unknown, which the row would make safe, but a lost row would not.

--- a/entry/internal/dispatcher/attempt.go
+++ b/entry/internal/dispatcher/attempt.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"time"
 
 	"bamboohill/core/ider"
@@ -26,7 +28,11 @@
 	defer watch.Stop()
 	a, err := d.config.Propose(ctx, server.GetAddress(), p, q.Payload)
 	if err != nil {
-		return d.lost(server, position)
+		s := d.lost(server, position)
+		if unreached(err) {
+			s.Outcome = wire.Outcome_OUTCOME_NOT_RUN
+		}
+		return s
 	}
 	defer a.Close()
 	for {
@@ -44,6 +50,13 @@
 	}
 }
 
+// unreached reports whether an error shows that no connection to the sidecar
+// was made, so that it surely got nothing of the proposal.
+func unreached(err error) bool {
+	var dial *net.OpError
+	return errors.As(err, &dial) && dial.Op == "dial"
+}
+
 // lost is the end of an attempt of which nothing more is heard.
 func (d *Dispatcher) lost(server watcher.Server, position int64) step {
 	d.config.Watcher.Fail(ider.Server(server.GetServer()))
