--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -12,6 +12,7 @@
 	"expvar"
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -47,7 +48,7 @@
 	headerBytes = 64 << 10
 	idleLimit   = 2 * time.Minute
 	stopLimit   = 2 * time.Minute
-	accuseLimit = 2 * time.Second
+	accuseLimit = 500 * time.Millisecond
 )
 
 // Shares of an entry's memory: what callers' bodies may take, and from where
@@ -206,6 +207,7 @@
 	mux.Handle(wire.HeartbeatsPathPrefix, wire.NewHeartbeatsServer(beats{s}))
 	mux.Handle(wire.PeersPathPrefix, s.gossiper.Handler())
 	mux.HandleFunc("GET /debug/vars", s.serveVars)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", s.serveReady)
 	return mux
@@ -242,7 +244,7 @@
 	go s.gossiper.Run(background)
 	go s.placer.Run(background)
 	go s.borrower.Run(background)
-	go s.keeper.Poll(background, time.Duration(s.config.Settings.Poll)*time.Millisecond, nil)
+	go s.keeper.Poll(background, time.Duration(s.config.Settings.Poll)*time.Millisecond, s.polled())
 	for _, c := range []*certifier.Store{s.certs, s.front} {
 		go c.Watch(background)
 	}
