--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -240,7 +240,7 @@
 		request.Key = string(request.ID)
 	}
 	if len(request.Key) > maxKey {
-		invalid("bad_key", KeyHeader+" must be at most 255 bytes").write(w)
+		invalid("bad_idempotency_key", KeyHeader+" must be at most 255 bytes").write(w)
 		return
 	}
 	if request.Key != "" {
