Take only a claim as evidence for a whole group

Cause: when a group's answer was lost, the group's first row was read back and told for all. A rewritten row may stand as wanted because an earlier, late write of the same value put it there, and a row to be deleted may be gone by another's hand: then the other calls of the group passed for recorded and were handed over without their rows, so another sidecar could run them again.

Change: a claim tells for its group, any other row for itself only.

--- a/sidecar/internal/recorder/committer.go
+++ b/sidecar/internal/recorder/committer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,7 @@
 	version uint64 // that the row must have, 0 if absent
 	value   []byte
 	remove  bool        // delete the row instead
+	claims  bool        // the value is of this op alone: no earlier one can have written it
 	dropped func() bool // the change is no longer wanted; nil if it always is
 	done    chan opResult
 }
@@ -141,15 +143,12 @@
 			group = rest
 		case errors.As(err, &doubt):
 			tries++
-			landed, readErr := c.landed(group[0])
-			if landed {
-				tell(group, opResult{})
-				return
-			}
-			if readErr != nil || tries == groupTries {
-				tell(group, opResult{err: doubt})
+			rest, readErr := c.unconfirmed(group)
+			if len(rest) > 0 && (readErr != nil || tries == groupTries) {
+				tell(rest, opResult{err: doubt})
 				return
 			}
+			group = rest
 		case tries > 0: // an earlier try may have taken effect
 			tell(group, opResult{err: &storer.DoubtError{Cause: err}})
 			return
@@ -160,8 +159,41 @@
 	}
 }
 
-// landed reads back whether a transaction whose answer was lost took effect.
-// One row tells for all, because a transaction takes effect whole.
+// unconfirmed reads back what became of a group whose answer was lost, tells
+// the ops that took effect and returns the others. A claim's value is of that
+// claim alone, so one of them tells for all, because a transaction takes effect
+// whole. Any other row may stand as wanted for another reason and tells for
+// itself only.
+func (c *committer) unconfirmed(group []*op) ([]*op, error) {
+	if i := slices.IndexFunc(group, func(o *op) bool { return o.claims }); i >= 0 {
+		landed, err := c.landed(group[i])
+		if err != nil || !landed {
+			return c.each(group, err)
+		}
+		tell(group, opResult{})
+		return nil, nil
+	}
+	return c.each(group, nil)
+}
+
+// each reads the row of every op that is no claim. It stops at an error.
+func (c *committer) each(group []*op, err error) ([]*op, error) {
+	var rest []*op
+	for _, o := range group {
+		landed := false
+		if err == nil && !o.claims {
+			landed, err = c.landed(o)
+		}
+		if landed {
+			o.done <- opResult{}
+			continue
+		}
+		rest = append(rest, o)
+	}
+	return rest, err
+}
+
+// landed reads back whether a row stands as an op would leave it.
 func (c *committer) landed(o *op) (bool, error) {
 	c.stats.read()
 	row, err := c.table.Get(c.stop, o.key)
--- a/sidecar/internal/recorder/flight.go
+++ b/sidecar/internal/recorder/flight.go
@@ -141,7 +141,7 @@
 	value := r.record(f, claimed, nil)
 	version := uint64(0)
 	for range claimTries {
-		o := &op{key: f.key, version: version, value: value, dropped: func() bool { return f.phase.Load() == abandoned }, done: make(chan opResult, 1)}
+		o := &op{key: f.key, version: version, value: value, claims: true, dropped: func() bool { return f.phase.Load() == abandoned }, done: make(chan opResult, 1)}
 		got := r.write(o)
 		switch {
 		case got.conflict != nil:
