Follow no redirect of a service

Cause: the sidecar's client followed a service's redirect, which is another call: TestOnceRedirect got no answer and a second call was made.

Change: a redirect is passed on as the answer.

--- a/sidecar/internal/server/once.go
+++ b/sidecar/internal/server/once.go
@@ -21,6 +21,15 @@
 	sweepRest  = 5 * time.Minute // after the last page
 )
 
+// newClient returns the client towards the backend server. It follows no
+// redirect: one is the answer to the call, and following it is another call.
+func newClient(transport http.RoundTripper) *http.Client {
+	return &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 func newRecorder(s *Server) *recorder.Recorder {
 	set := s.config.Settings
 	return recorder.New(recorder.Config{
--- a/sidecar/internal/server/once_test.go
+++ b/sidecar/internal/server/once_test.go
@@ -94,3 +94,17 @@
 	is.Equal(got.refused.GetReason(), wire.Reason_REASON_STORE)
 	is.Equal(got.refused.GetOutcome(), wire.Outcome_OUTCOME_NOT_RUN)
 }
+
+// TestOnceRedirect has the service answer with a redirect: it is the answer,
+// and the sidecar follows it nowhere.
+func TestOnceRedirect(t *testing.T) {
+	is := is.New(t)
+	var calls atomic.Int32
+	r, _ := newPlain(t, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		calls.Add(1)
+		http.Redirect(w, q, "/elsewhere", http.StatusTemporaryRedirect)
+	}))
+	got := r.send(t.Context(), booking("k", 5000), "")
+	is.True(got.end != nil)
+	is.Equal(calls.Load(), int32(1))
+}
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -108,7 +108,7 @@
 		certs:    certs,
 		peer:     certifier.NewPeer(certs, certifier.Entry),
 		boot:     uint64(time.Now().UnixMicro()),
-		client:   &http.Client{Transport: spans.Transport("backend", &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleLimit})},
+		client:   newClient(spans.Transport("backend", &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleLimit})),
 		gate:     gatekeeper.New(gatekeeper.Config{Cold: set.Gate.Cold, Warm: set.Gate.Warm}),
 		attempts: newAttempts(),
 		noter:    hinter.NewNoter(),
