--- a/entry/internal/server/vars.go
+++ b/entry/internal/server/vars.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bamboohill/core/certifier"
+	"bamboohill/core/limiter"
 )
 
 // serveVars shows the entry's own counts, configuration and membership beside
@@ -27,6 +28,10 @@
 		"entries_known":          func() any { return len(s.gossiper.Known()) },
 		"servers_offered":        func() any { return len(s.watcher.View().Servers) },
 		"servers_gone":           func() any { return len(s.watcher.View().Gone) },
+		"backlog_ms":             func() any { return limiter.Backlog(s.watcher.View().Servers).Milliseconds() },
+		"limits_refused":         func() any { return s.borrower.Counts().Refused },
+		"limits_shares":          func() any { return s.borrower.Counts().Shares },
+		"limits_sharing":         func() any { return s.borrower.Counts().Sharing },
 		"goroutines":             func() any { return runtime.NumGoroutine() },
 		"inner_bytes":            func() any { return certifier.InnerBytes() },
 	} {
@@ -36,3 +41,20 @@
 	w.Header().Set("Content-Type", "application/json")
 	io.WriteString(w, m.String()+"\n")
 }
+
+// polled returns what to do after each try to confirm the configuration: a
+// failure is written to the log when it begins, and its end.
+func (s *Server) polled() func(error) {
+	failing := false
+	return func(err error) {
+		if (err != nil) == failing {
+			return
+		}
+		failing = err != nil
+		event := "configuration_confirmed"
+		if failing {
+			event = "configuration_unconfirmed"
+		}
+		s.config.Log.Warn().Str("event", event).Bool("ready", s.keeper.Ready()).Err(err).Msg("")
+	}
+}
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -16,6 +16,7 @@
 	"expvar"
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"runtime"
 	"sync/atomic"
 	"time"
@@ -201,7 +202,7 @@
 	go loop(ctx, lonelyEvery, s.lonely)
 	go loop(ctx, time.Second, s.readList)
 	if s.engine == nil {
-		go loop(ctx, sweepEvery, s.sweep)
+		go s.sweep(ctx)
 	}
 	go s.reporter.Run(ctx)
 }
@@ -226,6 +227,7 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", s.serveReady)
 	mux.HandleFunc("GET /debug/vars", s.serveVars)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.Handle(wire.GatePathPrefix, wire.NewGateServer(gate{s}))
 	return mux
 }
@@ -255,6 +257,7 @@
 	m.Set("engine_crashes", &s.counts.crashes)
 	m.Set("streams_moved", &s.counts.moved)
 	m.Set("cold_by_first_token", &s.counts.slow)
+	s.recorderVars(m)
 	w.Header().Set("Content-Type", "application/json")
 	io.WriteString(w, m.String()+"\n")
 }
