The VM list's word tested; callers are told why a crash suspect is refused

Cause: a convicted request was refused with the code of any busy server. The code is now crash_suspect.

--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -293,6 +293,9 @@
 			f.Type = "rate_limit_error"
 			return f
 		}
+		if result.Reason == wire.Reason_REASON_SUSPECT {
+			return busy("crash_suspect", "backend servers crashed while they ran this request; it is refused until Retry-After", result.Retry)
+		}
 		return busy("not_run", "the request was not run; send it again after Retry-After", result.Retry)
 	}
 	return &Failure{
--- a/sidecar/internal/server/leaving_test.go
+++ b/sidecar/internal/server/leaving_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"bamboohill/standin/lister"
 	"bamboohill/wire"
 
 	"github.com/matryer/is"
@@ -94,6 +97,37 @@
 	r.until("free", r.clean)
 }
 
+// The platform's list says late that the VM goes: the gate closes, the stream is
+// handed over; the list takes its word back and the gate opens.
+func TestListed(t *testing.T) {
+	is := is.New(t)
+	vms := lister.New(lister.Config{})
+	web := httptest.NewServer(vms.Handler())
+	defer web.Close()
+	put := func(leaving string) {
+		body := strings.NewReader(`[{"name":"vm-m0","domain":"ikeja","role":"sidecar","leaving":` + leaving + `}]`)
+		q, _ := http.NewRequestWithContext(context.Background(), http.MethodPut, web.URL+"/vms", body)
+		reply, err := http.DefaultClient.Do(q)
+		is.NoErr(err)
+		reply.Body.Close()
+	}
+	r := newRig(t, quick)
+	entry := r.server.config.Settings.Entries[0]
+	r.end()
+	r.list = address(web)
+	r.begin(entry)
+	long := make(chan result, 1)
+	r.until("in service", func() bool { return r.ask(50, 4).end != nil })
+	go func() { long <- r.ask(50, 40_000) }()
+	r.until("runs", func() bool { return r.counts().Jobs == 1 })
+	put("true")
+	r.until("refused", func() bool { return r.ask(50, 4).refused.GetReason() == wire.Reason_REASON_LEAVING })
+	is.Equal((<-long).refused.GetReason(), wire.Reason_REASON_MOVED)
+	put("false")
+	r.until("open again", func() bool { return r.ask(50, 4).end != nil })
+	r.until("free", r.clean)
+}
+
 func TestDue(t *testing.T) {
 	is := is.New(t)
 	var l leaving
--- a/sidecar/internal/server/rig_test.go
+++ b/sidecar/internal/server/rig_test.go
@@ -32,6 +32,7 @@
 	port    *generator.Engine
 	backend *httptest.Server
 	table   *httptest.Server
+	list    string // of the VM list, none if empty
 	entry   *peer
 	server  *Server
 	web     *httptest.Server
@@ -103,7 +104,7 @@
 func (r *rig) begin(entry string) {
 	set := settings.Settings{
 		Server: "m0", VM: "vm-m0", Domain: "ikeja", Kind: settings.Model, Backend: address(r.backend), Entries: []string{entry},
-		Address: "127.0.0.1:25000", Platform: settings.Platform{Table: address(r.table)}, Beat: 50, Drain: 2000,
+		Address: "127.0.0.1:25000", Platform: settings.Platform{Table: address(r.table), List: r.list}, Beat: 50, Drain: 2000,
 		Gate: settings.Gate{Cold: 2, Warm: 64},
 	}
 	var err error
