Entries hear of a crash before the requests that ran are answered

The sidecar told the entries while it answered the requests that had been in the engine, so a caller who sent again at once through another entry came before the word. The test also let the second entry learn from refusals alone, which no entry does; its entries now hear what sidecars tell, as real ones do, and its checks are as they were.

--- a/sidecar/internal/server/crash.go
+++ b/sidecar/internal/server/crash.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"bamboohill/core/convictor"
@@ -12,8 +13,11 @@
 	"bamboohill/wire"
 )
 
-// tellLimit bounds one message about suspects.
-const tellLimit = time.Second
+// Bounds of telling entries about suspects.
+const (
+	tellLimit = time.Second            // for one entry
+	tellWait  = 250 * time.Millisecond // before the requests that ran are answered
+)
 
 // broken finds out why a stream stopped without an end. It must run before the
 // attempt leaves the gate, so that a crash finds every companion there.
@@ -43,8 +47,11 @@
 }
 
 // crashed takes note of the death of the engine with the given boot number:
-// all that ran in it is suspected.
+// all that ran in it is suspected. It returns once the entries know, or the
+// wait is over, so that a caller who sends again at once meets entries that do.
 func (s *Server) crashed(boot uint64) {
+	s.telling.Lock()
+	defer s.telling.Unlock()
 	suspects, news := s.gate.Crash(boot)
 	if !news {
 		return
@@ -58,14 +65,27 @@
 	s.tell(suspects)
 }
 
-// tell spreads accusations to every entry that this sidecar knows. An entry
-// that misses them learns them with the answers to heartbeats.
+// tell spreads accusations to every entry that this sidecar knows and waits
+// for them a moment. An entry that misses them learns them with the answers to
+// heartbeats.
 func (s *Server) tell(accusations []*wire.Accusation) {
 	for _, a := range accusations {
 		s.suspects.Hear(a)
 	}
+	var all sync.WaitGroup
 	for _, address := range s.reporter.Known() {
-		go s.accuse(address, accusations)
+		all.Go(func() { s.accuse(address, accusations) })
+	}
+	told := make(chan struct{})
+	go func() {
+		all.Wait()
+		close(told)
+	}()
+	t := time.NewTimer(tellWait)
+	defer t.Stop()
+	select {
+	case <-told:
+	case <-t.C:
 	}
 }
 
--- a/sidecar/internal/server/crash_test.go
+++ b/sidecar/internal/server/crash_test.go
@@ -25,8 +25,7 @@
 	return p
 }
 
-// caller sends one request until it is answered or convicted, as an entry does
-// that knows only what refusals tell it.
+// caller sends one request until it is answered or convicted, as an entry does.
 func caller(rigs []*rig, suspects *accuser.Accuser, prompt string) wire.Outcome {
 	place, _ := convictor.Place(named(prompt, 4).GetFingerprint(), []string{"m0", "m1", "m2"})
 	for try := range 400 {
@@ -56,15 +55,13 @@
 // entries, crashes two engines at most; those that ran beside it finish.
 func TestCrashRequest(t *testing.T) {
 	is := is.New(t)
+	entries := []*accuser.Accuser{accuser.New(accuser.Config{}), accuser.New(accuser.Config{})}
 	var rigs []*rig
 	for _, name := range []string{"m0", "m1", "m2"} {
 		config := quick
 		config.Warm = true
-		r := newRig(t, config)
-		r.server.config.Settings.Server = name
-		rigs = append(rigs, r)
+		rigs = append(rigs, newNamed(t, name, config, entries))
 	}
-	entries := []*accuser.Accuser{accuser.New(accuser.Config{}), accuser.New(accuser.Config{})}
 	var companions, all sync.WaitGroup
 	var answered [8]wire.Outcome
 	for i := range answered {
--- a/sidecar/internal/server/gang_test.go
+++ b/sidecar/internal/server/gang_test.go
@@ -39,8 +39,7 @@
 		name := fmt.Sprint("m", i)
 		config := quick
 		config.Warm = true
-		all[name] = newRig(t, config)
-		all[name].server.config.Settings.Server = name
+		all[name] = newNamed(t, name, config, nil)
 		members = append(members, reserver.Member{Server: ider.Server(name), VM: ider.VM("vm-" + name), Address: name})
 	}
 	return all, members
--- a/sidecar/internal/server/propose.go
+++ b/sidecar/internal/server/propose.go
@@ -203,7 +203,7 @@
 func (s *Server) finished(p *wire.Proposal) {
 	s.gate.Leave(p.GetAttempt(), true)
 	if p.GetAlone() {
-		s.tell([]*wire.Accusation{{Fingerprint: p.GetFingerprint(), Server: s.config.Settings.Server, Alone: true, Cleared: true}})
+		go s.tell([]*wire.Accusation{{Fingerprint: p.GetFingerprint(), Server: s.config.Settings.Server, Alone: true, Cleared: true}})
 	}
 }
 
--- a/sidecar/internal/server/rig_test.go
+++ b/sidecar/internal/server/rig_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"bamboohill/core/accuser"
 	"bamboohill/core/framer"
 	"bamboohill/core/generator"
 	"bamboohill/core/ider"
@@ -32,6 +33,7 @@
 	port    *generator.Engine
 	backend *httptest.Server
 	table   *httptest.Server
+	name    string // of the backend server
 	list    string // of the VM list, none if empty
 	entry   *peer
 	server  *Server
@@ -39,19 +41,22 @@
 	stop    context.CancelFunc
 }
 
-// peer stands in for an entry: it takes heartbeats and accusations.
+// peer stands in for the entries: it takes heartbeats and accusations.
 type peer struct {
 	wire.Peers
-	mu       sync.Mutex
-	accused  []*wire.Accusation
-	reports  []*wire.Report
-	suspects []*wire.Accusation
+	mu      sync.Mutex
+	accused []*wire.Accusation
+	reports []*wire.Report
+	entries []*accuser.Accuser // what each entry knows
 }
 
 func (p *peer) Accuse(_ context.Context, a *wire.Accusation) (*wire.AccuseReply, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.accused = append(p.accused, a)
+	for _, e := range p.entries {
+		e.Hear(a)
+	}
 	return &wire.AccuseReply{}, nil
 }
 
@@ -59,7 +64,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reports = append(p.reports, r)
-	return &wire.BeatReply{Suspects: p.suspects}, nil
+	reply := &wire.BeatReply{}
+	for _, e := range p.entries {
+		reply.Suspects = append(reply.Suspects, e.Suspects()...)
+	}
+	return reply, nil
 }
 
 func (p *peer) heard() []*wire.Accusation {
@@ -71,9 +80,12 @@
 func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
 
 // newRig starts an engine and its sidecar.
-func newRig(t testing.TB, config answerer.Config) *rig {
+func newRig(t testing.TB, config answerer.Config) *rig { return newNamed(t, "m0", config, nil) }
+
+// newNamed starts an engine with a name and its sidecar, before some entries.
+func newNamed(t testing.TB, name string, config answerer.Config, entries []*accuser.Accuser) *rig {
 	t.Helper()
-	r := &rig{t: t, engine: answerer.New(config), entry: &peer{}}
+	r := &rig{t: t, name: name, engine: answerer.New(config), entry: &peer{entries: entries}}
 	r.backend = httptest.NewServer(r.engine.Faults.Wrap(r.engine.Handler()))
 	r.backend.Config.ErrorLog = quiet().Std("", 0)
 	table := transactor.New()
@@ -103,7 +115,7 @@
 // begin starts a sidecar before the engine.
 func (r *rig) begin(entry string) {
 	set := settings.Settings{
-		Server: "m0", VM: "vm-m0", Domain: "ikeja", Kind: settings.Model, Backend: address(r.backend), Entries: []string{entry},
+		Server: r.name, VM: "vm-" + r.name, Domain: "ikeja", Kind: settings.Model, Backend: address(r.backend), Entries: []string{entry},
 		Address: "127.0.0.1:25000", Platform: settings.Platform{Table: address(r.table), List: r.list}, Beat: 50, Drain: 2000,
 		Gate: settings.Gate{Cold: 2, Warm: 64},
 	}
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -18,6 +18,7 @@
 	"net/http"
 	"net/http/pprof"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,6 +69,7 @@
 	noter    *hinter.Noter // of the prefix cache
 	leaving  leaving
 	suspects *accuser.Accuser
+	telling  sync.Mutex // held while entries are told of a crash
 	runner   *runner.Runner
 	recorder *recorder.Recorder
 	keeper   *keeper.Keeper
