--- a/prover/commands.go
+++ b/prover/commands.go
@@ -250,7 +250,7 @@
 
 // expect checks a call's outcome. A wrong or silently cut text fails always.
 func expect(want string, err error) error {
-	if errors.Is(err, stager.ErrWrong) || errors.Is(err, stager.ErrShort) {
+	if errors.Is(err, stager.ErrWrong) || errors.Is(err, stager.ErrShort) || errors.Is(err, stager.ErrLate) {
 		return err
 	}
 	got := stager.Outcome(err)
--- a/prover/internal/stager/ask.go
+++ b/prover/internal/stager/ask.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"bamboohill/core/texter"
 )
@@ -27,6 +29,7 @@
 var (
 	ErrWrong = errors.New("stager: wrong text")
 	ErrShort = errors.New("stager: stream ended without [DONE]")
+	ErrLate  = errors.New("stager: the last word came after the timeout")
 )
 
 // StreamError is an error event in a stream.
@@ -48,8 +51,22 @@
 // Ask asks a question and checks the answer's text against the prompt. The
 // error is nil only for the whole right answer; a refusal is a *CallError, an
 // error event a *StreamError, and a text that is wrong or stops unseen is
-// ErrWrong or ErrShort.
+// ErrWrong or ErrShort. A last word that comes later than the question's own
+// timeout and lateness is ErrLate.
 func (s *Stage) Ask(ctx context.Context, u Question) error {
+	begin := time.Now()
+	err := s.ask(ctx, u)
+	limit, bad := strconv.ParseFloat(u.Timeout, 64)
+	if bad == nil && time.Since(begin) > time.Duration(limit*float64(time.Second))+lateness {
+		return ErrLate
+	}
+	return err
+}
+
+// lateness is how late a last word may come on a busy machine.
+const lateness = 2 * time.Second
+
+func (s *Stage) ask(ctx context.Context, u Question) error {
 	if u.Key == "" {
 		u.Key = CallerKey
 	}
