sidecar: refuse proposals whose amounts can't be counted with

Cause, found by a fuzz target whose seeds failed first: a proposal with a negative prompt, or with prompt and answer whose sum wraps, was counted into the gate's ledger as negative memory, so that more than the engine has could be given away; a remaining time beyond 292 years in nanoseconds wrapped. A deadline that has just passed stays the gate's to refuse.

--- a/load/internal/stranger/stranger.go
+++ b/load/internal/stranger/stranger.go
@@ -87,6 +87,7 @@
 		return s.raw(ctx, s.head("Content-Length: 1000")+`{"model":`)
 	})
 	add("slow-reader", "closed|ended", s.slowReader)
+	add("callers-that-leave", "left", s.leave)
 	add("idle-connections", "200", s.idle)
 	if s.config.Flood > 0 {
 		add("flood", "all-answered-or-refused", s.flood)
@@ -209,6 +210,29 @@
 	return "open"
 }
 
+// leavers is how many callers leave in the middle of a stream.
+const leavers = 20
+
+// leave asks for long streams and closes each after its first bytes. That the
+// engines hold nothing of them afterwards is for the caller to see.
+func (s *Stranger) leave(ctx context.Context) string {
+	var all sync.WaitGroup
+	defer all.Wait()
+	for range leavers {
+		all.Go(func() {
+			conn, err := s.dial(ctx)
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			conn.SetDeadline(time.Now().Add(answerLimit))
+			io.WriteString(conn, s.post(s.good(slowAnswer)))
+			conn.Read(make([]byte, 1))
+		})
+	}
+	return "left"
+}
+
 // idle opens connections that send nothing, and asks for an answer beside
 // them.
 func (s *Stranger) idle(ctx context.Context) string {
--- a/sidecar/internal/server/propose.go
+++ b/sidecar/internal/server/propose.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/base64"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -65,7 +66,33 @@
 		return nil, err
 	}
 	p := &wire.Proposal{}
-	return p, proto.Unmarshal(data, p)
+	if err := proto.Unmarshal(data, p); err != nil {
+		return nil, err
+	}
+	return p, countable(p)
+}
+
+// Bounds of a proposal's amounts: far above any real one, and their sums and
+// their values in nanoseconds fit 64 bits.
+const (
+	maxTokens    = 1 << 40
+	maxRemaining = int64(24 * time.Hour / time.Millisecond)
+)
+
+// errAmount is returned for a proposal that the ledger can't count with.
+var errAmount = errors.New("server: amount of a proposal out of bounds")
+
+func countable(p *wire.Proposal) error {
+	for _, n := range []int64{p.GetPrompt(), p.GetAnswer(), p.GetPosition(), p.GetCached()} {
+		if n < 0 || n > maxTokens {
+			return errAmount
+		}
+	}
+	// A deadline that has just passed is the gate's to refuse.
+	if p.GetRemainingMs() < -maxRemaining || p.GetRemainingMs() > maxRemaining || p.GetAttempt() == "" {
+		return errAmount
+	}
+	return nil
 }
 
 func (s *Server) enter(p *wire.Proposal) *wire.Refused {
