--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -48,7 +48,7 @@
 	headerBytes = 64 << 10
 	idleLimit   = 2 * time.Minute
 	stopLimit   = 2 * time.Minute
-	accuseLimit = 2 * time.Second
+	accuseLimit = 500 * time.Millisecond
 )
 
 // Shares of an entry's memory: what callers' bodies may take, and from where
@@ -244,7 +244,7 @@
 	go s.gossiper.Run(background)
 	go s.placer.Run(background)
 	go s.borrower.Run(background)
-	go s.keeper.Poll(background, time.Duration(s.config.Settings.Poll)*time.Millisecond, nil)
+	go s.keeper.Poll(background, time.Duration(s.config.Settings.Poll)*time.Millisecond, s.polled())
 	for _, c := range []*certifier.Store{s.certs, s.front} {
 		go c.Watch(background)
 	}
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -202,7 +202,7 @@
 	go loop(ctx, lonelyEvery, s.lonely)
 	go loop(ctx, time.Second, s.readList)
 	if s.engine == nil {
-		go loop(ctx, sweepEvery, s.sweep)
+		go s.sweep(ctx)
 	}
 	go s.reporter.Run(ctx)
 }
@@ -257,6 +257,7 @@
 	m.Set("engine_crashes", &s.counts.crashes)
 	m.Set("streams_moved", &s.counts.moved)
 	m.Set("cold_by_first_token", &s.counts.slow)
+	s.recorderVars(m)
 	w.Header().Set("Content-Type", "application/json")
 	io.WriteString(w, m.String()+"\n")
 }
