receiver: message content in parts, as client libraries send it

Content as a list of parts was refused as a bad type, while the usual client libraries send it for chat.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 LINT := $(GOBIN)/golangci-lint
 LINT_VERSION := v2.15.0
 
-.PHONY: all build demo up test unit lint format model bench soak capacity generate tools clean
+.PHONY: all build demo up test unit lint format model bench soak capacity overhead strangers generate tools clean
 
 all: build
 
@@ -42,7 +42,7 @@
 model:
 	@model/run
 
-bench soak capacity: build
+bench soak capacity overhead strangers: build
 	@bench/$@
 
 generate:
--- a/entry/internal/receiver/parse_test.go
+++ b/entry/internal/receiver/parse_test.go
@@ -17,6 +17,7 @@
 		`{"model":"base@1:koro","prompt":[1,2,4294967295]}`,
 		`{"model":"base","prompt":"\u00e9\ud83d\ude00\ud83d\n\"\\\/"}`,
 		`{"model":"base","messages":[{"role":"user","content":"a"},{"content":null}]}`,
+		`{"model":"base","messages":[{"role":"user","content":[{"type":"text","text":"a\u0062"},{"type":"text","text":"c"}]}]}`,
 		`{"model":"base","prompt":"a","n":1,"stop":[],"response_format":{"type":"text"}}`,
 		`{"model":"base","max_tokens":1e400,"prompt":[[]]}`,
 		`{"prompt":"a","prompt":[1],"model":"b"}`,
@@ -68,6 +69,32 @@
 	}
 }
 
+func TestContentInParts(t *testing.T) {
+	cases := map[string]struct{ content, want, code string }{
+		"text":          {`"wind"`, "user: wind\n", ""},
+		"one part":      {`[{"type":"text","text":"wind"}]`, "user: wind\n", ""},
+		"parts":         {`[{"type":"text","text":"wi\u006e"},{"text":"d","type":"text"},{"type":"text","text":" at 500 hPa, and more"}]`, "user: wind at 500 hPa, and more\n", ""},
+		"text last":     {`[{"type":"text","text":""},{"type":"text","text":"wind"}]`, "user: wind\n", ""},
+		"no parts":      {`[]`, "user: \n", ""},
+		"image":         {`[{"type":"image_url","image_url":{"url":"a"}}]`, "", "bad_type"},
+		"list of texts": {`["wind"]`, "", "bad_type"},
+		"number":        {`5`, "", "bad_type"},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			data := `{"model":"base","messages":[{"role":"user","content":` + k.content + `}]}`
+			p, f := parse([]byte(data), true, &hold{budget: &budget{most: 1 << 20}})
+			if k.code != "" {
+				is.Equal(f.Code, k.code)
+				return
+			}
+			is.Equal(f, nil)
+			is.Equal(string(p.prompt), k.want)
+		})
+	}
+}
+
 func BenchmarkParse(b *testing.B) {
 	text := make([]byte, 4_000_000)
 	for i := range text {
--- a/entry/internal/receiver/text.go
+++ b/entry/internal/receiver/text.go
@@ -25,6 +25,9 @@
 	if bytes.Equal(data, []byte("null")) {
 		return nil
 	}
+	if data[0] == '[' {
+		return t.join(data)
+	}
 	if len(data) < 2 || data[0] != '"' {
 		return errText
 	}
@@ -32,6 +35,32 @@
 	return nil
 }
 
+// part is one piece of a message's content.
+type part struct {
+	Type string `json:"type"`
+	Text text   `json:"text"`
+}
+
+// join decodes a list of text parts and moves them together, into the memory
+// of the first: a part never lies before the end of those joined so far.
+func (t *text) join(data []byte) error {
+	var parts []part
+	if json.Unmarshal(data, &parts) != nil {
+		return errText
+	}
+	for i, p := range parts {
+		if p.Type != "text" {
+			return errText
+		}
+		if i == 0 {
+			*t = p.Text
+			continue
+		}
+		*t = append(*t, p.Text...)
+	}
+	return nil
+}
+
 // unquote decodes the inside of a valid JSON text in place. Halves of
 // surrogate pairs become U+FFFD, as in encoding/json.
 func unquote(data []byte) []byte {
@@ -149,7 +178,7 @@
 	case errors.As(err, &kind):
 		return invalid("bad_type", kind.Field+" must not be a JSON "+kind.Value)
 	case errors.Is(err, errText):
-		return invalid("bad_type", "message content must be a text")
+		return invalid("bad_type", "message content must be a text or a list of parts of type text")
 	}
 	return invalid("bad_json", err.Error())
 }
