--- a/entry/internal/receiver/receiver_test.go
+++ b/entry/internal/receiver/receiver_test.go
@@ -339,3 +339,23 @@
 	is.True(open <= most)
 	is.True(ended >= 9*most)
 }
+
+func TestVarsCountWhatEnded(t *testing.T) {
+	is := is.New(t)
+	outcome := wire.Outcome_OUTCOME_NOT_RUN
+	p := serve(t, Config{Dispatcher: fake(func(ctx context.Context, q *dispatcher.Request, sink dispatcher.Sink) dispatcher.Result {
+		if q.Job.Answer == 1 {
+			return dispatcher.Result{Outcome: outcome, Reason: wire.Reason_REASON_FULL, Attempts: 3}
+		}
+		return echo(ctx, q, sink)
+	})}, 100)
+	p.post(t, "/v1/completions", `{"model":"base","prompt":"a"}`)
+	p.post(t, "/v1/completions", `{"model":"base","prompt":"a","max_tokens":1}`)
+	p.post(t, "/v1/completions", `{"model":"none","prompt":"a"}`)
+	v := p.Vars()
+	is.Equal(v["requests"].String(), `{"OUTCOME_ANSWERED": 1, "OUTCOME_NOT_RUN": 1}`)
+	is.Equal(v["attempts"].String(), "3")
+	is.Equal(v["reasons"].String(), `{"REASON_FULL": 1}`)
+	is.Equal(v["refusals"].String(), `{"unknown_model": 1}`)
+	is.Equal(v["body_bytes"].String(), "0")
+}
