Entries run prompts beyond one engine's memory on gangs

Cause: a prompt longer than any backend server's memory found no server and was refused as not run whatever was free.

Change: when no server that offers the model could hold the prompt even when empty, the dispatcher has ganger choose members and propose to all of them. A gang that is refused its memory has run nothing.

--- a/entry/internal/dispatcher/attempt.go
+++ b/entry/internal/dispatcher/attempt.go
@@ -24,9 +24,9 @@
 		Str("server", server.GetServer()).Int64("position", position).Msg("")
 	watch := time.AfterFunc(d.acceptWatch(q), cancel)
 	defer watch.Stop()
-	a, err := d.config.Propose(ctx, server.GetAddress(), p, q.Payload)
+	a, err := d.propose(ctx, q, server, p)
 	if err != nil {
-		return d.lost(server, position)
+		return d.unsent(server, position, err)
 	}
 	defer a.Close()
 	for {
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -35,6 +35,7 @@
 	"bamboohill/core/router"
 	"bamboohill/core/tokener"
 	"bamboohill/core/watcher"
+	"bamboohill/entry/internal/ganger"
 	"bamboohill/wire"
 
 	"github.com/phuslu/log"
@@ -58,8 +59,9 @@
 	// and whether the caller may still have this. Nil permits always.
 	Permitted func() (uint64, bool)
 
-	fingerprint string // of account and body, for crash suspects
-	alone       bool   // the next attempt has to run alone
+	fingerprint string           // of account and body, for crash suspects
+	alone       bool             // the next attempt has to run alone
+	members     []watcher.Server // of the next attempt's gang, none for a single server
 }
 
 // Sink takes the answer as it comes. An error from it means that the caller
@@ -109,6 +111,7 @@
 type Config struct {
 	Watcher  *watcher.Watcher
 	Propose  func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (Attempt, error)
+	Ganger   *ganger.Ganger // for prompts beyond one server's memory, none if nil
 	Keeper   *keeper.Keeper
 	Retrier  *retrier.Retrier
 	Chooser  *chooser.Chooser // of servers, for requests that can finish in time
--- a/entry/internal/dispatcher/place.go
+++ b/entry/internal/dispatcher/place.go
@@ -25,10 +25,16 @@
 			return router.Choice{}, err
 		}
 	}
+	q.members = nil
+	choose := d.config.Chooser.Choose
 	if c.result.Attempts > 0 {
-		return d.config.Chooser.Pick(q.Job, servers, now)
+		choose = d.config.Chooser.Pick
 	}
-	return d.config.Chooser.Choose(q.Job, servers, now)
+	choice, err := choose(q.Job, servers, now)
+	if err != nil {
+		return d.placeGang(q, servers, err)
+	}
+	return choice, nil
 }
 
 // Limits are the limits of client accounts.
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -32,6 +32,7 @@
 	"bamboohill/entry/internal/administrator"
 	"bamboohill/entry/internal/borrower"
 	"bamboohill/entry/internal/dispatcher"
+	"bamboohill/entry/internal/ganger"
 	"bamboohill/entry/internal/gossiper"
 	"bamboohill/entry/internal/placer"
 	"bamboohill/entry/internal/proposer"
@@ -115,6 +116,12 @@
 	})
 	d := dispatcher.New(dispatcher.Config{
 		Limits: s.borrower,
+		Ganger: ganger.New(ganger.Config{
+			Gate: ganger.Gates{URL: sidecars.URL, Client: sidecars.Client},
+			Propose: func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (ganger.Attempt, error) {
+				return proposals.Propose(ctx, address, p, payload)
+			},
+		}),
 		Chooser: chooser.New(chooser.Config{
 			Picker:   router.New(router.Config{Hints: s.hints, Seed: s.boot}),
 			Admitter: admitter.New(admitter.Config{}),
