--- a/entry/internal/dispatcher/gang.go
+++ b/entry/internal/dispatcher/gang.go
@@ -58,13 +58,18 @@
 }
 
 // unsent is the end of an attempt whose proposal was not answered. A gang that
-// was refused its memory has run nothing.
-func (d *Dispatcher) unsent(server watcher.Server, position int64, err error) step {
+// was refused its memory has run nothing, nor has a server that was not
+// reached.
+func (d *Dispatcher) unsent(q *Request, server watcher.Server, position int64, err error) step {
 	var refused *reserver.RefusedError
 	if errors.As(err, &refused) {
 		return step{Result: Result{
 			Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: refused.Reason, Retry: refused.Retry, Position: position,
 		}}
 	}
-	return d.lost(server, position)
+	s := d.lost(server, position)
+	if len(q.members) == 0 && unreached(err) {
+		s.Outcome = wire.Outcome_OUTCOME_NOT_RUN
+	}
+	return s
 }
