--- a/entry/internal/dispatcher/attempt.go
+++ b/entry/internal/dispatcher/attempt.go
@@ -26,13 +26,9 @@
 		Str("server", server.GetServer()).Int64("position", position).Msg("")
 	watch := time.AfterFunc(d.acceptWatch(q), cancel)
 	defer watch.Stop()
-	a, err := d.config.Propose(ctx, server.GetAddress(), p, q.Payload)
+	a, err := d.propose(ctx, q, server, p)
 	if err != nil {
-		s := d.lost(server, position)
-		if unreached(err) {
-			s.Outcome = wire.Outcome_OUTCOME_NOT_RUN
-		}
-		return s
+		return d.unsent(q, server, position, err)
 	}
 	defer a.Close()
 	for {
