--- a/prover/commands.go
+++ b/prover/commands.go
@@ -51,6 +51,8 @@
 		"book":     {4, s.book},
 		"join":     {1, s.join},
 		"runs":     {2, s.runs},
+		"open":     {2, s.open},
+		"busy":     {2, s.busy},
 		"crashes":  {1, s.crashes},
 		"held":     {2, s.held},
 		"counts":   {2, func(w []string) (string, error) { return s.Stage.Counts(w[0], w[1]) }},
@@ -266,6 +268,60 @@
 
 var errOutcome = errors.New("prover: another outcome")
 
+// servers reads what an entry sees of the backend servers.
+func (s *Script) servers(entry string) (open, running int, err error) {
+	n, err := stager.Number(entry)
+	if err != nil {
+		return 0, 0, err
+	}
+	text, err := s.Stage.Admin(n, "GET", "status", "")
+	if err != nil {
+		return 0, 0, err
+	}
+	var status struct {
+		Servers []struct {
+			State   string `json:"state"`
+			Running int    `json:"running"`
+		} `json:"servers"`
+	}
+	if err := json.Unmarshal([]byte(text), &status); err != nil {
+		return 0, 0, err
+	}
+	for _, v := range status.Servers {
+		running += v.Running
+		if v.State == "STATE_OPEN" {
+			open++
+		}
+	}
+	return open, running, nil
+}
+
+// open checks that an entry sees so many backend servers open.
+func (s *Script) open(w []string) (string, error) {
+	want, err := stager.Number(w[1])
+	if err != nil {
+		return "", err
+	}
+	got, _, err := s.servers(w[0])
+	if err == nil && got != want {
+		err = fmt.Errorf("prover: entry sees %d open servers, want %d", got, want)
+	}
+	return "", err
+}
+
+// busy checks that an entry sees at least so many requests running.
+func (s *Script) busy(w []string) (string, error) {
+	want, err := stager.Number(w[1])
+	if err != nil {
+		return "", err
+	}
+	_, got, err := s.servers(w[0])
+	if err == nil && got < want {
+		err = fmt.Errorf("prover: entry sees %d requests running, want %d", got, want)
+	}
+	return "", err
+}
+
 // crashes checks how often the engines have crashed, all together, at most.
 func (s *Script) crashes(w []string) (string, error) {
 	most, err := stager.Number(w[0])
--- a/prover/doc.go
+++ b/prover/doc.go
@@ -30,6 +30,8 @@
 //	runs KEY N               check that a booking ran N times in all services
 //	crashes N                check that the engines crashed N times at most
 //	held ENGINE N            check that an engine holds N tokens of memory; N..M is a range
+//	open ENTRY N             check that an entry sees N backend servers open
+//	busy ENTRY N             check that an entry sees N requests running or more
 //	counts STANDIN PATH      what a stand-in counted; the answer is stdout
 //	until CMD ...            repeat a command until it succeeds, 20 s at most
 //
