A suspect under way waits for its place to be in service

Cause: in one run of the whole suite a companion of a crash failed visibly. Its place for running alone was down, such tries came out of the retry budget, and with no place at all it was given up at once.

--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -280,7 +280,7 @@
 	if final(reason) {
 		return false
 	}
-	if alone(reason) {
+	if alone(reason) || q.alone && c.result.Outcome == wire.Outcome_OUTCOME_NOT_RUN {
 		return d.waitAlone(ctx, c)
 	}
 	if c.free > 0 && (reason == wire.Reason_REASON_STALE || reason == wire.Reason_REASON_BOOT) {
@@ -313,6 +313,9 @@
 // tries all servers anew.
 func (d *Dispatcher) comeBack(ctx context.Context, q *Request, c *course, err error) bool {
 	c.refuse(err)
+	if c.ran && q.alone {
+		return d.waitAlone(ctx, c) // its place is not in service yet
+	}
 	if !c.ran || len(q.Job.Excluded) == 0 {
 		return false
 	}
