Pass a crash on even if this entry had heard of it

Change: the dispatcher passes on what comes with its own refusal, once for each accusation, whether it had heard it or not.

Ruled out: that the sidecars' heartbeats are too slow: they may be, and a restarted sidecar knows few entries for a while.

--- a/entry/internal/dispatcher/attempt.go
+++ b/entry/internal/dispatcher/attempt.go
@@ -120,11 +120,13 @@
 	return step{}, false
 }
 
-// accuse takes an accusation and, if it is news, tells the other entries before
+// accuse takes an accusation and tells the other entries of it, once, before
 // anything else is done with the request: a caller that is answered may send it
-// again at once, through any of them.
+// again at once, through any of them. That this entry has heard it already, from
+// the sidecar, does not mean that they have.
 func (d *Dispatcher) accuse(a *wire.Accusation) {
-	if d.config.Suspects.Hear(a) && d.config.Accuse != nil {
+	d.config.Suspects.Hear(a)
+	if d.config.Accuse != nil && d.told.first(a) {
 		d.config.Accuse(a)
 	}
 }
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -128,6 +128,7 @@
 // Dispatcher runs requests.
 type Dispatcher struct {
 	config Config
+	told   told
 }
 
 // New returns a dispatcher.
--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"bamboohill/core/accuser"
 	"bamboohill/core/framer"
 	"bamboohill/core/ider"
 	"bamboohill/core/keeper"
@@ -33,6 +34,8 @@
 	attempts []*wire.Proposal
 	servers  []string
 	accuse   func(*wire.Accusation)
+	heard    bool // this entry hears of a crash before the refusal
+	suspects *accuser.Accuser
 	crossed  int // the first so many answers carry another attempt's id
 }
 
@@ -57,10 +60,13 @@
 // crash is the answer of a server whose engine has died of the request.
 func (s *scripted) crash(server string) answer {
 	return func(w *framer.Writer) {
+		a := &wire.Accusation{Fingerprint: s.attempts[0].GetFingerprint(), Server: server, Boot: 1}
+		if s.heard {
+			s.suspects.Hear(a)
+		}
 		w.Accept(nil)
 		w.Refuse(&wire.Refused{
-			Reason: wire.Reason_REASON_CRASH, Outcome: wire.Outcome_OUTCOME_FAILED,
-			Suspects: []*wire.Accusation{{Fingerprint: s.attempts[0].GetFingerprint(), Server: server, Boot: 1}},
+			Reason: wire.Reason_REASON_CRASH, Outcome: wire.Outcome_OUTCOME_FAILED, Suspects: []*wire.Accusation{a},
 		})
 	}
 }
@@ -125,6 +131,7 @@
 
 func run(t *testing.T, s *scripted, call wire.Call, out *sink) (dispatcher.Result, time.Duration) {
 	t.Helper()
+	s.suspects = accuser.New(accuser.Config{})
 	w := watcher.New(watcher.Config{})
 	defer w.Stop()
 	k := keeper.New(keeper.Config{Table: storer.NewTable(storer.Config{Address: "127.0.0.1:1"})})
@@ -138,7 +145,7 @@
 	}
 	synctest.Wait()
 	d := dispatcher.New(dispatcher.Config{
-		Watcher: w, Propose: s.propose, Accuse: s.accuse, Keeper: k, Log: &log.Logger{Level: log.ErrorLevel}, Random: func() float64 { return 0.5 },
+		Watcher: w, Propose: s.propose, Accuse: s.accuse, Suspects: s.suspects, Keeper: k, Log: &log.Logger{Level: log.ErrorLevel}, Random: func() float64 { return 0.5 },
 	})
 	start := time.Now()
 	result := d.Do(t.Context(), &dispatcher.Request{
@@ -240,6 +247,7 @@
 			told++
 			is.Equal(len(s.attempts), told) // before the next attempt and before the last word
 		}
+		s.heard = true // from the sidecar, before the refusal comes
 		s.answers = []answer{s.crash("a"), s.crash("b")}
 		result, took := run(t, s, wire.Call_CALL_REPEATABLE, &sink{})
 		is.Equal(result.Reason, wire.Reason_REASON_SUSPECT)
--- a/entry/internal/dispatcher/suspect.go
+++ b/entry/internal/dispatcher/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"bamboohill/core/convictor"
@@ -17,6 +18,38 @@
 	soloMost  = time.Second
 )
 
+// maxTold bounds the accusations that an entry remembers to have passed on;
+// beyond it they are forgotten, and at worst passed on once more.
+const maxTold = 4096
+
+// told remembers which accusations this entry has passed on.
+type told struct {
+	mu   sync.Mutex
+	seen map[crash]bool
+}
+
+// crash names what an accusation is about.
+type crash struct {
+	fingerprint string
+	server      string
+	boot        uint64
+}
+
+// first reports whether an accusation is passed on for the first time.
+func (t *told) first(a *wire.Accusation) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k := crash{fingerprint: a.GetFingerprint(), server: a.GetServer(), boot: a.GetBoot()}
+	if t.seen[k] {
+		return false
+	}
+	if t.seen == nil || len(t.seen) >= maxTold {
+		t.seen = map[crash]bool{}
+	}
+	t.seen[k] = true
+	return true
+}
+
 // judge returns the servers that a request may use: all of them, the one place
 // where a suspect runs alone, or a *convictor.ConvictedError.
 func (d *Dispatcher) judge(q *Request, servers []watcher.Server) ([]watcher.Server, error) {
