--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -168,7 +168,6 @@
 	result    Result
 	ran       bool // some attempt may have run
 	free      int  // retries left that cost no budget: the entry's own view was old
-	left      bool // the caller has gone
 	solo      int  // tries left to get a backend server alone
 	cache     cache
 	sequence  uint64 // configuration in force at the gate that refused last
@@ -240,7 +239,6 @@
 	s.Attempts = c.result.Attempts
 	s.Known = true
 	c.result = s.Result
-	c.left = s.left
 	c.cache = s.cache
 	c.sequence = s.sequence
 	c.ran = c.ran || s.Outcome != wire.Outcome_OUTCOME_NOT_RUN
--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -300,7 +300,7 @@
 	}
 	return &Failure{
 		Status: http.StatusBadGateway, Type: "server_error", Code: "unknown",
-		Message: "the request failed and may have run", Outcome: Unknown,
+		Message: "the request failed and may have run", Outcome: Unknown, Retry: max(result.Retry, time.Second),
 	}
 }
 
--- a/sidecar/internal/server/propose.go
+++ b/sidecar/internal/server/propose.go
@@ -45,19 +45,17 @@
 	if s.keeper.Heard(p.GetSequence()) {
 		s.catchUp(p.GetSequence(), p.GetEntry())
 	}
-	if refused := s.enter(p); refused != nil {
-		refused.Report = s.Report()
-		refused.Suspects = s.suspects.Against(p.GetFingerprint())
-		s.counts.refusals.Add(refused.GetReason().String(), 1)
-		frames.Refuse(refused)
-		return
+	refused := s.enter(p)
+	if refused == nil {
+		refused = s.run(w, q, p, frames)
 	}
-	if refused := s.run(w, q, p, frames); refused != nil {
-		refused.Report = s.Report()
-		refused.Suspects = s.suspects.Against(p.GetFingerprint())
-		s.counts.refusals.Add(refused.GetReason().String(), 1)
-		frames.Refuse(refused)
+	if refused == nil {
+		return
 	}
+	refused.Report = s.Report()
+	refused.Suspects = s.suspects.Against(p.GetFingerprint())
+	s.counts.refusals.Add(refused.GetReason().String(), 1)
+	frames.Refuse(refused)
 }
 
 func decodeProposal(text string) (*wire.Proposal, error) {
