Read answers to their end, so that connections serve again

Cause: the profile of the entry at half load showed a dial for nearly every attempt. The body of an answer was closed after its last frame but before its end, which costs the connection, at the entry and again at the sidecar.

Ruled out: reading to the end without a bound (a sidecar that hangs after its last frame would hold the answer's last word back).

--- a/core/framer/framer.go
+++ b/core/framer/framer.go
@@ -162,6 +162,9 @@
 // Position returns the next position that is due.
 func (r *Reader) Position() int64 { return r.position }
 
+// Ended reports whether the closing frame, or a refusal, has been read.
+func (r *Reader) Ended() bool { return r.ended }
+
 // Next returns the next frame. After the closing frame, or a refusal, it
 // returns io.EOF. Any other end, and any frame that fails a check, is a
 // *BrokenError.
--- a/core/generator/generator.go
+++ b/core/generator/generator.go
@@ -12,6 +12,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"bamboohill/core/drainer"
 )
 
 // maxLine is the longest line of an engine's stream, in bytes.
@@ -238,6 +240,7 @@
 type Stream struct {
 	body  io.ReadCloser
 	lines *bufio.Scanner
+	ended bool
 }
 
 // Next returns the next chunk. A stream that stops without its end is
@@ -248,8 +251,14 @@
 	}
 	var c Chunk
 	err := json.Unmarshal(s.lines.Bytes(), &c)
+	s.ended = s.ended || c.End || c.Moved
 	return c, err
 }
 
-// Close ends the stream.
-func (s *Stream) Close() error { return s.body.Close() }
+// Close ends a stream that has had its end, and gives up any other.
+func (s *Stream) Close() error {
+	if s.ended {
+		return drainer.Close(s.body)
+	}
+	return s.body.Close()
+}
--- a/entry/internal/proposer/proposer.go
+++ b/entry/internal/proposer/proposer.go
@@ -20,6 +20,7 @@
 	"net/http"
 
 	"bamboohill/core/certifier"
+	"bamboohill/core/drainer"
 	"bamboohill/core/framer"
 	"bamboohill/core/ider"
 	"bamboohill/wire"
@@ -52,11 +53,17 @@
 // Attempt is one proposal under way.
 type Attempt struct {
 	*framer.Reader
-	body io.Closer
+	body io.ReadCloser
 }
 
-// Close gives the attempt up: the sidecar cancels what still runs.
-func (a *Attempt) Close() error { return a.body.Close() }
+// Close ends an attempt that has had its last frame, and gives up any other: the
+// sidecar cancels what still runs.
+func (a *Attempt) Close() error {
+	if a.Ended() {
+		return drainer.Close(a.body)
+	}
+	return a.body.Close()
+}
 
 // Propose sends a proposal and its payload. An error means that nobody knows
 // whether the sidecar got it.
