One make target a line

Cause: targets written together are not found by who looks for one of them. Change: bench, soak and the others stand each on a line. Ruled out: nothing. Measured: make -n soak names bench/soak. Conclusion: behaviour kept.

--- a/Makefile
+++ b/Makefile
@@ -42,8 +42,20 @@
 model:
 	@model/run
 
-bench soak capacity overhead strangers: build
-	@bench/$@
+bench: build
+	@bench/bench
+
+soak: build
+	@bench/soak
+
+capacity: build
+	@bench/capacity
+
+overhead: build
+	@bench/overhead
+
+strangers: build
+	@bench/strangers
 
 generate:
 	cd wire && protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. wire.proto
