Nobody waits for a sidecar that leaves

Change: the survey passes over sidecars that said they leave; they take no work.

Ruled out: forgetting them at once: their last reports still tell who they were.

Measured: TestLeavingSidecarIsNotBehind failed first.

Conclusion: one that dies without a word is still named as behind.

--- a/entry/internal/gossiper/gossiper_test.go
+++ b/entry/internal/gossiper/gossiper_test.go
@@ -242,6 +242,37 @@
 	}
 }
 
+// TestLeavingSidecarIsNotBehind commits a change after a sidecar has said that
+// it leaves and has gone: it takes no work, so nobody waits for it.
+func TestLeavingSidecarIsNotBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2, 3, 0)
+		ctx, cancel := context.WithCancel(t.Context())
+		f.start(ctx)
+		synctest.Wait()
+		left := f.sidecars[0]
+		report, err := left.Inspect(ctx, nil)
+		is.NoErr(err)
+		report.State = wire.State_STATE_LEAVING
+		for _, e := range f.entries {
+			e.watcher.Hear(report)
+		}
+		f.net.setCut(left.address, true)
+		f.change(ctx, 1, f.entries[0])
+		synctest.Wait()
+		_, sidecars := f.entries[1].gossip.Survey(ctx)
+		is.Equal(len(sidecars), 2)
+		for _, s := range sidecars {
+			is.True(s.Name != left.name)
+			is.Equal(s.Sequence, uint64(1))
+		}
+		cancel()
+		f.stop()
+		time.Sleep(time.Minute)
+	})
+}
+
 func TestCutEntryCatchesUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/entry/internal/gossiper/spread.go
+++ b/entry/internal/gossiper/spread.go
@@ -217,13 +217,17 @@
 	return all
 }
 
-// standings is what the sidecars that this entry hears have in force.
+// standings is what the sidecars that this entry hears have in force. Those that
+// leave take no work, so nobody waits for them.
 func (g *Gossiper) standings() []*wire.Standing {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var all []*wire.Standing
 	view := g.config.Watcher.View()
 	for _, s := range slices.Concat(view.Servers, view.Gone) {
+		if s.GetState() == wire.State_STATE_LEAVING {
+			continue
+		}
 		all = append(all, &wire.Standing{Server: s.GetServer(), Boot: s.GetBoot(), Sequence: g.taken(s)})
 	}
 	return all
