Scenario: TLS towards callers

Cause: [front] was in the settings and had no proof.

Change: the scenario front, and a stage whose callers trust one authority.

Ruled out: nothing.

--- a/prover/commands.go
+++ b/prover/commands.go
@@ -102,6 +102,9 @@
 			h.Fencing = true
 		case key == "tls":
 			h.TLS = true
+		case key == "front":
+			h.TLS = true
+			h.Front = true
 		case key == "alone":
 			h.Alone = true
 		default:
--- a/prover/internal/stager/ask.go
+++ b/prover/internal/stager/ask.go
@@ -80,7 +80,7 @@
 	if u.Whole {
 		return s.askWhole(u, string(body))
 	}
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Entry(u.Entry)+"/v1/completions", strings.NewReader(string(body)))
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, s.front(u.Entry)+"/v1/completions", strings.NewReader(string(body)))
 	if err != nil {
 		return err
 	}
@@ -129,7 +129,7 @@
 	if u.Timeout != "" {
 		header["Bamboohill-Timeout"] = u.Timeout
 	}
-	text, err := s.call(http.MethodPost, "http://"+s.Entry(u.Entry)+"/v1/completions", u.Key, body, header)
+	text, err := s.call(http.MethodPost, s.front(u.Entry)+"/v1/completions", u.Key, body, header)
 	if err != nil {
 		return err
 	}
--- a/prover/internal/stager/certs.go
+++ b/prover/internal/stager/certs.go
@@ -4,12 +4,14 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"fmt"
 	"math/big"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"time"
@@ -74,13 +76,25 @@
 	return os.WriteFile(name, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600)
 }
 
-// tls returns a process's [tls] table, empty for a plain stack.
-func (s *Stage) tls(h Shape, name string) string {
+// tlsTable returns a process's [tls] table, empty for a plain stack.
+func (s *Stage) tlsTable(h Shape, name string) string {
 	if !h.TLS {
 		return ""
 	}
-	return fmt.Sprintf("[tls]\ncertificate = %q\nkey = %q\nauthority = %q\nevery = 100\n",
+	text := fmt.Sprintf("[tls]\ncertificate = %q\nkey = %q\nauthority = %q\nevery = 100\n",
 		s.file(name, ".pem"), s.file(name, ".key"), s.file("authority", ".pem"))
+	if h.Front && strings.HasPrefix(name, "entry") {
+		text += fmt.Sprintf("[front]\ncertificate = %q\nkey = %q\nevery = 100\n", s.file(name, ".pem"), s.file(name, ".key"))
+	}
+	return text
+}
+
+// trust makes the stage a caller that trusts the stack's authority alone.
+func (s *Stage) trust() {
+	pool := x509.NewCertPool()
+	pool.AddCert(s.authority.certificate)
+	s.scheme = "https://"
+	s.client.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
 }
 
 // issueAll writes the certificates of every entry and sidecar.
@@ -92,6 +106,9 @@
 	if s.authority, err = newAuthority(); err != nil {
 		return err
 	}
+	if h.Front {
+		s.trust()
+	}
 	for n := range h.Entries {
 		if err := s.Issue(fmt.Sprintf("entry%d", n)); err != nil {
 			return err
--- a/prover/internal/stager/shape.go
+++ b/prover/internal/stager/shape.go
@@ -35,6 +35,7 @@
 	Fencing  bool    // engines refuse orders with an old number
 	Alone    bool    // a process starts knowing no other entry
 	TLS      bool    // between entries and sidecars
+	Front    bool    // TLS towards callers too
 }
 
 func (h *Shape) fill() {
@@ -78,6 +79,9 @@
 // Entry returns the address for callers and operators of entry n.
 func (s *Stage) Entry(n int) string { return s.at(outerPort, n) }
 
+// front returns the base URL of entry n.
+func (s *Stage) front(n int) string { return s.scheme + s.Entry(n) }
+
 // Inner returns the address for processes of entry n.
 func (s *Stage) Inner(n int) string { return s.at(innerPort, n) }
 
@@ -146,7 +150,7 @@
 
 func (s *Stage) sidecar(h Shape, n int, server, kind, service, backend string) string {
 	return fmt.Sprintf("address = %q\nserver = %q\nvm = \"vm%d\"\ndomain = %q\nkind = %q\nservice = %q\nbackend = %q\nbeat = %d\ndrain = %d\nentries = [%q]\n%s%s",
-		s.at(sidecarPort, n), server, n, domain(n), kind, service, backend, h.Beat, h.Drain, s.at(innerPort, 0), s.platform(), s.tls(h, fmt.Sprintf("sidecar%d", n)))
+		s.at(sidecarPort, n), server, n, domain(n), kind, service, backend, h.Beat, h.Drain, s.at(innerPort, 0), s.platform(), s.tlsTable(h, fmt.Sprintf("sidecar%d", n)))
 }
 
 func (s *Stage) entry(h Shape, n int) string {
@@ -156,7 +160,7 @@
 	}
 	sum := sha256.Sum256([]byte(OperatorKey))
 	return fmt.Sprintf("address = %q\ninner = %q\nvm = \"entry%d\"\ndomain = %q\npoll = %d\nentries = [%s]\n%s%s[[operator]]\nname = \"proof\"\nhash = %q\nrole = \"write\"\n",
-		s.at(outerPort, n), s.at(innerPort, n), n, domain(n), h.Poll, peers, s.platform(), s.tls(h, fmt.Sprintf("entry%d", n)), hex.EncodeToString(sum[:]))
+		s.at(outerPort, n), s.at(innerPort, n), n, domain(n), h.Poll, peers, s.platform(), s.tlsTable(h, fmt.Sprintf("entry%d", n)), hex.EncodeToString(sum[:]))
 }
 
 // lists returns the rows that every stack starts with, by KIND/NAME.
--- a/prover/internal/stager/stager.go
+++ b/prover/internal/stager/stager.go
@@ -40,6 +40,7 @@
 	config    Config
 	client    *http.Client
 	authority *authority
+	scheme    string // of the entries' callers
 
 	mu        sync.Mutex
 	processes map[string]*process
@@ -53,7 +54,7 @@
 
 // New returns a stage with nothing on it.
 func New(config Config) *Stage {
-	return &Stage{config: config, client: &http.Client{Timeout: callLimit}, processes: map[string]*process{}}
+	return &Stage{config: config, scheme: "http://", client: &http.Client{Timeout: callLimit}, processes: map[string]*process{}}
 }
 
 // Up writes the settings, starts every process, waits until each entry is
@@ -108,7 +109,7 @@
 func (s *Stage) file(name, suffix string) string { return filepath.Join(s.config.Work, name+suffix) }
 
 func (s *Stage) ready(n int) error {
-	_, err := s.call(http.MethodGet, "http://"+s.Entry(n)+"/readyz", "", "", nil)
+	_, err := s.call(http.MethodGet, s.front(n)+"/readyz", "", "", nil)
 	return err
 }
 
@@ -259,7 +260,7 @@
 
 // Admin calls the administration API of entry n.
 func (s *Stage) Admin(n int, method, path, body string) (string, error) {
-	return s.call(method, "http://"+s.Entry(n)+"/admin/"+path, OperatorKey, body, nil)
+	return s.call(method, s.front(n)+"/admin/"+path, OperatorKey, body, nil)
 }
 
 // CallError is an answer with another status than 2xx.
@@ -307,7 +308,7 @@
 	if timeout != "" {
 		headers["Bamboohill-Timeout"] = timeout
 	}
-	return s.call(http.MethodPost, "http://"+s.Entry(n)+"/services/bookings/book", CallerKey, body, headers)
+	return s.call(http.MethodPost, s.front(n)+"/services/bookings/book", CallerKey, body, headers)
 }
 
 // Outcome names what became of a call: answered, not-run or unknown; a call
