An entry that stops answers for a while what the balancer still sends

Cause: an entry closed its port in the moment of the order to stop; a balancer that looks now and then meets a closed port meanwhile, and its callers an unknown end. That is a cut.

Change: grace (3 s by default): not ready at once, requests are still taken and answered with Connection: close, then the port closes and what runs ends.

Ruled out: closing idle connections at once: a caller's next request may be on its way in one of them.

Conclusion: entries and sidecars stop in the same manner now: first the word, then the port.

--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -228,8 +228,10 @@
 	io.WriteString(w, "ready\n")
 }
 
-// Run serves until the context ends, then stops: not ready, no new
-// connections, and every request in hand to its end.
+// Run serves until the context ends, then stops: it is not ready, still takes
+// what the balancer sends until the grace is over, asking each caller to close
+// the connection, then takes no new connections and brings every request in
+// hand to its end.
 func (s *Server) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -238,7 +240,7 @@
 	defer s.watcher.Stop()
 	set := s.config.Settings
 	debug.SetMemoryLimit(int64(garbageShare * float64(set.Bounds.Memory)))
-	callers := s.web(s.outer)
+	callers := s.web(s.polite(s.outer))
 	receiver.Protect(callers, set.Bounds.Connections)
 	outer, err := s.listen(ctx, set.Address, callers, s.front)
 	if err != nil {
@@ -258,6 +260,7 @@
 	<-ctx.Done()
 	s.stopping.Store(true)
 	s.gossiper.Leave(background)
+	time.Sleep(time.Duration(set.Grace) * time.Millisecond)
 	last, cancel := context.WithTimeout(background, stopLimit)
 	defer cancel()
 	err = outer.Shutdown(last)
@@ -265,6 +268,16 @@
 	return err
 }
 
+// polite asks callers to close their connections once the entry stops.
+func (s *Server) polite(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, q)
+	})
+}
+
 func (s *Server) web(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerLimit, MaxHeaderBytes: headerBytes, IdleTimeout: idleLimit,
--- a/entry/internal/settings/settings.go
+++ b/entry/internal/settings/settings.go
@@ -30,6 +30,7 @@
 	Bounds    Bounds          `toml:"bounds"`
 	Operators []Operator      `toml:"operator"`
 	Poll      int             `toml:"poll"`  // milliseconds between reads of the configuration's head
+	Grace     int             `toml:"grace"` // milliseconds from the order to stop until no new connection is taken
 	TLS       certifier.Files `toml:"tls"`   // towards entries and sidecars
 	Front     certifier.Files `toml:"front"` // towards callers and operators; no authority
 	Trace     tracer.Settings `toml:"trace"`
@@ -63,6 +64,7 @@
 	defaultMemory  = 512 << 20
 	defaultTimeout = 60_000
 	defaultPoll    = 1000
+	defaultGrace   = 3000
 
 	defaultConnections = 4096
 )
@@ -87,6 +89,7 @@
 	bad.Require(s.Bounds.Connections > 0, "bounds.connections", "must be at least 1")
 	bad.Require(s.TLS.Whole(), "tls", "must name certificate, key and authority, or none")
 	bad.Require((s.Front.Certificate == "") == (s.Front.Key == ""), "front", "must name certificate and key, or none")
+	bad.Require(s.Grace >= 0, "grace", "must not be negative")
 	bad.Require(s.Poll >= 10, "poll", "must be at least 10 milliseconds")
 	for i, o := range s.Operators {
 		at := fmt.Sprintf("operator[%d].", i)
@@ -105,6 +108,7 @@
 	checker.Default(&s.Bounds.Timeout, defaultTimeout)
 	checker.Default(&s.Bounds.Connections, defaultConnections)
 	checker.Default(&s.Poll, defaultPoll)
+	checker.Default(&s.Grace, defaultGrace)
 }
 
 func isHash(text string) bool {
--- a/prover/commands.go
+++ b/prover/commands.go
@@ -81,7 +81,7 @@
 	var h stager.Shape
 	numbers := map[string]*int{
 		"entries": &h.Entries, "engines": &h.Engines, "services": &h.Services, "memory": &h.Memory, "warmup": &h.Warmup,
-		"work": &h.Work, "beat": &h.Beat, "poll": &h.Poll, "drain": &h.Drain, "restart": &h.Restart,
+		"work": &h.Work, "beat": &h.Beat, "poll": &h.Poll, "drain": &h.Drain, "grace": &h.Grace, "restart": &h.Restart,
 	}
 	for _, word := range words {
 		key, value, _ := strings.Cut(word, "=")
--- a/prover/doc.go
+++ b/prover/doc.go
@@ -12,7 +12,7 @@
 //
 //	stack KEY=VALUE ...      start a stack; keys: entries engines services memory
 //	                         prefill decode cold warmup work beat poll drain restart fencing
-//	                         tls front alone
+//	                         grace tls front alone
 //	signal NAME SIGNAL       send KILL, TERM, STOP or CONT to a process
 //	start NAME               start a process again
 //	issue NAME               write a new certificate for a process
--- a/prover/internal/stager/shape.go
+++ b/prover/internal/stager/shape.go
@@ -30,6 +30,7 @@
 	Work     int     // milliseconds of one plain call
 	Beat     int     // milliseconds between heartbeats
 	Poll     int     // milliseconds between reads of the configuration's head
+	Grace    int     // milliseconds that an entry which stops goes on
 	Drain    int     // milliseconds that a sidecar may take to leave
 	Restart  int     // milliseconds that a crashed engine is away
 	Fencing  bool    // engines refuse orders with an old number
@@ -52,6 +53,7 @@
 	set(&h.Beat, 100)
 	set(&h.Poll, 200)
 	set(&h.Drain, 10_000)
+	set(&h.Grace, 100)
 	set(&h.Restart, 500)
 	if h.Prefill == 0 {
 		h.Prefill = 400_000
@@ -159,8 +161,8 @@
 		peers = fmt.Sprintf("%q", s.at(innerPort, (n+1)%h.Entries))
 	}
 	sum := sha256.Sum256([]byte(OperatorKey))
-	return fmt.Sprintf("address = %q\ninner = %q\nvm = \"entry%d\"\ndomain = %q\npoll = %d\nentries = [%s]\n%s%s[[operator]]\nname = \"proof\"\nhash = %q\nrole = \"write\"\n",
-		s.at(outerPort, n), s.at(innerPort, n), n, domain(n), h.Poll, peers, s.platform(), s.tlsTable(h, fmt.Sprintf("entry%d", n)), hex.EncodeToString(sum[:]))
+	return fmt.Sprintf("address = %q\ninner = %q\nvm = \"entry%d\"\ndomain = %q\npoll = %d\ngrace = %d\nentries = [%s]\n%s%s[[operator]]\nname = \"proof\"\nhash = %q\nrole = \"write\"\n",
+		s.at(outerPort, n), s.at(innerPort, n), n, domain(n), h.Poll, h.Grace, peers, s.platform(), s.tlsTable(h, fmt.Sprintf("entry%d", n)), hex.EncodeToString(sum[:]))
 }
 
 // lists returns the rows that every stack starts with, by KIND/NAME.
