One rule for how a transaction applies

Cause: read-through: the stand-in of the table service and four fakes in tests each had the same rule of checks, puts and deletes, one of them short of the deletes and of all conflicting rows but the first.

Change: storer.Txn.Apply, called by all five.

Ruled out: one fake table for all tests: they differ in their faults.

--- a/core/keeper/fake_test.go
+++ b/core/keeper/fake_test.go
@@ -93,23 +93,7 @@
 }
 
 func (t *fakeTable) apply(txn storer.Txn) error {
-	e := &storer.ConflictError{}
-	for _, c := range txn.Checks {
-		if row := t.rows[c.Key]; row.Version != c.Version {
-			row.Key = c.Key
-			e.Rows = append(e.Rows, row)
-		}
-	}
-	if len(e.Rows) > 0 {
-		return e
-	}
-	for _, p := range txn.Puts {
-		t.rows[p.Key] = storer.Row{Key: p.Key, Value: p.Value, Version: t.rows[p.Key].Version + 1}
-	}
-	for _, key := range txn.Deletes {
-		delete(t.rows, key)
-	}
-	return nil
+	return txn.Apply(t.rows)
 }
 
 func (t *fakeTable) setDown(down bool) {
--- a/core/orderer/orderer_test.go
+++ b/core/orderer/orderer_test.go
@@ -48,20 +48,7 @@
 func (m *memory) Commit(_ context.Context, txn storer.Txn) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	conflict := &storer.ConflictError{}
-	for _, c := range txn.Checks {
-		if row := m.rows[c.Key]; row.Version != c.Version {
-			row.Key = c.Key
-			conflict.Rows = append(conflict.Rows, row)
-		}
-	}
-	if len(conflict.Rows) > 0 {
-		return conflict
-	}
-	for _, p := range txn.Puts {
-		m.rows[p.Key] = storer.Row{Key: p.Key, Value: p.Value, Version: m.rows[p.Key].Version + 1}
-	}
-	return nil
+	return txn.Apply(m.rows)
 }
 
 func model(name string) generator.Model { return generator.Model{Name: name, Version: "1"} }
--- a/entry/internal/gossiper/memory_test.go
+++ b/entry/internal/gossiper/memory_test.go
@@ -167,16 +167,7 @@
 	if t.down {
 		return &storer.DownError{}
 	}
-	for _, c := range txn.Checks {
-		if row := t.rows[c.Key]; row.Version != c.Version {
-			row.Key = c.Key
-			return &storer.ConflictError{Rows: []storer.Row{row}}
-		}
-	}
-	for _, p := range txn.Puts {
-		t.rows[p.Key] = storer.Row{Key: p.Key, Value: p.Value, Version: t.rows[p.Key].Version + 1}
-	}
-	return nil
+	return txn.Apply(t.rows)
 }
 
 func (t *memoryTable) setDown(down bool) {
--- a/sidecar/internal/recorder/fake_test.go
+++ b/sidecar/internal/recorder/fake_test.go
@@ -142,23 +142,7 @@
 	defer t.mu.Unlock()
 	t.writes++
 	t.ops += len(txn.Checks)
-	conflict := &storer.ConflictError{}
-	for _, c := range txn.Checks {
-		if row := t.rows[c.Key]; row.Version != c.Version {
-			row.Key = c.Key
-			conflict.Rows = append(conflict.Rows, row)
-		}
-	}
-	if len(conflict.Rows) > 0 {
-		return conflict
-	}
-	for _, p := range txn.Puts {
-		t.rows[p.Key] = storer.Row{Key: p.Key, Value: p.Value, Version: t.rows[p.Key].Version + 1}
-	}
-	for _, key := range txn.Deletes {
-		delete(t.rows, key)
-	}
-	return nil
+	return txn.Apply(t.rows)
 }
 
 // process is one sidecar's view of the table. When it is killed, nothing that
--- a/standin/transactor/transactor.go
+++ b/standin/transactor/transactor.go
@@ -99,30 +99,12 @@
 	}
 }
 
-// Commit applies a transaction, or returns the rows that differ from its
-// checks.
-func (t *Table) Commit(txn storer.Txn) *storer.ConflictError {
+// Commit applies a transaction, or returns a *storer.ConflictError.
+func (t *Table) Commit(txn storer.Txn) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.counts.Writes++
-	conflict := &storer.ConflictError{}
-	for _, c := range txn.Checks {
-		row := t.rows[c.Key]
-		if row.Version != c.Version {
-			row.Key = c.Key
-			conflict.Rows = append(conflict.Rows, row)
-		}
-	}
-	if len(conflict.Rows) > 0 {
-		return conflict
-	}
-	for _, p := range txn.Puts {
-		t.rows[p.Key] = storer.Row{Key: p.Key, Value: p.Value, Version: t.rows[p.Key].Version + 1}
-	}
-	for _, key := range txn.Deletes {
-		delete(t.rows, key)
-	}
-	return nil
+	return txn.Apply(t.rows)
 }
 
 func (t *Table) count(w http.ResponseWriter, _ *http.Request) {
