The sidecar's test rig waits for its configuration

The rig starts the sidecar's first read of the configuration beside everything else; on a slow machine the test's only proposal came before it and was refused, as it should be ("no configuration yet"), and nothing ran. Change: the rig waits until the sidecar has its configuration. The test's wait for exactly two accusations becomes two distinct fingerprints, checked again at the end: the stand-in entry here answers heartbeats without what it knows, so an accusation comes again with each heartbeat and a count of two is passed. Ruled out: a fault of the gate (the proposal is never sent a second time by the test); a lost accusation (two failures showed four, not one). Conclusion: a race of the test with the sidecar's start, none of the sidecar.

--- a/sidecar/internal/server/crash_test.go
+++ b/sidecar/internal/server/crash_test.go
@@ -106,7 +106,7 @@
 	got := r.send(context.Background(), named(bad, 4), bad)
 	all.Wait()
 	is.Equal(got.refused.GetReason(), wire.Reason_REASON_CRASH)
-	r.until("two accused", func() bool { return len(r.entry.heard()) == 2 })
+	r.until("two accused", func() bool { return r.entry.accusedOf() == 2 })
 	is.Equal(r.server.counts.crashes.Value(), int64(1))
 
 	p := named(bad, 4) // from an entry that has not heard
@@ -114,6 +114,7 @@
 		return r.send(context.Background(), p, bad).refused.GetReason() == wire.Reason_REASON_SUSPECT
 	})
 	is.Equal(r.counts().Crashes, 1)
+	is.Equal(r.entry.accusedOf(), 2) // and nobody else
 }
 
 // A stream that breaks off while the engine lives makes nobody a suspect.
--- a/sidecar/internal/server/rig_test.go
+++ b/sidecar/internal/server/rig_test.go
@@ -78,6 +78,16 @@
 	return append([]*wire.Accusation(nil), p.accused...)
 }
 
+// accusedOf returns how many requests the entries heard accused. An accusation
+// comes again with each heartbeat until an entry's answer shows it known.
+func (p *peer) accusedOf() int {
+	of := map[string]bool{}
+	for _, a := range p.heard() {
+		of[a.GetFingerprint()] = true
+	}
+	return len(of)
+}
+
 func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
 
 // newRig starts an engine and its sidecar.
@@ -97,6 +107,7 @@
 	entry := httptest.NewServer(mux)
 	r.port = generator.New(generator.Config{Address: address(r.backend)})
 	r.begin(address(entry))
+	r.until("configuration read", r.server.keeper.Ready)
 	t.Cleanup(func() {
 		r.end()
 		r.engine.Close()
