Late orders and the weight store's rate, on real processes

Cause: that a stale order changes nothing was shown by unit tests and a model alone, and no scenario loaded anything through the weight store.

Change: the stand-ins can hold back an order (engine) or a write of a wanted state (table) past the pause of its sender; the weight store counts how many loads it had at once; an engine that checks numbers looks at them before it fetches weights, not only after.

--- a/entry/internal/placer/placer.go
+++ b/entry/internal/placer/placer.go
@@ -58,11 +58,12 @@
 
 	mu     sync.Mutex
 	demand map[kind]float64 // tokens, fading
+	held   map[string]bool  // failure domains whose lease this entry believes it holds
 }
 
 // New returns a placer that does nothing yet.
 func New(config Config) *Placer {
-	return &Placer{config: config, leases: map[string]*orderer.Lessee{}, demand: map[kind]float64{}}
+	return &Placer{config: config, leases: map[string]*orderer.Lessee{}, demand: map[kind]float64{}, held: map[string]bool{}}
 }
 
 // Note counts one request for a model.
@@ -128,6 +129,7 @@
 		p.leases[domain] = l
 	}
 	grant, held, err := l.Step(ctx)
+	p.hold(domain, held)
 	if err != nil || !held {
 		return err
 	}
@@ -156,6 +158,26 @@
 	return err
 }
 
+func (p *Placer) hold(domain string, held bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held[domain] = held
+}
+
+// Held returns for how many failure domains this entry believes that it
+// decides.
+func (p *Placer) Held() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, held := range p.held {
+		if held {
+			n++
+		}
+	}
+	return n
+}
+
 func loaded(s watcher.Server) []generator.Model {
 	var models []generator.Model
 	for _, o := range s.GetOffers() {
--- a/prover/commands.go
+++ b/prover/commands.go
@@ -55,6 +55,7 @@
 		"busy":     {2, s.busy},
 		"crashes":  {1, s.crashes},
 		"held":     {2, s.held},
+		"counted":  {3, s.counted},
 		"counts":   {2, func(w []string) (string, error) { return s.Stage.Counts(w[0], w[1]) }},
 	}
 	if name == "until" && len(words) > 0 {
@@ -82,6 +83,7 @@
 	numbers := map[string]*int{
 		"entries": &h.Entries, "engines": &h.Engines, "services": &h.Services, "memory": &h.Memory, "warmup": &h.Warmup,
 		"work": &h.Work, "beat": &h.Beat, "poll": &h.Poll, "drain": &h.Drain, "grace": &h.Grace, "restart": &h.Restart,
+		"spares": &h.Spares,
 	}
 	for _, word := range words {
 		key, value, _ := strings.Cut(word, "=")
@@ -100,6 +102,8 @@
 			h.Cold = true
 		case key == "fencing":
 			h.Fencing = true
+		case key == "weights":
+			h.Weights = true
 		case key == "tls":
 			h.TLS = true
 		case key == "front":
@@ -382,6 +386,32 @@
 	return "", nil
 }
 
+// counted checks numbers that a process counts, as KEY=N, or KEY=N.. for at
+// least N.
+func (s *Script) counted(w []string) (string, error) {
+	text, err := s.Stage.Counts(w[0], w[1])
+	if err != nil {
+		return "", err
+	}
+	counts := map[string]any{}
+	if err := json.Unmarshal([]byte(text), &counts); err != nil {
+		return "", err
+	}
+	for _, word := range w[2:] {
+		key, value, _ := strings.Cut(word, "=")
+		value, open := strings.CutSuffix(value, "..")
+		want, err := stager.Number(value)
+		if err != nil {
+			return "", err
+		}
+		got, ok := counts[key].(float64)
+		if !ok || got < float64(want) || got > float64(want) && !open {
+			return "", fmt.Errorf("prover: %s counts %s, want %s", w[0], text, word)
+		}
+	}
+	return "", nil
+}
+
 func (s *Script) runs(w []string) (string, error) {
 	want, err := stager.Number(w[1])
 	if err != nil {
--- a/prover/doc.go
+++ b/prover/doc.go
@@ -12,9 +12,9 @@
 //
 //	stack KEY=VALUE ...      start a stack; keys: entries engines services memory
 //	                         prefill decode cold warmup work beat poll drain restart fencing
-//	                         grace tls front alone
+//	                         grace tls front alone weights spares
 //	signal NAME SIGNAL       send KILL, TERM, STOP or CONT to a process
-//	start NAME               start a process again
+//	start NAME               start a process again, or spareN, a second sidecar of engine N
 //	issue NAME               write a new certificate for a process
 //	grep-log NAME TEXT       check that a process's log holds a text
 //	exited NAME STATUS       wait for a process to end with an exit status
@@ -33,6 +33,8 @@
 //	open ENTRY N             check that an entry sees N backend servers open
 //	busy ENTRY N             check that an entry sees N requests running or more
 //	counts STANDIN PATH      what a stand-in counted; the answer is stdout
+//	counted PROCESS PATH KEY=N ...
+//	                         check numbers that a stand-in or entry counts; N.. is at least N
 //	until CMD ...            repeat a command until it succeeds, 20 s at most
 //
 // A call with as=NAME runs beside the script; its outcome is checked at join.
--- a/prover/internal/stager/shape.go
+++ b/prover/internal/stager/shape.go
@@ -34,6 +34,8 @@
 	Drain    int     // milliseconds that a sidecar may take to leave
 	Restart  int     // milliseconds that a crashed engine is away
 	Fencing  bool    // engines refuse orders with an old number
+	Weights  bool    // engines load from the weight store
+	Spares   int     // first engines for which a second sidecar spareN may be started
 	Alone    bool    // a process starts knowing no other entry
 	TLS      bool    // between entries and sidecars
 	Front    bool    // TLS towards callers too
@@ -74,6 +76,7 @@
 	enginePort  = 5300
 	servicePort = 5400
 	sidecarPort = 5500
+	sparePort   = 5600
 )
 
 func (s *Stage) at(port, n int) string { return fmt.Sprintf("%s:%d", s.config.Address, port+n) }
@@ -87,8 +90,8 @@
 // Inner returns the address for processes of entry n.
 func (s *Stage) Inner(n int) string { return s.at(innerPort, n) }
 
-// Fault returns the address of a stand-in by its name: table, objects, list,
-// weights, engineN or serviceN.
+// Fault returns the address of a process by its name: table, objects, list,
+// weights, engineN or serviceN, and entryN, which has counts alone.
 func (s *Stage) Fault(name string) (string, error) {
 	var n int
 	switch name {
@@ -107,6 +110,9 @@
 	if _, err := fmt.Sscanf(name, "service%d", &n); err == nil {
 		return s.at(servicePort, n), nil
 	}
+	if _, err := fmt.Sscanf(name, "entry%d", &n); err == nil {
+		return s.Inner(n), nil
+	}
 	return "", fmt.Errorf("stager: no stand-in %q", name)
 }
 
@@ -121,10 +127,13 @@
 	files := map[string]string{"platform": s.platformFile(h)}
 	for n := range h.Engines {
 		files[fmt.Sprintf("engine%d", n)] = fmt.Sprintf(
-			"[[engine]]\naddress = %q\nmemory = %d\nprefill = %g\ndecode = %g\nwarm = %t\nwarmup = %d\nrestart = %d\nfencing = %t\nmodels = [\"base\", \"survey\"]\n",
-			s.at(enginePort, n), h.Memory, h.Prefill, h.Decode, !h.Cold, h.Warmup, h.Restart, h.Fencing)
+			"[[engine]]\naddress = %q\nmemory = %d\nprefill = %g\ndecode = %g\nwarm = %t\nwarmup = %d\nrestart = %d\nfencing = %t\nstore = %q\nmodels = [\"base\", \"survey\"]\n",
+			s.at(enginePort, n), h.Memory, h.Prefill, h.Decode, !h.Cold, h.Warmup, h.Restart, h.Fencing, s.store(h))
 		files[fmt.Sprintf("sidecar%d", n)] = s.sidecar(h, n, fmt.Sprintf("engine%d", n), "model", "", s.at(enginePort, n))
 	}
+	for n := range h.Spares {
+		files[fmt.Sprintf("%s%d", spare, n)] = s.spare(h, n)
+	}
 	for n := range h.Services {
 		i := h.Engines + n
 		files[fmt.Sprintf("service%d", n)] = fmt.Sprintf("[[service]]\naddress = %q\nwork = %d\n", s.at(servicePort, n), h.Work)
@@ -150,6 +159,25 @@
 	return b.String()
 }
 
+// spare is the name of a second sidecar beside an engine, with the number of
+// the engine.
+const spare = "spare"
+
+// spare returns the settings of the sidecar of engine n on another VM.
+func (s *Stage) spare(h Shape, n int) string {
+	text := s.sidecar(h, n, fmt.Sprintf("engine%d", n), "model", "", s.at(enginePort, n))
+	text = strings.Replace(text, s.at(sidecarPort, n), s.at(sparePort, n), 1)
+	return strings.Replace(text, fmt.Sprintf("vm = \"vm%d\"", n), fmt.Sprintf("vm = \"%s%d\"", spare, n), 1)
+}
+
+// store returns the address of the weight store that engines load from.
+func (s *Stage) store(h Shape) string {
+	if !h.Weights {
+		return ""
+	}
+	return s.at(weightsPort, 0)
+}
+
 func (s *Stage) sidecar(h Shape, n int, server, kind, service, backend string) string {
 	return fmt.Sprintf("address = %q\nserver = %q\nvm = \"vm%d\"\ndomain = %q\nkind = %q\nservice = %q\nbackend = %q\nbeat = %d\ndrain = %d\nentries = [%q]\n%s%s",
 		s.at(sidecarPort, n), server, n, domain(n), kind, service, backend, h.Beat, h.Drain, s.at(innerPort, 0), s.platform(), s.tlsTable(h, fmt.Sprintf("sidecar%d", n)))
--- a/prover/internal/stager/stager.go
+++ b/prover/internal/stager/stager.go
@@ -71,6 +71,9 @@
 		}
 	}
 	for _, name := range slices.SortedFunc(maps.Keys(files), func(a, b string) int { return rank(a) - rank(b) }) {
+		if strings.HasPrefix(name, spare) {
+			continue // for the script to start
+		}
 		if err := s.Start(name); err != nil {
 			return err
 		}
@@ -143,7 +146,11 @@
 // Start starts a process, also again after it has ended.
 func (s *Stage) Start(name string) error {
 	program := strings.TrimRight(name, "0123456789")
-	if program != "entry" && program != "sidecar" {
+	switch program {
+	case "entry", "sidecar":
+	case spare:
+		program = "sidecar"
+	default:
 		program = "standin"
 	}
 	log, err := os.OpenFile(s.file(name, ".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/prover/prover_test.go
+++ b/prover/prover_test.go
@@ -52,7 +52,7 @@
 func TestScenarios(t *testing.T) {
 	commands := map[string]func(*testscript.TestScript, bool, []string){}
 	for _, name := range []string{
-		"stack", "signal", "start", "exited", "fault", "put", "admin", "ask", "book", "join", "runs", "counts", "until", "issue", "grep-log", "crashes", "open", "busy", "held",
+		"stack", "signal", "start", "exited", "fault", "put", "admin", "ask", "book", "join", "runs", "counts", "counted", "until", "issue", "grep-log", "crashes", "open", "busy", "held",
 	} {
 		commands[name] = func(ts *testscript.TestScript, negated bool, words []string) {
 			out, err := ts.Value(scriptKey{}).(*Script).Run(name, words)
@@ -76,6 +76,7 @@
 			env.Setenv("ENTRY0", s.Stage.Entry(0))
 			env.Setenv("ENTRY1", s.Stage.Entry(1))
 			env.Setenv("INNER0", s.Stage.Inner(0))
+			env.Setenv("INNER1", s.Stage.Inner(1))
 			env.Setenv("OPERATOR_KEY", stager.OperatorKey)
 			env.Setenv("PATH", programs+string(os.PathListSeparator)+os.Getenv("PATH"))
 			env.Defer(s.Stage.Close)
--- a/standin/answerer/config.go
+++ b/standin/answerer/config.go
@@ -25,6 +25,7 @@
 	Truncate = "truncate"
 	Swap     = "swap"
 	Creep    = "creep"
+	Late     = "late" // the next order waits until this is off again
 )
 
 // Defaults of Config.
--- a/standin/answerer/engine.go
+++ b/standin/answerer/engine.go
@@ -59,6 +59,8 @@
 	crashes int
 	worst   float64 // most jobs offered against what it bore
 	orders  int
+	refused int // orders
+	delayed int // orders held back
 	stop    chan struct{}
 	stopped chan struct{}
 }
--- a/standin/answerer/handler.go
+++ b/standin/answerer/handler.go
@@ -1,6 +1,7 @@
 package answerer
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -19,6 +20,8 @@
 	Crashes int     `json:"crashes"`
 	Worst   float64 `json:"worst"` // most jobs offered against what it bore
 	Orders  int     `json:"orders"`
+	Refused int     `json:"refused"` // orders with an old number
+	Waiting int     `json:"waiting"` // orders on their way, see Late
 	Started int64   `json:"started"` // jobs that reached it, in all
 	Jobs    int     `json:"jobs"`
 	Used    int64   `json:"used"` // tokens of memory held
@@ -74,7 +77,7 @@
 func (e *Engine) serveCounts(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	json.NewEncoder(w).Encode(Counts{Crashes: e.crashes, Worst: e.worst, Orders: e.orders, Started: e.arrived, Jobs: len(e.jobs), Used: e.used()})
+	json.NewEncoder(w).Encode(Counts{Crashes: e.crashes, Worst: e.worst, Orders: e.orders, Refused: e.refused, Waiting: e.delayed, Started: e.arrived, Jobs: len(e.jobs), Used: e.used()})
 }
 
 func (e *Engine) serveJobs(w http.ResponseWriter, _ *http.Request) {
@@ -204,20 +207,63 @@
 		http.Error(w, "bad order", http.StatusBadRequest)
 		return
 	}
-	if err := e.load(q, order.Models); err != nil {
+	e.delay()
+	if err := e.obey(q, order); err != nil {
 		fail(w, err)
+	}
+}
+
+// delay holds one order back while the fault late is on, whatever becomes of
+// its sender.
+func (e *Engine) delay() {
+	e.mu.Lock()
+	caught := e.Faults.Get(Late) != 0 && e.delayed == 0
+	if caught {
+		e.delayed++
+	}
+	e.mu.Unlock()
+	if !caught {
 		return
 	}
+	for e.Faults.Get(Late) != 0 {
+		time.Sleep(e.config.Step)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.config.Fencing && order.Fence < e.fence {
-		fail(w, errFence)
-		return
+	e.delayed--
+}
+
+// obey does what an order says. The number is looked at before the weights are
+// fetched and again after: another order may have come meanwhile.
+func (e *Engine) obey(q *http.Request, order generator.Order) error {
+	if err := e.admit(order.Fence); err != nil {
+		return err
+	}
+	if err := e.load(q, order.Models); err != nil {
+		return err
+	}
+	if err := e.admit(order.Fence); err != nil {
+		return err
 	}
-	e.fence = max(e.fence, order.Fence)
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.models = order.Models
 	e.role = order.Role
 	e.orders++
+	return nil
+}
+
+// admit refuses an old number, if the engine checks numbers, and notes a new
+// one.
+func (e *Engine) admit(fence uint64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.config.Fencing && fence < e.fence {
+		e.refused++
+		return errFence
+	}
+	e.fence = max(e.fence, fence)
+	return nil
 }
 
 // load fetches the weights that the engine has not loaded yet.
@@ -229,7 +275,7 @@
 		if e.loaded(m) {
 			continue
 		}
-		fetch, err := http.NewRequestWithContext(q.Context(), http.MethodGet, "http://"+e.config.Weights+"/weights/"+m.Name, nil)
+		fetch, err := http.NewRequestWithContext(context.WithoutCancel(q.Context()), http.MethodGet, "http://"+e.config.Weights+"/weights/"+m.Name, nil)
 		if err != nil {
 			return err
 		}
@@ -237,6 +283,7 @@
 		if err != nil {
 			return &generator.StatusError{Code: http.StatusBadGateway, Text: "weight store away"}
 		}
+		io.Copy(io.Discard, r.Body)
 		r.Body.Close()
 		if r.StatusCode != http.StatusOK {
 			return &generator.StatusError{Code: http.StatusTooManyRequests, Text: "weight store over its rate"}
--- a/standin/loader/loader.go
+++ b/standin/loader/loader.go
@@ -6,14 +6,16 @@
 //	l := loader.New(loader.Config{Rate: 2, Burst: 2})
 //	http.ListenAndServe(address, l.Faults.Wrap(l.Handler()))
 //
-// "GET /weights/NAME" answers 429 above the rate and counts what it served and
-// what it turned away at /counts.
+// "GET /weights/NAME" answers 429 above the rate and counts what it served,
+// what it turned away and how many loads there were at once at /counts. The
+// fault load is how long one load takes, in milliseconds.
 package loader
 
 import (
 	"encoding/json"
 	"net/http"
-	"sync/atomic"
+	"sync"
+	"time"
 
 	"bamboohill/standin/faulter"
 
@@ -26,10 +28,15 @@
 	Burst int     // loads at once
 }
 
+// Load is the fault that makes loads take time.
+const Load = "load"
+
 // Counts is how many loads were served and turned away.
 type Counts struct {
-	Served int64 `json:"served"`
-	Turned int64 `json:"turned"`
+	Served  int64 `json:"served"` // begun
+	Turned  int64 `json:"turned"`
+	Loading int64 `json:"loading"` // now
+	Most    int64 `json:"most"`    // at once
 }
 
 // Weights is the store.
@@ -37,8 +44,8 @@
 	Faults *faulter.Faults
 
 	limiter *rate.Limiter
-	served  atomic.Int64
-	turned  atomic.Int64
+	mu      sync.Mutex
+	counts  Counts
 }
 
 // New returns a store.
@@ -58,15 +65,36 @@
 }
 
 func (s *Weights) get(w http.ResponseWriter, q *http.Request) {
-	if !s.limiter.Allow() {
-		s.turned.Add(1)
+	if !s.begin() {
 		http.Error(w, "over the rate", http.StatusTooManyRequests)
 		return
 	}
-	s.served.Add(1)
+	defer s.end()
+	time.Sleep(time.Duration(s.Faults.Get(Load)) * time.Millisecond)
 	w.Write([]byte(q.PathValue("name")))
 }
 
+func (s *Weights) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.limiter.Allow() {
+		s.counts.Turned++
+		return false
+	}
+	s.counts.Served++
+	s.counts.Loading++
+	s.counts.Most = max(s.counts.Most, s.counts.Loading)
+	return true
+}
+
+func (s *Weights) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Loading--
+}
+
 func (s *Weights) count(w http.ResponseWriter, _ *http.Request) {
-	json.NewEncoder(w).Encode(Counts{Served: s.served.Load(), Turned: s.turned.Load()})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	json.NewEncoder(w).Encode(s.counts)
 }
--- a/standin/main.go
+++ b/standin/main.go
@@ -76,7 +76,7 @@
 
 func engine(ctx context.Context, e settings.Engine, weights string) http.Handler {
 	if !e.Weights {
-		weights = ""
+		weights = e.Store
 	}
 	engine := answerer.New(answerer.Config{
 		Memory: e.Memory, Prefill: e.Prefill, Decode: e.Decode, Warm: e.Warm, ColdBear: e.Bear, Warmup: e.Warmup,
--- a/standin/settings/settings.go
+++ b/standin/settings/settings.go
@@ -64,7 +64,8 @@
 	Fencing bool     `toml:"fencing"`
 	Models  []string `toml:"models"`  // NAME or NAME@VERSION
 	Restart int      `toml:"restart"` // milliseconds
-	Weights bool     `toml:"weights"` // loads go through the weight store
+	Weights bool     `toml:"weights"` // loads go through this process's weight store
+	Store   string   `toml:"store"`   // address of a weight store in another process
 }
 
 // Service is a plain service.
@@ -84,6 +85,7 @@
 	}
 	for i, e := range s.Engines {
 		bad.Require(checker.IsAddress(e.Address), fmt.Sprintf("engine[%d].address", i), "must be IP:PORT")
+		bad.Require(e.Store == "" || checker.IsAddress(e.Store), fmt.Sprintf("engine[%d].store", i), "must be IP:PORT")
 	}
 	for i, v := range s.Services {
 		bad.Require(checker.IsAddress(v.Address), fmt.Sprintf("service[%d].address", i), "must be IP:PORT")
--- a/standin/transactor/transactor.go
+++ b/standin/transactor/transactor.go
@@ -6,6 +6,10 @@
 //	t := transactor.New()
 //	http.ListenAndServe(address, t.Faults.Wrap(t.Handler()))
 //
+// The fault late holds each commit of an order to an engine back until it is
+// off again; it then takes effect if its checks still hold, whatever became of
+// its sender.
+//
 // It serves the format that bamboohill/core/storer reads, counts its reads and
 // writes at /table/counts and keeps its rows in memory.
 package transactor
@@ -17,6 +21,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"bamboohill/core/storer"
 	"bamboohill/standin/faulter"
@@ -26,8 +31,18 @@
 type Counts struct {
 	Reads  int64 `json:"reads"`
 	Writes int64 `json:"writes"`
+	Late   int64 `json:"late"` // commits held back now
 }
 
+// Late is the fault that holds orders back.
+const Late = "late"
+
+// latePrefix is of the rows that Late is about.
+const latePrefix = "order/want/"
+
+// latePoll is how often a commit that is held back looks whether it may go on.
+const latePoll = 5 * time.Millisecond
+
 // Table is the service.
 type Table struct {
 	Faults *faulter.Faults
@@ -93,12 +108,31 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	t.delay(txn)
 	if conflict := t.Commit(txn); conflict != nil {
 		w.WriteHeader(http.StatusConflict)
 		json.NewEncoder(w).Encode(conflict)
 	}
 }
 
+// delay holds a commit back while the fault late is on.
+func (t *Table) delay(txn storer.Txn) {
+	if t.Faults.Get(Late) == 0 || !slices.ContainsFunc(txn.Puts, func(p storer.Put) bool { return strings.HasPrefix(p.Key, latePrefix) }) {
+		return
+	}
+	t.hold(1)
+	defer t.hold(-1)
+	for t.Faults.Get(Late) != 0 {
+		time.Sleep(latePoll)
+	}
+}
+
+func (t *Table) hold(n int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Late += n
+}
+
 // Commit applies a transaction, or returns a *storer.ConflictError.
 func (t *Table) Commit(txn storer.Txn) error {
 	t.mu.Lock()
