--- a/core/orderer/main_test.go
+++ b/core/orderer/main_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"os"
 	"testing"
-
-	"pgregory.net/rapid"
 )
 
 // TestMain fixes the seed of the property tests.
