Plans may ask for roles; no role by demand

Cause: the wanted row carried a role that nothing decided.

Change: an offer of a plan may name the part of its model's servers that should have a role; orderer.planRoles gives and takes back one role at a time, a whole server apart, so a steady fleet settles; the router keeps short prompts behind on servers with the role long and long ones on servers with brief.

Ruled out: roles by measured demand.

Before: wishes could not be told.

--- a/core/orderer/doc.go
+++ b/core/orderer/doc.go
@@ -1,5 +1,5 @@
-// Package orderer decides which models each model engine should have loaded,
-// and writes that down so that nobody who lost the right to decide can change
+// Package orderer decides which models each model engine should have loaded
+// and which role it should have, and writes that down so that nobody who lost the right to decide can change
 // it.
 //
 // The right to decide for a failure domain is a lease row of the table
--- a/core/orderer/orderer_test.go
+++ b/core/orderer/orderer_test.go
@@ -102,22 +102,22 @@
 	tuned := model("base")
 	tuned.Adapters = []string{"wind"}
 	all := func(models ...generator.Model) []Server {
-		return []Server{{"e1", models}, {"e2", models}, {"e3", models}}
+		return []Server{{ID: "e1", Models: models}, {ID: "e2", Models: models}, {ID: "e3", Models: models}}
 	}
 	for name, c := range map[string]struct {
 		servers []Server
 		needs   []Need
 		want    string
 	}{
-		"near enough":            {all(base, survey), []Need{{base, 0.6}, {survey, 0.4}}, "<nil>"},
-		"no copy, free slot":     {all(base), []Need{{base, 1}, {crew, 0}}, "&{e1 [base crew]}"},
-		"no copy, spare model":   {all(base, survey), []Need{{base, 0.9}, {survey, 0.1}, {crew, 0}}, "&{e1 [base crew]}"},
-		"no copy, no spare":      {all(base, survey), []Need{{base, 0.9}, {survey, 0.9}, {crew, 0}}, "<nil>"},
-		"unallowed gives way":    {all(base, survey), []Need{{base, 1}, {crew, 0}}, "&{e1 [base crew]}"},
-		"unallowed may stay":     {all(base, survey), []Need{{base, 1}}, "<nil>"},
-		"adapter that is named":  {all(base), []Need{{tuned, 1}}, "&{e1 [base+wind]}"},
-		"short within the band":  {[]Server{{"e1", []generator.Model{base}}, {"e2", []generator.Model{survey}}}, []Need{{base, 0.7}, {survey, 0.3}}, "<nil>"},
-		"short beyond the band":  {[]Server{{"e1", []generator.Model{base}}, {"e2", []generator.Model{survey}}}, []Need{{base, 0.8}, {survey, 0.2}}, "&{e2 [survey base]}"},
+		"near enough":            {all(base, survey), []Need{{Model: base, Share: 0.6}, {Model: survey, Share: 0.4}}, "<nil>"},
+		"no copy, free slot":     {all(base), []Need{{Model: base, Share: 1}, {Model: crew, Share: 0}}, "&{e1 [base crew]}"},
+		"no copy, spare model":   {all(base, survey), []Need{{Model: base, Share: 0.9}, {Model: survey, Share: 0.1}, {Model: crew, Share: 0}}, "&{e1 [base crew]}"},
+		"no copy, no spare":      {all(base, survey), []Need{{Model: base, Share: 0.9}, {Model: survey, Share: 0.9}, {Model: crew, Share: 0}}, "<nil>"},
+		"unallowed gives way":    {all(base, survey), []Need{{Model: base, Share: 1}, {Model: crew, Share: 0}}, "&{e1 [base crew]}"},
+		"unallowed may stay":     {all(base, survey), []Need{{Model: base, Share: 1}}, "<nil>"},
+		"adapter that is named":  {all(base), []Need{{Model: tuned, Share: 1}}, "&{e1 [base+wind]}"},
+		"short within the band":  {[]Server{{ID: "e1", Models: []generator.Model{base}}, {ID: "e2", Models: []generator.Model{survey}}}, []Need{{Model: base, Share: 0.7}, {Model: survey, Share: 0.3}}, "<nil>"},
+		"short beyond the band":  {[]Server{{ID: "e1", Models: []generator.Model{base}}, {ID: "e2", Models: []generator.Model{survey}}}, []Need{{Model: base, Share: 0.8}, {Model: survey, Share: 0.2}}, "&{e2 [survey base]}"},
 		"nothing allowed at all": {all(base), nil, "<nil>"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/orderer/plan.go
+++ b/core/orderer/plan.go
@@ -23,18 +23,21 @@
 type Server struct {
 	ID     string
 	Models []generator.Model // wanted, or loaded if nothing is wanted yet
+	Role   string            // wanted, empty if none was given
 }
 
 // Need is one model that some plan allows.
 type Need struct {
 	Model generator.Model // with the adapters that plans name
 	Share float64         // of all demand, from 0 to 1
+	Roles []RoleShare
 }
 
-// Change is a new wanted set of models for one backend server.
+// Change is a new wanted state of one backend server.
 type Change struct {
 	Server string
 	Models []generator.Model
+	Role   string
 }
 
 // Plan returns at most one change that brings the backend servers nearer to
@@ -43,7 +46,7 @@
 // A model is short if it has no copy, or fewer copies than its share of the
 // backend servers by more than the band. It gets a free slot, or the place of
 // a model that no plan allows, or of one that keeps more copies than its share
-// by the band after the loss. What makes a model short and what makes it give
+// by the band after the loss. Roles come when no model moves. What makes a model short and what makes it give
 // a place lie one whole copy and two bands apart, so a steady load settles.
 func Plan(servers []Server, needs []Need, p Policy) *Change {
 	if p.Slots <= 0 {
@@ -64,10 +67,12 @@
 			worst = &needs[i]
 		}
 	}
-	if worst == nil {
-		return nil
+	if worst != nil {
+		if c := f.place(worst.Model); c != nil {
+			return c
+		}
 	}
-	return f.place(worst.Model)
+	return f.planRoles()
 }
 
 // planAdapters adds adapters that plans name to a server that has their model.
@@ -80,7 +85,7 @@
 				}
 				models := slices.Clone(s.Models)
 				models[i].Adapters = union(m.Adapters, n.Model.Adapters)
-				return &Change{Server: s.ID, Models: models}
+				return &Change{Server: s.ID, Models: models, Role: s.Role}
 			}
 		}
 	}
@@ -135,7 +140,7 @@
 func (f fleet) place(m generator.Model) *Change {
 	for _, s := range f.servers {
 		if !holds(s, m) && len(s.Models) < f.policy.Slots {
-			return &Change{Server: s.ID, Models: append(slices.Clone(s.Models), m)}
+			return &Change{Server: s.ID, Models: append(slices.Clone(s.Models), m), Role: s.Role}
 		}
 	}
 	for _, s := range f.servers {
@@ -146,7 +151,7 @@
 			if f.spare(old) {
 				models := slices.Clone(s.Models)
 				models[i] = m
-				return &Change{Server: s.ID, Models: models}
+				return &Change{Server: s.ID, Models: models, Role: s.Role}
 			}
 		}
 	}
--- a/core/orderer/want.go
+++ b/core/orderer/want.go
@@ -22,7 +22,7 @@
 type Want struct {
 	Number uint64            `json:"number"` // of the lease under which it was written
 	Models []generator.Model `json:"models"`
-	Role   string            `json:"role,omitempty"`
+	Role   string            `json:"role,omitempty"` // empty leaves the engine's own
 }
 
 // Wanted is a wanted-state row; Version 0 means that nothing is wanted yet.
--- a/core/router/estimate.go
+++ b/core/router/estimate.go
@@ -34,6 +34,7 @@
 	penaltyFailed = 5
 	penaltyMemory = 30
 	penaltyBound  = 60
+	penaltyRole   = 60
 )
 
 // chunk is the prefill work that an engine does between two looks at its
@@ -144,6 +145,9 @@
 	if server.GetFree()-o.memory < s.job.Prompt+s.job.Answer {
 		p += penaltyMemory
 	}
+	if !suits(server, s.class) {
+		p += penaltyRole
+	}
 	if s.class != long {
 		return p
 	}
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -59,6 +59,7 @@
 	}
 	state := func(s wire.State) func(*wire.Report) { return func(r *wire.Report) { r.State = s } }
 	full := func(r *wire.Report) { r.Running = r.GetLimit() }
+	role := func(name string) func(*wire.Report) { return func(r *wire.Report) { r.Role = name } }
 	small := func(r *wire.Report) { r.Memory, r.Free = 1000, 1000 }
 	used := func(r *wire.Report) { r.Free = 1000 }
 	version := router.Job{Kind: wire.Kind_KIND_MODEL, Model: "base", Version: "2", Prompt: 1}
@@ -76,6 +77,10 @@
 		"too small":                  {job: job(10_000), a: server("a", small), b: server("b", queued(900_000, 900_000, 0)), want: "b"},
 		"no memory now":              {job: job(10_000), a: server("a", used), b: server("b", queued(900_000, 900_000, 0)), want: "b"},
 		"bound on long ones":         {job: job(400_000), a: server("a", queued(400_000, 0, 400_000)), b: server("b", queued(900_000, 900_000, 0)), want: "b"},
+		"role for long ones":         {job: job(1000), a: server("a", role(router.RoleLong)), b: server("b", queued(900_000, 900_000, 0)), want: "b"},
+		"role for short ones":        {job: job(400_000), a: server("a", role(router.RoleBrief)), b: server("b", queued(900_000, 900_000, 0)), want: "b"},
+		"one role is all there is":   {job: job(1000), a: server("a", role(router.RoleLong)), b: server("b", full, role(router.RoleLong)), want: "a"},
+		"another role":               {job: job(1000), a: server("a", role("decode")), b: server("b", queued(50_000, 50_000, 0)), want: "a"},
 		"other version":              {job: version, a: server("a"), b: server("b")},
 	}
 	for name, test := range tests {
--- a/entry/internal/administrator/check.go
+++ b/entry/internal/administrator/check.go
@@ -106,6 +106,7 @@
 		if o.GetModel() == "" {
 			bad = append(bad, errors.New("offers: model must name a model, or be *"))
 		}
+		bad = append(bad, checkRoles(o)...)
 	}
 	if slices.Contains(p.GetServices(), "") {
 		bad = append(bad, errors.New("services must not hold an empty name"))
@@ -116,6 +117,25 @@
 	return errors.Join(bad...)
 }
 
+// checkRoles returns what is wrong with an offer's roles.
+func checkRoles(o *wire.Offer) []error {
+	var bad []error
+	all := 0.0
+	for _, r := range o.GetRoles() {
+		if !nameForm.MatchString(r.GetRole()) {
+			bad = append(bad, fmt.Errorf("offers: role %q of %s is no name", r.GetRole(), o.GetModel()))
+		}
+		if !(r.GetShare() >= 0) {
+			bad = append(bad, fmt.Errorf("offers: share of role %s must be from 0 to 1, not %g", r.GetRole(), r.GetShare()))
+		}
+		all += r.GetShare()
+	}
+	if all > 1 {
+		bad = append(bad, fmt.Errorf("offers: shares of the roles of %s must be at most 1 together, not %g", o.GetModel(), all))
+	}
+	return bad
+}
+
 func checkPlace(f facts, kind, name string, heard []string, unknown bool) error {
 	if unknown || slices.Contains(heard, name) || f.state.Row(kind+"/"+name) != nil {
 		return nil
--- a/entry/internal/placer/placer.go
+++ b/entry/internal/placer/placer.go
@@ -139,11 +139,11 @@
 	}
 	var fleet []orderer.Server
 	for _, s := range servers {
-		models := loaded(s)
+		one := orderer.Server{ID: s.GetServer(), Models: loaded(s)}
 		if w, found := wants[orderer.WantKey(domain, s.GetServer())]; found {
-			models = w.Want.Models
+			one.Models, one.Role = w.Want.Models, w.Want.Role
 		}
-		fleet = append(fleet, orderer.Server{ID: s.GetServer(), Models: models})
+		fleet = append(fleet, one)
 	}
 	change := orderer.Plan(fleet, p.needs(fleet), orderer.Policy{})
 	if change == nil {
@@ -151,10 +151,10 @@
 	}
 	w := wants[orderer.WantKey(domain, change.Server)]
 	w.Key = orderer.WantKey(domain, change.Server)
-	w.Want.Models = change.Models
+	w.Want.Models, w.Want.Role = change.Models, change.Role
 	err = orderer.Write(ctx, p.config.Table, grant, []orderer.Wanted{w})
 	p.config.Log.Info().Str("event", "placed").Str("domain", domain).Str("server", change.Server).
-		Uint64("lease", grant.Number).Int("models", len(change.Models)).Err(err).Msg("")
+		Uint64("lease", grant.Number).Int("models", len(change.Models)).Str("role", change.Role).Err(err).Msg("")
 	return err
 }
 
@@ -190,7 +190,7 @@
 // model without a version stands for every version that is there.
 func (p *Placer) needs(fleet []orderer.Server) []orderer.Need {
 	var needs []orderer.Need
-	add := func(name, version string, adapters []string) {
+	add := func(name, version string, adapters []string, roles []*wire.RoleShare) {
 		i := slices.IndexFunc(needs, func(n orderer.Need) bool { return n.Model.Name == name && n.Model.Version == version })
 		if i < 0 {
 			i = len(needs)
@@ -200,12 +200,13 @@
 		m.Adapters = append(m.Adapters, adapters...)
 		slices.Sort(m.Adapters)
 		m.Adapters = slices.Compact(m.Adapters)
+		needs[i].Roles = wishes(needs[i].Roles, roles)
 	}
 	for _, row := range p.config.Keeper.State().Rows(keeper.KindPlan) {
 		for _, o := range row.GetRecord().GetPlan().GetOffers() {
 			adapters := slices.DeleteFunc(slices.Clone(o.GetAdapters()), func(a string) bool { return a == "*" })
 			for _, version := range versions(fleet, o) {
-				add(o.GetModel(), version, adapters)
+				add(o.GetModel(), version, adapters, o.GetRoles())
 			}
 		}
 	}
@@ -213,6 +214,20 @@
 	return needs
 }
 
+// wishes adds a plan's wishes for roles to those of other plans: the largest
+// share of each role counts.
+func wishes(all []orderer.RoleShare, more []*wire.RoleShare) []orderer.RoleShare {
+	for _, r := range more {
+		i := slices.IndexFunc(all, func(w orderer.RoleShare) bool { return w.Role == r.GetRole() })
+		if i < 0 {
+			i = len(all)
+			all = append(all, orderer.RoleShare{Role: r.GetRole()})
+		}
+		all[i].Share = max(all[i].Share, r.GetShare())
+	}
+	return all
+}
+
 // versions returns the versions that an offer of a plan stands for.
 func versions(fleet []orderer.Server, o *wire.Offer) []string {
 	if o.GetModel() == "*" || strings.TrimSpace(o.GetModel()) == "" {
