Placers go by the demand of all entries

Cause: a placer read the demand of its own entry, which may see none of what a model is asked for when callers are spread unevenly.

Change: averager keeps one number for each kind of demand; entries that greet each other move to the mean of both. The gossiper carries it (Config.Demand, a new field of Greeting) and knows nothing of it.

Ruled out: each entry's demand by name (340 numbers a model), a sum in the table service (a write by each entry and step).

Before: scenario orders-demand with demand not told fails with "entry0 counts demand_tokens=0, want 100000..", and three engines of six have the model that all demand is for.

--- a/entry/internal/gossiper/gossiper.go
+++ b/entry/internal/gossiper/gossiper.go
@@ -32,9 +32,17 @@
 	List(ctx context.Context) ([]storer.VM, error)
 }
 
+// Demand is what entries tell each other of the demand that they see; see
+// package averager.
+type Demand interface {
+	Offer() *wire.Demand
+	Exchange(theirs *wire.Demand) *wire.Demand
+	Settle(sent, reply *wire.Demand)
+}
+
 // Config describes a Gossiper. The zero Every greets each second, the zero
 // Limit gives a call one second, the zero Copies suits the number of
-// entries. List, Log, Accuse and Borrow may be nil; nil Entries and Sidecars
+// entries. List, Log, Accuse, Borrow and Demand may be nil; nil Entries and Sidecars
 // connect without TLS.
 type Config struct {
 	Address string // this entry's inner address
@@ -55,6 +63,7 @@
 	Accuse func(*wire.Accusation)
 	// Borrow lends a share of an account's limits to another entry.
 	Borrow func(context.Context, *wire.BorrowRequest) (*wire.BorrowReply, error)
+	Demand Demand
 }
 
 // Gossiper joins one entry to the others.
@@ -249,6 +258,9 @@
 	mine := g.greeting()
 	mine.Ask = ask
 	mine.Wants = g.wants()
+	if g.config.Demand != nil {
+		mine.Demand = g.config.Demand.Offer()
+	}
 	reply, err := g.peer(address).Greet(ctx, mine)
 	now := time.Now()
 	if err != nil {
@@ -258,6 +270,9 @@
 		return nil
 	}
 	g.take(reply, now)
+	if g.config.Demand != nil {
+		g.config.Demand.Settle(mine.GetDemand(), reply.GetDemand())
+	}
 	for _, r := range reply.GetReports() {
 		g.config.Watcher.Hear(r)
 	}
--- a/entry/internal/gossiper/serve.go
+++ b/entry/internal/gossiper/serve.go
@@ -57,6 +57,9 @@
 	s.g.take(w, time.Now())
 	reply := s.g.greeting()
 	reply.Reports = s.g.offering(w.GetWants())
+	if s.g.config.Demand != nil {
+		reply.Demand = s.g.config.Demand.Exchange(w.GetDemand())
+	}
 	if w.GetAsk() {
 		reply.Standings = s.g.standings()
 	}
--- a/entry/internal/placer/placer.go
+++ b/entry/internal/placer/placer.go
@@ -1,6 +1,6 @@
 // Package placer decides, while this entry holds the lease of a failure
 // domain, which models the engines there should have loaded: within what the
-// plans allow, by the demand that this entry sees.
+// plans allow, by the demand that the entries see.
 //
 // # Usage
 //
@@ -8,9 +8,8 @@
 //	go p.Run(ctx)
 //	p.Note(model, version, tokens) // for each request
 //
-// Every entry runs one; the lease rows decide which of them acts where. The
-// platform's balancer spreads callers evenly, so the shares of the models that
-// one entry sees stand for those of all.
+// Every entry runs one; the lease rows decide which of them acts where. Demand
+// is the mean over all entries, as far as greetings have brought it here.
 package placer
 
 import (
@@ -26,6 +25,7 @@
 	"bamboohill/core/orderer"
 	"bamboohill/core/storer"
 	"bamboohill/core/watcher"
+	"bamboohill/entry/internal/averager"
 	"bamboohill/wire"
 
 	"github.com/phuslu/log"
@@ -35,7 +35,7 @@
 const (
 	termSteps = 3               // steps until a lease lapses
 	halfLife  = 5 * time.Minute // of demand
-	minimum   = 100_000         // tokens of demand below which shares mean nothing
+	minimum   = 100_000         // tokens of demand an entry below which shares mean nothing
 )
 
 // Config describes a Placer. Name must be of one process and start.
@@ -46,44 +46,40 @@
 	Log     *log.Logger
 	Name    string
 	Every   time.Duration // between two steps
+	Demand  *averager.Averager
 }
 
-// kind is what demand is counted by; an empty version takes any.
-type kind struct{ name, version string }
-
 // Placer writes wanted states.
 type Placer struct {
 	config Config
 	leases map[string]*orderer.Lessee // by failure domain; Run's goroutine alone
 
-	mu     sync.Mutex
-	demand map[kind]float64 // tokens, fading
-	held   map[string]bool  // failure domains whose lease this entry believes it holds
+	mu   sync.Mutex
+	held map[string]bool // failure domains whose lease this entry believes it holds
 }
 
 // New returns a placer that does nothing yet.
 func New(config Config) *Placer {
-	return &Placer{config: config, leases: map[string]*orderer.Lessee{}, demand: map[kind]float64{}, held: map[string]bool{}}
+	return &Placer{config: config, leases: map[string]*orderer.Lessee{}, held: map[string]bool{}}
 }
 
 // Note counts one request for a model.
 func (p *Placer) Note(model, version string, tokens int64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.demand[kind{model, version}] += float64(tokens)
+	p.config.Demand.Note(averager.KindOf(model, version), tokens)
 }
 
 // Run steps until the context ends.
 func (p *Placer) Run(ctx context.Context) {
 	t := time.NewTicker(p.config.Every)
 	defer t.Stop()
+	fading := math.Exp2(-float64(p.config.Every) / float64(halfLife))
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		p.fade()
+		p.config.Demand.Fade(fading)
 		if !p.config.Keeper.Ready() {
 			continue
 		}
@@ -95,18 +91,6 @@
 	}
 }
 
-func (p *Placer) fade() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	factor := math.Exp2(-float64(p.config.Every) / float64(halfLife))
-	for k, tokens := range p.demand {
-		p.demand[k] = tokens * factor
-		if tokens < 1 {
-			delete(p.demand, k)
-		}
-	}
-}
-
 // domains returns the model engines in view by failure domain.
 func (p *Placer) domains() map[string][]watcher.Server {
 	all := map[string][]watcher.Server{}
@@ -249,12 +233,7 @@
 
 // share fills in the shares of demand.
 func (p *Placer) share(needs []orderer.Need) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	total := 0.0
-	for _, tokens := range p.demand {
-		total += tokens
-	}
+	total := p.config.Demand.Total()
 	if total < minimum {
 		return
 	}
@@ -263,7 +242,8 @@
 		count[n.Model.Name]++
 	}
 	for i, n := range needs {
-		own := p.demand[kind{n.Model.Name, n.Model.Version}] + p.demand[kind{n.Model.Name, ""}]/count[n.Model.Name]
-		needs[i].Share = own / total
+		own := p.config.Demand.Mean(averager.KindOf(n.Model.Name, n.Model.Version))
+		open := p.config.Demand.Mean(averager.KindOf(n.Model.Name, ""))
+		needs[i].Share = (own + open/count[n.Model.Name]) / total
 	}
 }
--- a/entry/internal/placer/placer_test.go
+++ b/entry/internal/placer/placer_test.go
@@ -10,6 +10,7 @@
 	"bamboohill/core/keeper"
 	"bamboohill/core/orderer"
 	"bamboohill/core/storer"
+	"bamboohill/entry/internal/averager"
 	"bamboohill/wire"
 
 	"github.com/matryer/is"
@@ -47,7 +48,7 @@
 				k := keeper.New(keeper.Config{Table: empty{}})
 				defer k.Stop()
 				is.NoErr(k.Offer(t.Context(), &wire.Batch{Snapshot: &wire.Snapshot{Sequence: 1, Rows: []*wire.Row{plan("p", c.offers...)}}}))
-				p := New(Config{Keeper: k, Every: time.Second})
+				p := New(Config{Keeper: k, Every: time.Second, Demand: averager.New(averager.Config{})})
 				p.Note("base", "", minimum)
 				p.Note("crew", "3", minimum)
 				got := map[string]float64{}
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -30,6 +30,7 @@
 	"bamboohill/core/tracer"
 	"bamboohill/core/watcher"
 	"bamboohill/entry/internal/administrator"
+	"bamboohill/entry/internal/averager"
 	"bamboohill/entry/internal/borrower"
 	"bamboohill/entry/internal/dispatcher"
 	"bamboohill/entry/internal/ganger"
@@ -77,6 +78,7 @@
 	suspects *accuser.Accuser
 	gossiper *gossiper.Gossiper
 	placer   *placer.Placer
+	demand   *averager.Averager
 	borrower *borrower.Borrower
 	hints    *hinter.Hinter
 	stopping atomic.Bool
@@ -102,6 +104,7 @@
 	s.watcher = watcher.New(watcher.Config{})
 	s.suspects = accuser.New(accuser.Config{})
 	s.hints = hinter.New(hinter.Config{})
+	s.demand = averager.New(averager.Config{})
 	s.join()
 	s.placer = s.newPlacer()
 	if s.tracer, err = tracer.New(tracer.Config{Program: "entry", Exporter: set.Trace.Exporter, Endpoint: set.Trace.Endpoint}); err != nil {
@@ -170,7 +173,7 @@
 		Borrow: func(ctx context.Context, q *wire.BorrowRequest) (*wire.BorrowReply, error) {
 			return s.borrower.Lend(ctx, q)
 		},
-		Entries: entries, Sidecars: certifier.NewPeer(s.certs, certifier.Sidecar),
+		Demand: s.demand, Entries: entries, Sidecars: certifier.NewPeer(s.certs, certifier.Sidecar),
 	}
 	if set.Platform.List != "" {
 		members.List = storer.NewVMs(storer.Config{Address: set.Platform.List})
--- a/prover/commands.go
+++ b/prover/commands.go
@@ -406,7 +406,7 @@
 		}
 		got, ok := counts[key].(float64)
 		if !ok || got < float64(want) || got > float64(want) && !open {
-			return "", fmt.Errorf("prover: %s counts %s, want %s", w[0], text, word)
+			return "", fmt.Errorf("prover: %s counts %s=%v, want %s", w[0], key, counts[key], word)
 		}
 	}
 	return "", nil
