Sidecars read their wanted state when it changes

Change: a write of a wanted row puts the lease row in the same transaction, with a revision that goes on rising from holder to holder and the last 32 servers written. Entries answer heartbeats with a server's revision (BeatReply.wanted); the converger reads its row when that rises, before each order, and once in 150 to 450 s; it looks at the engine as before. Only four entries of each failure domain, by rank among those that live, look at its lease.

Ruled out: the row's own version on the answer, which every entry that hears a server would have to read; a call from the holder to the sidecar.

TestReads (fake clock): 8 to 24 reads in an hour of 360 steps; the old Step read in each.

TestPausedPredecessor and TestOneLoadAStep pass the told revision to Step, and check what they checked.

--- a/core/orderer/lease.go
+++ b/core/orderer/lease.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"bamboohill/core/storer"
@@ -18,12 +19,40 @@
 	Key     string
 	Number  uint64 // rises with each change of holder
 	Version uint64 // of the lease row
+
+	lease lease // as the row holds it
 }
 
 // lease is the value of a lease row.
 type lease struct {
 	Holder string `json:"holder"`
 	Number uint64 `json:"number"`
+	// Revision rises with each write of a wanted state of the failure domain,
+	// whoever holds the lease; Recent names the servers of the last ones.
+	Revision uint64  `json:"revision"`
+	Recent   []write `json:"recent,omitempty"`
+}
+
+// write is one write of a wanted state.
+type write struct {
+	Key      string `json:"key"` // of the wanted row
+	Revision uint64 `json:"revision"`
+}
+
+// recentWrites is how many servers a lease row names.
+const recentWrites = 32
+
+// after returns the lease as it stands after a write of some wanted rows.
+func (l lease) after(wants []Wanted) lease {
+	l.Revision++
+	l.Recent = slices.DeleteFunc(slices.Clone(l.Recent), func(w write) bool {
+		return slices.ContainsFunc(wants, func(x Wanted) bool { return x.Key == w.Key })
+	})
+	for _, x := range wants {
+		l.Recent = append(l.Recent, write{Key: x.Key, Revision: l.Revision})
+	}
+	l.Recent = l.Recent[max(0, len(l.Recent)-recentWrites):]
+	return l
 }
 
 // LostError says that a lease is another's by now; nothing was written.
@@ -53,6 +82,7 @@
 	seen   uint64 // version of the row
 	since  time.Time
 	known  bool
+	last   lease // as read last
 }
 
 // NewLessee returns a lessee that holds nothing. It panics if Table is nil or
@@ -84,16 +114,27 @@
 			return Grant{}, false, err
 		}
 	}
+	l.last = now
 	next := now
 	if now.Holder != l.config.Name {
 		if row.Version > 0 && !l.lapsed(row.Version) {
 			return Grant{}, false, nil
 		}
-		next = lease{Holder: l.config.Name, Number: now.Number + 1}
+		next.Holder, next.Number = l.config.Name, now.Number+1
 	}
 	return l.take(ctx, row.Version, next)
 }
 
+// Revisions returns the revision of the last write of each wanted row that the
+// lease row names, by row key, as of the last step.
+func (l *Lessee) Revisions() map[string]uint64 {
+	all := make(map[string]uint64, len(l.last.Recent))
+	for _, w := range l.last.Recent {
+		all[w.Key] = w.Revision
+	}
+	return all
+}
+
 // lapsed reports whether the row has stood still for the term.
 func (l *Lessee) lapsed(version uint64) bool {
 	now := l.config.Now()
@@ -127,5 +168,6 @@
 	if err := json.Unmarshal(row.Value, &now); err != nil {
 		return Grant{}, false, err
 	}
-	return Grant{Key: l.config.Key, Number: now.Number, Version: row.Version}, now == next, nil
+	held := now.Holder == next.Holder && now.Number == next.Number
+	return Grant{Key: l.config.Key, Number: now.Number, Version: row.Version, lease: now}, held, nil
 }
--- a/core/orderer/orderer_test.go
+++ b/core/orderer/orderer_test.go
@@ -219,3 +219,44 @@
 		is.True(taken >= 19 && taken <= 22) // burst and 2 a second
 	})
 }
+
+// TestRevisions has two holders write in turn: an observer of the lease row
+// learns the newest revision of each wanted row, and the row is bounded.
+func TestRevisions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, table := t.Context(), newMemory()
+		lessee := func(name string) *Lessee {
+			return NewLessee(LesseeConfig{Table: table, Key: LeaseKey("ikeja"), Name: name, Term: 3 * time.Second})
+		}
+		write := func(l *Lessee, server string) error {
+			grant, held, err := l.Step(ctx)
+			is.NoErr(err)
+			is.True(held)
+			w, err := ReadWant(ctx, table, "ikeja", server)
+			is.NoErr(err)
+			is.NoErr(Write(ctx, table, grant, []Wanted{w}))
+			return Write(ctx, table, grant, []Wanted{{Key: WantKey("ikeja", "other")}})
+		}
+		a, b, seer := lessee("a"), lessee("b"), lessee("seer")
+		var lost *LostError
+		is.True(errors.As(write(a, "e1"), &lost)) // one write a grant
+		is.True(errors.As(write(a, "e2"), &lost))
+		_, held, err := b.Step(ctx)
+		is.NoErr(err)
+		is.True(!held)
+		time.Sleep(3 * time.Second)
+		is.True(errors.As(write(b, "e1"), &lost))
+		_, _, err = seer.Step(ctx)
+		is.NoErr(err)
+		is.Equal(seer.Revisions(), map[string]uint64{WantKey("ikeja", "e1"): 3, WantKey("ikeja", "e2"): 2})
+		w, err := ReadWant(ctx, table, "ikeja", "e1")
+		is.NoErr(err)
+		is.Equal(w.Want.Revision, uint64(3))
+		for i := range 2 * recentWrites {
+			write(b, fmt.Sprintf("m%d", i))
+		}
+		seer.Step(ctx)
+		is.Equal(len(seer.Revisions()), recentWrites)
+	})
+}
--- a/core/orderer/want.go
+++ b/core/orderer/want.go
@@ -20,9 +20,11 @@
 
 // Want is the wanted state of one backend server.
 type Want struct {
-	Number uint64            `json:"number"` // of the lease under which it was written
-	Models []generator.Model `json:"models"`
-	Role   string            `json:"role,omitempty"` // empty leaves the engine's own
+	Number uint64 `json:"number"` // of the lease under which it was written
+	// Revision rises with each write in the failure domain; see Lessee.Revisions.
+	Revision uint64            `json:"revision"`
+	Models   []generator.Model `json:"models"`
+	Role     string            `json:"role,omitempty"` // empty leaves the engine's own
 }
 
 // Wanted is a wanted-state row; Version 0 means that nothing is wanted yet.
@@ -69,13 +71,20 @@
 }
 
 // Write writes wanted states under a lease, in one transaction that checks the
-// lease row and the version of each wanted row. The error is a *LostError if
+// lease row and the version of each wanted row, and names the servers in the
+// lease row. A grant serves for one write. The error is a *LostError if
 // the lease has changed hands or was renewed since the grant, a
 // *storer.ConflictError if a wanted row has changed; then nothing was written.
 func Write(ctx context.Context, table storer.Table, grant Grant, wants []Wanted) error {
 	txn := storer.Txn{Checks: []storer.Check{{Key: grant.Key, Version: grant.Version}}}
+	next := grant.lease.after(wants)
+	value, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	txn.Puts = append(txn.Puts, storer.Put{Key: grant.Key, Value: value})
 	for _, w := range wants {
-		w.Want.Number = grant.Number
+		w.Want.Number, w.Want.Revision = grant.Number, next.Revision
 		value, err := json.Marshal(w.Want)
 		if err != nil {
 			return err
@@ -83,7 +92,7 @@
 		txn.Checks = append(txn.Checks, storer.Check{Key: w.Key, Version: w.Version})
 		txn.Puts = append(txn.Puts, storer.Put{Key: w.Key, Value: value})
 	}
-	err := table.Commit(ctx, txn)
+	err = table.Commit(ctx, txn)
 	var conflict *storer.ConflictError
 	if errors.As(err, &conflict) {
 		for _, row := range conflict.Rows {
--- a/entry/internal/placer/placer.go
+++ b/entry/internal/placer/placer.go
@@ -47,6 +47,9 @@
 	Name    string
 	Every   time.Duration // between two steps
 	Demand  *averager.Averager
+	// Among reports whether this entry is one of the few that may decide for a
+	// failure domain; nil says so of all.
+	Among func(domain string) bool
 }
 
 // Placer writes wanted states.
@@ -55,12 +58,13 @@
 	leases map[string]*orderer.Lessee // by failure domain; Run's goroutine alone
 
 	mu   sync.Mutex
-	held map[string]bool // failure domains whose lease this entry believes it holds
+	held map[string]bool              // failure domains whose lease this entry believes it holds
+	told map[string]map[string]uint64 // revisions of wanted rows by failure domain and key
 }
 
 // New returns a placer that does nothing yet.
 func New(config Config) *Placer {
-	return &Placer{config: config, leases: map[string]*orderer.Lessee{}, held: map[string]bool{}}
+	return &Placer{config: config, leases: map[string]*orderer.Lessee{}, held: map[string]bool{}, told: map[string]map[string]uint64{}}
 }
 
 // Note counts one request for a model.
@@ -84,6 +88,10 @@
 			continue
 		}
 		for domain, servers := range p.domains() {
+			if p.config.Among != nil && !p.config.Among(domain) {
+				p.leave(domain)
+				continue
+			}
 			if err := p.step(ctx, domain, servers); err != nil {
 				p.config.Log.Warn().Str("event", "place").Str("domain", domain).Err(err).Msg("")
 			}
@@ -113,7 +121,7 @@
 		p.leases[domain] = l
 	}
 	grant, held, err := l.Step(ctx)
-	p.hold(domain, held)
+	p.hold(domain, held, l.Revisions())
 	if err != nil || !held {
 		return err
 	}
@@ -142,10 +150,28 @@
 	return err
 }
 
-func (p *Placer) hold(domain string, held bool) {
+func (p *Placer) hold(domain string, held bool, revisions map[string]uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.held[domain] = held
+	p.told[domain] = revisions
+}
+
+// leave forgets what this entry knew of a failure domain that it does not
+// decide for any more.
+func (p *Placer) leave(domain string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.held, domain)
+	delete(p.told, domain)
+}
+
+// Revision returns the revision of the wanted state of a backend server as this
+// entry last saw it, 0 if it does not know.
+func (p *Placer) Revision(domain, server string) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.told[domain][orderer.WantKey(domain, server)]
 }
 
 // Held returns for how many failure domains this entry believes that it
--- a/entry/internal/server/place.go
+++ b/entry/internal/server/place.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"bamboohill/core/ranker"
 	"bamboohill/entry/internal/placer"
 )
 
@@ -13,12 +14,23 @@
 	placeMost  = 5 * time.Second
 )
 
+// placers is how many entries may decide for one failure domain: the others do
+// not read its lease.
+const placers = 4
+
+// places reports whether this entry is one of those that may decide for a
+// failure domain.
+func (s *Server) places(domain string) bool {
+	self := s.config.Settings.Inner
+	return ranker.Among(domain, append(s.gossiper.Live(), self), self, placers)
+}
+
 // newPlacer returns the placer of this entry and start.
 func (s *Server) newPlacer() *placer.Placer {
 	set := s.config.Settings
 	return placer.New(placer.Config{
 		Table: s.table, Keeper: s.keeper, Watcher: s.watcher, Log: s.config.Log,
 		Name:   set.Inner + "/" + strconv.FormatUint(s.boot, 10),
-		Demand: s.demand, Every: min(placeMost, placePolls*time.Duration(set.Poll)*time.Millisecond),
+		Demand: s.demand, Among: s.places, Every: min(placeMost, placePolls*time.Duration(set.Poll)*time.Millisecond),
 	})
 }
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -310,6 +310,7 @@
 	b.s.watcher.Hear(report)
 	b.s.hints.Hear(report)
 	reply := &wire.BeatReply{Suspects: b.s.suspects.Suspects(), Entries: b.s.gossiper.Named(report.GetServer())}
+	reply.Wanted = b.s.placer.Revision(report.GetDomain(), report.GetServer())
 	if b.s.keeper.Ready() {
 		reply.Sequence = b.s.keeper.State().Sequence
 	}
--- a/sidecar/internal/converger/converger.go
+++ b/sidecar/internal/converger/converger.go
@@ -4,19 +4,24 @@
 // # Usage
 //
 //	c := converger.New(converger.Config{Table: table, Engine: engine, Server: "engine7", Domain: "ikeja", Budget: budget})
-//	err := c.Step(ctx) // again and again
+//	err := c.Step(ctx, told) // again and again, with the newest revision that entries told
 //
 // Each sidecar takes a fencing number from the table service when it first has
 // to give an order. An engine that checks numbers refuses a paused
 // predecessor's late order; an engine that ignores them may obey it, so every
 // step reads the engine again and repeats the order until the engine is as the
 // row wants. While the table service is away nothing is ordered.
+//
+// The row is read when entries tell of a newer revision, before each order, and
+// now and then in case nobody told.
 package converger
 
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"time"
 
 	"bamboohill/core/generator"
 	"bamboohill/core/orderer"
@@ -36,12 +41,22 @@
 	Server string
 	Domain string
 	Budget orderer.Budget
+	// Safety is the mean time between two reads of the row when nobody tells of
+	// a newer one, five minutes if zero. Now is the clock, time.Now if nil.
+	Safety time.Duration
+	Now    func() time.Time
 }
 
+// defaultSafety is the default of Config.Safety.
+const defaultSafety = 5 * time.Minute
+
 // Converger is the only source of orders to one engine.
 type Converger struct {
 	config Config
 	fence  uint64
+	wanted orderer.Wanted // as read last
+	seen   uint64         // revision that the last read has seen
+	due    time.Time      // of the next read
 }
 
 // New returns a converger. It panics if Table or Engine is nil.
@@ -49,6 +64,12 @@
 	if config.Table == nil || config.Engine == nil {
 		panic("converger: nil table or engine")
 	}
+	if config.Safety <= 0 {
+		config.Safety = defaultSafety
+	}
+	if config.Now == nil {
+		config.Now = time.Now
+	}
 	return &Converger{config: config}
 }
 
@@ -64,27 +85,61 @@
 	return fmt.Sprintf("converger: fencing number %d is succeeded by %d", e.Mine, e.Last)
 }
 
-// Step reads the wanted row and the engine and gives at most one order, which
-// loads at most one model. It reports whether the engine is as wanted.
-func (c *Converger) Step(ctx context.Context) (bool, error) {
-	wanted, err := orderer.ReadWant(ctx, c.config.Table, c.config.Domain, c.config.Server)
-	if err != nil {
-		return false, err
+// Step looks at the engine, and at the wanted row if it may have changed, and
+// gives at most one order, which loads at most one model. Told is the highest
+// revision of the row that entries told of. It reports whether the engine is
+// as wanted.
+func (c *Converger) Step(ctx context.Context, told uint64) (bool, error) {
+	fresh := told > c.seen || !c.config.Now().Before(c.due)
+	if fresh {
+		if err := c.read(ctx, told); err != nil {
+			return false, err
+		}
 	}
-	if wanted.Version == 0 {
-		return true, nil
+	status, same, err := c.look(ctx)
+	if err != nil || same {
+		return same, err
 	}
-	status, err := c.config.Engine.Status(ctx)
+	if !fresh {
+		if err := c.read(ctx, told); err != nil || c.as(status) {
+			return err == nil, err
+		}
+	}
+	return c.order(ctx, status)
+}
+
+// read reads the wanted row and says when to read it next.
+func (c *Converger) read(ctx context.Context, told uint64) error {
+	wanted, err := orderer.ReadWant(ctx, c.config.Table, c.config.Domain, c.config.Server)
 	if err != nil {
-		return false, err
+		return err
 	}
-	if equal(status, wanted.Want) {
-		return true, nil
+	c.wanted = wanted
+	c.seen = max(c.seen, told, wanted.Want.Revision)
+	c.due = c.config.Now().Add(c.config.Safety/2 + rand.N(c.config.Safety))
+	return nil
+}
+
+// look asks the engine for its status and reports whether it is as wanted.
+func (c *Converger) look(ctx context.Context) (generator.Status, bool, error) {
+	if c.wanted.Version == 0 {
+		return generator.Status{}, true, nil
 	}
+	status, err := c.config.Engine.Status(ctx)
+	return status, err == nil && c.as(status), err
+}
+
+// as reports whether a status is as wanted.
+func (c *Converger) as(status generator.Status) bool {
+	return c.wanted.Version == 0 || equal(status, c.wanted.Want)
+}
+
+// order gives the next order.
+func (c *Converger) order(ctx context.Context, status generator.Status) (bool, error) {
 	if err := c.check(ctx); err != nil {
 		return false, err
 	}
-	order, loads := next(status, wanted.Want)
+	order, loads := next(status, c.wanted.Want)
 	if loads {
 		free, err := c.config.Budget.Take(ctx)
 		if err != nil || !free {
@@ -95,8 +150,8 @@
 	if err := c.config.Engine.Order(ctx, order); err != nil {
 		return false, err
 	}
-	status, err = c.config.Engine.Status(ctx)
-	return err == nil && equal(status, wanted.Want), err
+	_, same, err := c.look(ctx)
+	return same, err
 }
 
 // check takes this sidecar's fencing number, or makes sure that it is still
--- a/sidecar/internal/converger/converger_test.go
+++ b/sidecar/internal/converger/converger_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bamboohill/core/generator"
@@ -91,23 +92,23 @@
 			table.want("a")
 			engine.before = func() {
 				table.want("b")
-				done, err := next.Step(ctx)
+				done, err := next.Step(ctx, 0)
 				is.NoErr(err)
 				is.True(done)
 			}
-			_, err := old.Step(ctx)
+			_, err := old.Step(ctx, 0)
 			if fencing {
 				is.True(err != nil) // refused
 				is.Equal(names(engine.Models), "b")
 			} else {
 				is.Equal(names(engine.Models), "a") // obeyed, for now
 			}
-			done, err := next.Step(ctx)
+			done, err := next.Step(ctx, 0)
 			is.NoErr(err)
 			is.True(done)
 			is.Equal(names(engine.Models), "b")
 			table.want("c")
-			_, err = old.Step(ctx)
+			_, err = old.Step(ctx, 0)
 			var succeeded *SucceededError
 			is.True(errors.As(err, &succeeded))
 			is.Equal(names(engine.Models), "b")
@@ -124,24 +125,71 @@
 	now := time.Unix(1_000_000, 0)
 	budget := orderer.Budget{Table: table, Rate: 1, Burst: 1, Now: func() time.Time { return now }}
 	c := New(Config{Table: table, Engine: port{engine}, Server: "s", Domain: "d", Budget: budget})
-	done, err := c.Step(ctx)
+	done, err := c.Step(ctx, 0)
 	is.NoErr(err)
 	is.True(done) // nothing is wanted yet
 	table.want("a", "b", "c")
-	done, err = c.Step(ctx)
+	done, err = c.Step(ctx, 1)
 	is.NoErr(err)
 	is.True(!done)
 	is.Equal(names(engine.Models), "ab")
-	done, err = c.Step(ctx) // the budget is used up
+	done, err = c.Step(ctx, 1) // the budget is used up
 	is.NoErr(err)
 	is.True(!done)
 	is.Equal(names(engine.Models), "ab")
 	now = now.Add(time.Second)
 	for range 3 {
-		done, err = c.Step(ctx)
+		done, err = c.Step(ctx, 1)
 		is.NoErr(err)
 	}
 	is.True(done)
 	is.Equal(names(engine.Models), "abc")
 	is.Equal(engine.orders, 2)
 }
+
+// counted counts the reads of a table service.
+type counted struct {
+	rows
+	reads int
+}
+
+func (c *counted) Get(ctx context.Context, key string) (storer.Row, error) {
+	c.reads++
+	return c.rows.Get(ctx, key)
+}
+
+// TestReads has an hour pass in steps of ten seconds: a row that nobody tells
+// of is read only now and then, one that is told of at once, and one that
+// changed untold is found in the end.
+func TestReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, table := t.Context(), &counted{rows: rows{}}
+		engine := &fakeEngine{}
+		c := New(Config{Table: table, Engine: port{engine}, Server: "s", Domain: "d", Budget: orderer.Budget{Table: table, Rate: 1, Burst: 100}})
+		hour := func(told uint64) int {
+			before := table.reads
+			for range 360 {
+				time.Sleep(10 * time.Second)
+				_, err := c.Step(ctx, told)
+				is.NoErr(err)
+			}
+			return table.reads - before
+		}
+		quiet := hour(0)
+		is.True(quiet >= 8 && quiet <= 24) // once in 150 to 450 s
+		table.want("a")
+		_, err := c.Step(ctx, 7)
+		is.NoErr(err)
+		is.Equal(names(engine.Models), "a")
+		is.True(hour(7) <= 24)
+		is.True(hour(6) <= 24) // an entry that lags behind the others
+		table.want("b")
+		hour(7)
+		is.Equal(names(engine.Models), "b")
+		engine.Models = nil // it crashed, or a predecessor's order was late
+		_, err = c.Step(ctx, 7)
+		is.NoErr(err)
+		is.Equal(names(engine.Models), "b")
+	})
+}
--- a/sidecar/internal/server/crash.go
+++ b/sidecar/internal/server/crash.go
@@ -100,9 +100,10 @@
 	}
 }
 
-// heard takes an entry's answer to a heartbeat: what that entry knows of
-// suspects comes here, what it lacks goes there.
+// heard takes an entry's answer to a heartbeat: what that entry knows of the
+// wanted state and of suspects comes here, what it lacks goes there.
 func (s *Server) heard(address string, reply *wire.BeatReply) {
+	s.wanted.hear(reply.GetWanted())
 	if s.keeper.Heard(reply.GetSequence()) {
 		s.catchUp(reply.GetSequence(), address)
 	}
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -68,6 +68,7 @@
 	attempts *attempts
 	noter    *hinter.Noter // of the prefix cache
 	leaving  leaving
+	wanted   *wanted
 	suspects *accuser.Accuser
 	telling  sync.Mutex // held while entries are told of a crash
 	runner   *runner.Runner
@@ -114,6 +115,7 @@
 		gate:     gatekeeper.New(gatekeeper.Config{Cold: set.Gate.Cold, Warm: set.Gate.Warm}),
 		attempts: newAttempts(),
 		noter:    hinter.NewNoter(),
+		wanted:   newWanted(),
 		suspects: accuser.New(accuser.Config{}),
 	}
 	if set.Platform.List != "" {
--- a/standin/transactor/transactor.go
+++ b/standin/transactor/transactor.go
@@ -31,14 +31,15 @@
 type Counts struct {
 	Reads  int64 `json:"reads"`
 	Writes int64 `json:"writes"`
-	Late   int64 `json:"late"` // commits held back now
+	Wanted int64 `json:"wanted"` // of the reads, those of one wanted state of an engine
+	Late   int64 `json:"late"`   // commits held back now
 }
 
 // Late is the fault that holds orders back.
 const Late = "late"
 
-// latePrefix is of the rows that Late is about.
-const latePrefix = "order/want/"
+// wantPrefix is of the wanted states of engines, which Late is about.
+const wantPrefix = "order/want/"
 
 // latePoll is how often a commit that is held back looks whether it may go on.
 const latePoll = 5 * time.Millisecond
@@ -72,6 +73,9 @@
 	defer t.mu.Unlock()
 	t.counts.Reads++
 	key := q.FormValue("key")
+	if strings.HasPrefix(key, wantPrefix) {
+		t.counts.Wanted++
+	}
 	row, found := t.rows[key]
 	if !found {
 		row.Key = key
@@ -117,7 +121,7 @@
 
 // delay holds a commit back while the fault late is on.
 func (t *Table) delay(txn storer.Txn) {
-	if t.Faults.Get(Late) == 0 || !slices.ContainsFunc(txn.Puts, func(p storer.Put) bool { return strings.HasPrefix(p.Key, latePrefix) }) {
+	if t.Faults.Get(Late) == 0 || !slices.ContainsFunc(txn.Puts, func(p storer.Put) bool { return strings.HasPrefix(p.Key, wantPrefix) }) {
 		return
 	}
 	t.hold(1)
