Middle prompts spare the servers of long ones; long prompts are announced

A middle prompt goes before a long one, so its own expected first token does not see it; and for 0.1 to 0.7 s the other entries take the server for idle. Change: a middle prompt counts the delay of a longer one in work as its own prefill (router.Yield); it gets six candidates for four. A sidecar sends a heartbeat as soon as its engine's figures show a long prompt just handed over.

--- a/core/router/estimate.go
+++ b/core/router/estimate.go
@@ -54,6 +54,11 @@
 
 const stretch = 10
 
+// yield is how much the delay of a longer prompt in work there counts against a
+// server, as a multiple of the job's own prefill. It counts where the job is
+// long enough to be felt and others can take it.
+var yield = [...]float64{brief: 0, middle: 1, long: 0}
+
 // estimate is what a job would meet on one server. Times are in seconds.
 type estimate struct {
 	cost   float64 // first with penalties
@@ -94,6 +99,9 @@
 	e.first = slow * prefill / speed
 	e.whole = e.first + float64(s.job.Answer)/max(1, server.GetDecode())
 	e.cost = e.first + s.penalty(server, &o, running, limit)
+	if behind > 0 && s.r.on(Yield) {
+		e.cost += yield[s.class] * e.alone
+	}
 	return e
 }
 
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -6,7 +6,8 @@
 // lag, so a router corrects them by what it has itself placed since; without
 // that, every request between two reports goes to the same server. A server
 // whose backlog of long prompts is over a bound takes no more of them while
-// another can.
+// another can. A middle prompt, which goes before the long ones, counts what it
+// costs them as its own and so leaves their servers alone while others are free.
 //
 // # Usage
 //
@@ -53,7 +54,7 @@
 // How many times more candidates a longer prompt gets than a short one: its
 // choice matters more, and there are fewer of them to crowd together.
 const (
-	widenMiddle = 2
+	widenMiddle = 3
 	widenLong   = 5
 )
 
@@ -73,6 +74,7 @@
 	Bound                      // bound on a server's backlog of long prompts
 	Priority                   // priorities among requests at the engine
 	Aging                      // priorities that rise towards the deadline
+	Yield                      // what a middle prompt costs a long one in work
 )
 
 // Hints guesses what servers hold of a prompt.
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -70,6 +70,8 @@
 		"shorter queue":              {job: job(1000), a: server("a", queued(50_000, 50_000, 0)), b: server("b"), want: "b"},
 		"long ones wait for a short": {job: job(1000), a: server("a", queued(500_000, 0, 500_000)), b: server("b", queued(50_000, 50_000, 0)), want: "a"},
 		"short ones go before":       {job: job(50_000), a: server("a", queued(100_000, 100_000, 0)), b: server("b", queued(90_000, 0, 0)), want: "b"},
+		"middle spares a long one":   {job: job(20_000), a: server("a", queued(500_000, 0, 500_000)), b: server("b", queued(15_000, 0, 0)), want: "b"},
+		"but not at any price":       {job: job(20_000), a: server("a", queued(500_000, 0, 500_000)), b: server("b", queued(50_000, 0, 0)), want: "a"},
 		"out":                        {job: job(1000), a: server("a", state(wire.State_STATE_OUT)), b: server("b", queued(900_000, 900_000, 0)), want: "b"},
 		"leaving and down":           {job: job(1000), a: server("a", state(wire.State_STATE_LEAVING)), b: server("b", state(wire.State_STATE_DOWN))},
 		"full":                       {job: job(1000), a: server("a", full), b: server("b", queued(50_000, 50_000, 0)), want: "b"},
--- a/load/internal/experimenter/fleet.go
+++ b/load/internal/experimenter/fleet.go
@@ -177,6 +177,15 @@
 	}
 }
 
+// early sends a report as soon as a long prompt is taken, as sidecars do.
+func (f *fleet) early(j *job) {
+	if j.Class != Long || f.setup.Policy == NoEarly {
+		return
+	}
+	j.engine.look()
+	f.send(j.engine)
+}
+
 // send puts a report with the newest cache events on its way to every entry.
 func (f *fleet) send(e *engine) {
 	r := e.report()
@@ -250,6 +259,7 @@
 		taken := e.enter(j, f.now)
 		n.ride(e)
 		if taken {
+			f.early(j)
 			f.result.placed(j, f)
 			f.after(j.Timeout, func() { f.expire(j) })
 			f.run(e)
--- a/load/internal/experimenter/policy.go
+++ b/load/internal/experimenter/policy.go
@@ -28,6 +28,8 @@
 	NoBound       Policy = "no-bound"
 	NoPriority    Policy = "no-priority"
 	NoAging       Policy = "no-aging"
+	NoYield       Policy = "no-yield"
+	NoEarly       Policy = "no-early" // no report as soon as a long prompt is taken
 	NoAdmission   Policy = "no-admission"
 	NoChoices     Policy = "no-choices" // every server is a candidate
 	Herd          Policy = "no-own-no-choices"
@@ -38,12 +40,12 @@
 var Baselines = []Policy{RoundRobin, LeastConns, PrefixOnly, ShortestQueue}
 
 // Parts holds the policies that lack one part.
-var Parts = []Policy{NoPrefix, NoOwn, NoBound, NoPriority, NoAging, NoAdmission, NoChoices}
+var Parts = []Policy{NoPrefix, NoOwn, NoBound, NoPriority, NoAging, NoYield, NoEarly, NoAdmission, NoChoices}
 
 // off holds the part of the router that a policy switches off.
 var off = map[Policy]router.Parts{
 	NoPrefix: router.Prefix, NoOwn: router.Own, NoBound: router.Bound,
-	NoPriority: router.Priority, NoAging: router.Aging, Herd: router.Own,
+	NoPriority: router.Priority, NoAging: router.Aging, NoYield: router.Yield, Herd: router.Own,
 }
 
 // everyone is more candidates than there are servers.
--- a/sidecar/internal/reporter/reporter.go
+++ b/sidecar/internal/reporter/reporter.go
@@ -51,6 +51,7 @@
 // Reporter sends heartbeats.
 type Reporter struct {
 	config Config
+	soon   chan struct{} // holds one wish for a beat
 	mu     sync.Mutex
 	known  map[string]*entry
 
@@ -60,7 +61,7 @@
 
 // New returns a reporter.
 func New(config Config) *Reporter {
-	r := &Reporter{config: config, known: map[string]*entry{}}
+	r := &Reporter{config: config, soon: make(chan struct{}, 1), known: map[string]*entry{}}
 	for _, a := range config.Entries {
 		r.known[a] = &entry{fixed: true}
 	}
@@ -84,10 +85,20 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
+		case <-r.soon:
 		}
 	}
 }
 
+// Soon has the next heartbeat sent at once. Wishes that come while one is under
+// way are met by a single one after it.
+func (r *Reporter) Soon() {
+	select {
+	case r.soon <- struct{}{}:
+	default:
+	}
+}
+
 // Answered returns how many entries replied to the last beat.
 func (r *Reporter) Answered() int {
 	r.mu.Lock()
--- a/sidecar/internal/reporter/reporter_test.go
+++ b/sidecar/internal/reporter/reporter_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bamboohill/core/certifier"
@@ -108,3 +109,29 @@
 	}
 	is.Equal(len(r.Known()), 2)
 }
+
+// A wish for a heartbeat is met at once, and many wishes by few.
+func TestSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		beats := 0
+		r := New(Config{
+			Every: time.Minute, Peer: certifier.NewPeer(nil),
+			Report: func() *wire.Report { beats++; return &wire.Report{Server: "s"} },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go r.Run(ctx)
+		synctest.Wait()
+		is.Equal(beats, 1) // the first
+		for range 10 {
+			r.Soon()
+		}
+		synctest.Wait()
+		is.True(beats >= 2 && beats <= 3)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.True(beats <= 3)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/sidecar/internal/server/propose.go
+++ b/sidecar/internal/server/propose.go
@@ -13,6 +13,7 @@
 	"bamboohill/core/convictor"
 	"bamboohill/core/framer"
 	"bamboohill/core/hinter"
+	"bamboohill/core/router"
 	"bamboohill/sidecar/internal/gatekeeper"
 	"bamboohill/sidecar/internal/runner"
 	"bamboohill/wire"
@@ -157,6 +158,9 @@
 		return refused
 	}
 	own := s.attempts.begin(p, cancel)
+	if p.GetPrompt()-p.GetCached() >= router.LongTokens {
+		go s.announce(ctx)
+	}
 	s.noter.Expect(hinter.Read(body))
 	defer s.attempts.remove(p.GetAttempt())
 	frames.Accept(s.Report())
--- a/sidecar/internal/server/propose_test.go
+++ b/sidecar/internal/server/propose_test.go
@@ -1,11 +1,14 @@
 package server
 
 import (
+	"context"
 	"encoding/base64"
+	"sync"
 	"testing"
 
 	"bamboohill/wire"
 
+	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -56,3 +59,24 @@
 		}
 	})
 }
+
+// Entries hear of a long prompt long before the next heartbeat is due, with the
+// engine's own figures; of a short one they don't.
+func TestAnnounce(t *testing.T) {
+	is := is.New(t)
+	config := quick
+	config.Memory, config.Prefill, config.Warm = 1_000_000, 50_000, true
+	r := newRig(t, config)
+	r.end()
+	r.beat = 3_600_000
+	r.begin(r.server.config.Settings.Entries[0])
+	r.until("in service", func() bool { return r.ask(50, 4).end != nil })
+	before := r.entry.beats()
+	ctx, cancel := context.WithCancel(t.Context())
+	var all sync.WaitGroup
+	all.Go(func() { r.send(ctx, proposal(400_000, 4), text(400_000)) })
+	r.until("announced", func() bool { return r.entry.beats() == before+1 })
+	is.True(r.entry.last().GetLong() > 0)
+	cancel()
+	all.Wait()
+}
--- a/sidecar/internal/server/report.go
+++ b/sidecar/internal/server/report.go
@@ -74,6 +74,22 @@
 	return r
 }
 
+// announce has a heartbeat sent once the engine's own figures show a long prompt
+// that was just handed over: until then every other entry takes this backend
+// server for idle. One that ends before is not announced.
+func (s *Server) announce(ctx context.Context) {
+	t := time.NewTimer(statusEvery)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-t.C:
+	}
+	if s.engine.fresh(ctx) == nil {
+		s.reporter.Soon()
+	}
+}
+
 // readEvents asks the engine for its cache events. They may come late; while
 // they do not come at all, entries keep the hints they have.
 func (s *Server) readEvents(ctx context.Context) {
--- a/sidecar/internal/server/rig_test.go
+++ b/sidecar/internal/server/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/base64"
 	"encoding/json"
@@ -36,6 +37,7 @@
 	table   *httptest.Server
 	name    string // of the backend server
 	list    string // of the VM list, none if empty
+	beat    int    // milliseconds between heartbeats, 50 if 0
 	entry   *peer
 	server  *Server
 	web     *httptest.Server
@@ -78,6 +80,19 @@
 	return append([]*wire.Accusation(nil), p.accused...)
 }
 
+func (p *peer) beats() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.reports)
+}
+
+// last returns the newest heartbeat.
+func (p *peer) last() *wire.Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reports[len(p.reports)-1]
+}
+
 // accusedOf returns how many requests the entries heard accused. An accusation
 // comes again with each heartbeat until an entry's answer shows it known.
 func (p *peer) accusedOf() int {
@@ -128,7 +143,7 @@
 func (r *rig) begin(entry string) {
 	set := settings.Settings{
 		Server: r.name, VM: "vm-" + r.name, Domain: "ikeja", Kind: settings.Model, Backend: address(r.backend), Entries: []string{entry},
-		Address: "127.0.0.1:25000", Platform: storer.Platform{Table: address(r.table), List: r.list}, Beat: 50, Drain: 2000,
+		Address: "127.0.0.1:25000", Platform: storer.Platform{Table: address(r.table), List: r.list}, Beat: cmp.Or(r.beat, 50), Drain: 2000,
 		Gate: settings.Gate{Cold: 2, Warm: 64},
 	}
 	var err error
