--- a/load/experiment.go
+++ b/load/experiment.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboohill/load/internal/experimenter"
+	"bamboohill/load/internal/publisher"
 
 	"github.com/urfave/cli/v3"
 )
@@ -55,10 +56,10 @@
 	var rows []experimenter.Row
 	plan.Run(func(r experimenter.Row) {
 		rows = append(rows, r)
-		experimenter.WriteLine(os.Stdout, r)
+		publisher.WriteLine(os.Stdout, r)
 	})
 	if path := c.String("csv"); path != "" {
-		return save(path, func(f *os.File) error { return experimenter.WriteCSV(f, rows) })
+		return save(path, func(f *os.File) error { return publisher.WriteCSV(f, rows) })
 	}
 	return nil
 }
--- a/load/internal/experimenter/experimenter_test.go
+++ b/load/internal/experimenter/experimenter_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboohill/load/internal/experimenter"
+	"bamboohill/load/internal/publisher"
 
 	"github.com/matryer/is"
 )
@@ -20,8 +21,8 @@
 func TestRunsRepeat(t *testing.T) {
 	is := is.New(t)
 	var a, b bytes.Buffer
-	experimenter.WriteLine(&a, small(experimenter.Full, 0.8))
-	experimenter.WriteLine(&b, small(experimenter.Full, 0.8))
+	publisher.WriteLine(&a, small(experimenter.Full, 0.8))
+	publisher.WriteLine(&b, small(experimenter.Full, 0.8))
 	is.Equal(a.String(), b.String())
 }
 
--- a/load/internal/experimenter/plan.go
+++ b/load/internal/experimenter/plan.go
@@ -68,3 +68,22 @@
 	}
 	return row
 }
+
+// Row is one result with what it was run on.
+type Row struct {
+	Name   string // of the experiment
+	Load   float64
+	Seed   uint64
+	Surge  float64
+	Result *Result
+	Calm   *Result // the same trace without long prompts, if it was run
+}
+
+// Slowdown returns how much longer the first token of short prompts takes at
+// p95 than without long prompts, or 0 if that was not run.
+func (r Row) Slowdown() float64 {
+	if r.Calm == nil {
+		return 0
+	}
+	return Ratio(r.Result.First[Short].P95.Seconds(), r.Calm.First[Short].P95.Seconds())
+}
--- a/load/internal/experimenter/result.go
+++ b/load/internal/experimenter/result.go
@@ -110,13 +110,13 @@
 	}
 	for _, c := range Classes {
 		r.First[c] = times(firsts[c])
-		r.Good[c] = part(float64(good[c]), float64(r.Count[c]))
+		r.Good[c] = Ratio(float64(good[c]), float64(r.Count[c]))
 	}
 	r.Others = times(others)
-	r.OthersIn = part(restIn, rest)
+	r.OthersIn = Ratio(restIn, rest)
 	r.Stretch = times(stretch)
-	r.Hit = part(float64(hit), float64(prompt))
-	r.Found = part(float64(hit), float64(best))
+	r.Hit = Ratio(float64(hit), float64(prompt))
+	r.Found = Ratio(float64(hit), float64(best))
 	r.waste(f)
 	r.fairness()
 }
@@ -142,7 +142,7 @@
 		for _, e := range f.engines {
 			done += float64(e.prefilled)
 		}
-		r.Busy = part(done/speed, f.now.Seconds()*float64(len(f.engines)))
+		r.Busy = Ratio(done/speed, f.now.Seconds()*float64(len(f.engines)))
 	}
 }
 
@@ -153,8 +153,8 @@
 		wasted += float64(e.wasted)
 		done += float64(e.prefilled)
 	}
-	r.Wasted = part(wasted, done)
-	r.Work = part(r.Work, (f.arrivals-r.Setup.Warmup).Seconds()*float64(len(f.engines)))
+	r.Wasted = Ratio(wasted, done)
+	r.Work = Ratio(r.Work, (f.arrivals-r.Setup.Warmup).Seconds()*float64(len(f.engines)))
 }
 
 // fairness compares the accounts by the part of their work that was done.
@@ -169,15 +169,16 @@
 	var sum, squares float64
 	r.Worst = 1
 	for a, all := range sent {
-		x := part(in[a], all)
+		x := Ratio(in[a], all)
 		r.Worst = min(r.Worst, x)
 		sum += x
 		squares += x * x
 	}
-	r.Jain = part(sum*sum, squares*float64(len(sent)))
+	r.Jain = Ratio(sum*sum, squares*float64(len(sent)))
 }
 
-func part(a, b float64) float64 {
+// Ratio returns a over b, or 0 if b is 0.
+func Ratio(a, b float64) float64 {
 	if b == 0 {
 		return 0
 	}
--- a/load/internal/experimenter/suite.go
+++ b/load/internal/experimenter/suite.go
@@ -120,13 +120,13 @@
 		for _, n := range []int{14, 20} {
 			get := func(policy Policy, load float64) *Result { return find(Policies, policy, n, load, seed) }
 			slow = append(slow, slowdown(n, seed))
-			better = append(better, part(get(LeastConns, 0.8).First[Short].P95.Seconds(), get(Full, 0.8).First[Short].P95.Seconds()))
+			better = append(better, Ratio(get(LeastConns, 0.8).First[Short].P95.Seconds(), get(Full, 0.8).First[Short].P95.Seconds()))
 			stretch50 = append(stretch50, get(Full, 0.5).Stretch.P50.Seconds())
 			stretch95 = append(stretch95, get(Full, 0.5).Stretch.P95.Seconds())
-			goodput = append(goodput, part(get(Full, 1.2).Work, get(Full, 1).Work))
-			hits = append(hits, part(get(Full, 0.8).Hit, get(AllKnowing, 0.8).Hit))
+			goodput = append(goodput, Ratio(get(Full, 1.2).Work, get(Full, 1).Work))
+			hits = append(hits, Ratio(get(Full, 0.8).Hit, get(AllKnowing, 0.8).Hit))
 		}
-		others = append(others, part(fair(10, true, seed), fair(1, true, seed)))
+		others = append(others, Ratio(fair(10, true, seed), fair(1, true, seed)))
 	}
 	return []Target{
 		{Name: "slowdown of short prompts at 0.8", Wanted: "at most 1.25", Seen: slow, Met: atMost(1.25)},
--- a/load/internal/experimenter/plotter.go
+++ b/load/internal/publisher/plotter.go
@@ -1,8 +1,10 @@
-package experimenter
+package publisher
 
 import (
 	"path/filepath"
 
+	"bamboohill/load/internal/experimenter"
+
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
@@ -16,22 +18,22 @@
 )
 
 // Plots writes the plots of a suite into a directory.
-func (s Suite) Plots(dir string, rows []Row) error {
+func Plots(dir string, s experimenter.Suite, rows []experimenter.Row) error {
 	seed := s.Seeds[0]
-	err := draw(filepath.Join(dir, "short-p95.png"), "Short prompts, 20 engines", "load", rows, func(r Row) (float64, bool) {
-		return r.Load, r.Name == Policies && r.Seed == seed && r.Result.Setup.Engines == 20 && r.Result.Setup.Policy != AllKnowing
+	err := draw(filepath.Join(dir, "short-p95.png"), "Short prompts, 20 engines", "load", rows, func(r experimenter.Row) (float64, bool) {
+		return r.Load, r.Name == experimenter.Policies && r.Seed == seed && r.Result.Setup.Engines == 20 && r.Result.Setup.Policy != experimenter.AllKnowing
 	})
 	if err != nil {
 		return err
 	}
-	return draw(filepath.Join(dir, "herd.png"), "Short prompts, 20 engines, load 0.8", "lag of reports, s", rows, func(r Row) (float64, bool) {
-		return r.Result.Setup.Lag.Seconds(), r.Name == Herding
+	return draw(filepath.Join(dir, "herd.png"), "Short prompts, 20 engines, load 0.8", "lag of reports, s", rows, func(r experimenter.Row) (float64, bool) {
+		return r.Result.Setup.Lag.Seconds(), r.Name == experimenter.Herding
 	})
 }
 
 // draw plots the short prompts' p95 over what at returns for the rows that it
 // takes, a line for each policy.
-func draw(path, title, axis string, rows []Row, at func(Row) (float64, bool)) error {
+func draw(path, title, axis string, rows []experimenter.Row, at func(experimenter.Row) (float64, bool)) error {
 	p := plot.New()
 	p.Title.Text = title
 	p.X.Label.Text = axis
@@ -40,8 +42,8 @@
 	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
 	p.Legend.Top = true
 	p.Legend.Left = true
-	var order []Policy
-	lines := map[Policy]plotter.XYs{}
+	var order []experimenter.Policy
+	lines := map[experimenter.Policy]plotter.XYs{}
 	for _, r := range rows {
 		x, taken := at(r)
 		if !taken {
@@ -51,7 +53,7 @@
 		if lines[policy] == nil {
 			order = append(order, policy)
 		}
-		lines[policy] = append(lines[policy], plotter.XY{X: x, Y: r.Result.First[Short].P95.Seconds()})
+		lines[policy] = append(lines[policy], plotter.XY{X: x, Y: r.Result.First[experimenter.Short].P95.Seconds()})
 	}
 	var args []any
 	for _, policy := range order {
--- a/load/measure.go
+++ b/load/measure.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bamboohill/load/internal/experimenter"
+	"bamboohill/load/internal/publisher"
 
 	"github.com/urfave/cli/v3"
 )
@@ -38,21 +39,21 @@
 	var rows []experimenter.Row
 	suite.Run(func(r experimenter.Row) {
 		rows = append(rows, r)
-		experimenter.WriteLine(os.Stdout, r)
+		publisher.WriteLine(os.Stdout, r)
 	})
 	missed := 0
 	for _, t := range suite.Targets(rows) {
 		missed += t.Missed()
 		fmt.Printf("target=%q wanted=%q seen=%.3f missed=%d\n", t.Name, t.Wanted, t.Seen, t.Missed())
 	}
-	if err := suite.Plots(plots, rows); err != nil {
+	if err := publisher.Plots(plots, suite, rows); err != nil {
 		return err
 	}
-	err := save(filepath.Join(dir, "measurements.csv"), func(f *os.File) error { return experimenter.WriteCSV(f, rows) })
+	err := save(filepath.Join(dir, "measurements.csv"), func(f *os.File) error { return publisher.WriteCSV(f, rows) })
 	if err != nil {
 		return err
 	}
 	return save(filepath.Join(dir, "MEASUREMENTS.md"), func(f *os.File) error {
-		return suite.WritePage(f, c.String("command"), rows)
+		return publisher.WritePage(f, suite, c.String("command"), rows)
 	})
 }
