--- a/core/orderer/orderer_test.go
+++ b/core/orderer/orderer_test.go
@@ -102,22 +102,22 @@
 	tuned := model("base")
 	tuned.Adapters = []string{"wind"}
 	all := func(models ...generator.Model) []Server {
-		return []Server{{"e1", models}, {"e2", models}, {"e3", models}}
+		return []Server{{ID: "e1", Models: models}, {ID: "e2", Models: models}, {ID: "e3", Models: models}}
 	}
 	for name, c := range map[string]struct {
 		servers []Server
 		needs   []Need
 		want    string
 	}{
-		"near enough":            {all(base, survey), []Need{{base, 0.6}, {survey, 0.4}}, "<nil>"},
-		"no copy, free slot":     {all(base), []Need{{base, 1}, {crew, 0}}, "&{e1 [base crew]}"},
-		"no copy, spare model":   {all(base, survey), []Need{{base, 0.9}, {survey, 0.1}, {crew, 0}}, "&{e1 [base crew]}"},
-		"no copy, no spare":      {all(base, survey), []Need{{base, 0.9}, {survey, 0.9}, {crew, 0}}, "<nil>"},
-		"unallowed gives way":    {all(base, survey), []Need{{base, 1}, {crew, 0}}, "&{e1 [base crew]}"},
-		"unallowed may stay":     {all(base, survey), []Need{{base, 1}}, "<nil>"},
-		"adapter that is named":  {all(base), []Need{{tuned, 1}}, "&{e1 [base+wind]}"},
-		"short within the band":  {[]Server{{"e1", []generator.Model{base}}, {"e2", []generator.Model{survey}}}, []Need{{base, 0.7}, {survey, 0.3}}, "<nil>"},
-		"short beyond the band":  {[]Server{{"e1", []generator.Model{base}}, {"e2", []generator.Model{survey}}}, []Need{{base, 0.8}, {survey, 0.2}}, "&{e2 [survey base]}"},
+		"near enough":            {all(base, survey), []Need{{Model: base, Share: 0.6}, {Model: survey, Share: 0.4}}, "<nil>"},
+		"no copy, free slot":     {all(base), []Need{{Model: base, Share: 1}, {Model: crew, Share: 0}}, "&{e1 [base crew]}"},
+		"no copy, spare model":   {all(base, survey), []Need{{Model: base, Share: 0.9}, {Model: survey, Share: 0.1}, {Model: crew, Share: 0}}, "&{e1 [base crew]}"},
+		"no copy, no spare":      {all(base, survey), []Need{{Model: base, Share: 0.9}, {Model: survey, Share: 0.9}, {Model: crew, Share: 0}}, "<nil>"},
+		"unallowed gives way":    {all(base, survey), []Need{{Model: base, Share: 1}, {Model: crew, Share: 0}}, "&{e1 [base crew]}"},
+		"unallowed may stay":     {all(base, survey), []Need{{Model: base, Share: 1}}, "<nil>"},
+		"adapter that is named":  {all(base), []Need{{Model: tuned, Share: 1}}, "&{e1 [base+wind]}"},
+		"short within the band":  {[]Server{{ID: "e1", Models: []generator.Model{base}}, {ID: "e2", Models: []generator.Model{survey}}}, []Need{{Model: base, Share: 0.7}, {Model: survey, Share: 0.3}}, "<nil>"},
+		"short beyond the band":  {[]Server{{ID: "e1", Models: []generator.Model{base}}, {ID: "e2", Models: []generator.Model{survey}}}, []Need{{Model: base, Share: 0.8}, {Model: survey, Share: 0.2}}, "&{e2 [survey base]}"},
 		"nothing allowed at all": {all(base), nil, "<nil>"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -219,3 +219,44 @@
 		is.True(taken >= 19 && taken <= 22) // burst and 2 a second
 	})
 }
+
+// TestRevisions has two holders write in turn: an observer of the lease row
+// learns the newest revision of each wanted row, and the row is bounded.
+func TestRevisions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, table := t.Context(), newMemory()
+		lessee := func(name string) *Lessee {
+			return NewLessee(LesseeConfig{Table: table, Key: LeaseKey("ikeja"), Name: name, Term: 3 * time.Second})
+		}
+		write := func(l *Lessee, server string) error {
+			grant, held, err := l.Step(ctx)
+			is.NoErr(err)
+			is.True(held)
+			w, err := ReadWant(ctx, table, "ikeja", server)
+			is.NoErr(err)
+			is.NoErr(Write(ctx, table, grant, []Wanted{w}))
+			return Write(ctx, table, grant, []Wanted{{Key: WantKey("ikeja", "other")}})
+		}
+		a, b, seer := lessee("a"), lessee("b"), lessee("seer")
+		var lost *LostError
+		is.True(errors.As(write(a, "e1"), &lost)) // one write a grant
+		is.True(errors.As(write(a, "e2"), &lost))
+		_, held, err := b.Step(ctx)
+		is.NoErr(err)
+		is.True(!held)
+		time.Sleep(3 * time.Second)
+		is.True(errors.As(write(b, "e1"), &lost))
+		_, _, err = seer.Step(ctx)
+		is.NoErr(err)
+		is.Equal(seer.Revisions(), map[string]uint64{WantKey("ikeja", "e1"): 3, WantKey("ikeja", "e2"): 2})
+		w, err := ReadWant(ctx, table, "ikeja", "e1")
+		is.NoErr(err)
+		is.Equal(w.Want.Revision, uint64(3))
+		for i := range 2 * recentWrites {
+			write(b, fmt.Sprintf("m%d", i))
+		}
+		seer.Step(ctx)
+		is.Equal(len(seer.Revisions()), recentWrites)
+	})
+}
--- a/entry/internal/placer/placer.go
+++ b/entry/internal/placer/placer.go
@@ -1,6 +1,6 @@
 // Package placer decides, while this entry holds the lease of a failure
 // domain, which models the engines there should have loaded: within what the
-// plans allow, by the demand that this entry sees.
+// plans allow, by the demand that the entries see.
 //
 // # Usage
 //
@@ -8,9 +8,8 @@
 //	go p.Run(ctx)
 //	p.Note(model, version, tokens) // for each request
 //
-// Every entry runs one; the lease rows decide which of them acts where. The
-// platform's balancer spreads callers evenly, so the shares of the models that
-// one entry sees stand for those of all.
+// Every entry runs one; the lease rows decide which of them acts where. Demand
+// is the mean over all entries, as far as greetings have brought it here.
 package placer
 
 import (
@@ -26,6 +25,7 @@
 	"bamboohill/core/orderer"
 	"bamboohill/core/storer"
 	"bamboohill/core/watcher"
+	"bamboohill/entry/internal/averager"
 	"bamboohill/wire"
 
 	"github.com/phuslu/log"
@@ -35,7 +35,7 @@
 const (
 	termSteps = 3               // steps until a lease lapses
 	halfLife  = 5 * time.Minute // of demand
-	minimum   = 100_000         // tokens of demand below which shares mean nothing
+	minimum   = 100_000         // tokens of demand an entry below which shares mean nothing
 )
 
 // Config describes a Placer. Name must be of one process and start.
@@ -46,47 +46,52 @@
 	Log     *log.Logger
 	Name    string
 	Every   time.Duration // between two steps
+	Demand  *averager.Averager
+	// Among reports whether this entry is one of the few that may decide for a
+	// failure domain; nil says so of all.
+	Among func(domain string) bool
 }
 
-// kind is what demand is counted by; an empty version takes any.
-type kind struct{ name, version string }
-
 // Placer writes wanted states.
 type Placer struct {
 	config Config
 	leases map[string]*orderer.Lessee // by failure domain; Run's goroutine alone
 
-	mu     sync.Mutex
-	demand map[kind]float64 // tokens, fading
+	mu   sync.Mutex
+	held map[string]bool              // failure domains whose lease this entry believes it holds
+	told map[string]map[string]uint64 // revisions of wanted rows by failure domain and key
 }
 
 // New returns a placer that does nothing yet.
 func New(config Config) *Placer {
-	return &Placer{config: config, leases: map[string]*orderer.Lessee{}, demand: map[kind]float64{}}
+	return &Placer{config: config, leases: map[string]*orderer.Lessee{}, held: map[string]bool{}, told: map[string]map[string]uint64{}}
 }
 
 // Note counts one request for a model.
 func (p *Placer) Note(model, version string, tokens int64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.demand[kind{model, version}] += float64(tokens)
+	p.config.Demand.Note(averager.KindOf(model, version), tokens)
 }
 
 // Run steps until the context ends.
 func (p *Placer) Run(ctx context.Context) {
 	t := time.NewTicker(p.config.Every)
 	defer t.Stop()
+	fading := math.Exp2(-float64(p.config.Every) / float64(halfLife))
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		p.fade()
+		p.config.Demand.Fade(fading)
 		if !p.config.Keeper.Ready() {
 			continue
 		}
 		for domain, servers := range p.domains() {
+			if p.config.Among != nil && !p.config.Among(domain) {
+				p.leave(domain)
+				continue
+			}
 			if err := p.step(ctx, domain, servers); err != nil {
 				p.config.Log.Warn().Str("event", "place").Str("domain", domain).Err(err).Msg("")
 			}
@@ -94,18 +99,6 @@
 	}
 }
 
-func (p *Placer) fade() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	factor := math.Exp2(-float64(p.config.Every) / float64(halfLife))
-	for k, tokens := range p.demand {
-		p.demand[k] = tokens * factor
-		if tokens < 1 {
-			delete(p.demand, k)
-		}
-	}
-}
-
 // domains returns the model engines in view by failure domain.
 func (p *Placer) domains() map[string][]watcher.Server {
 	all := map[string][]watcher.Server{}
@@ -128,6 +121,7 @@
 		p.leases[domain] = l
 	}
 	grant, held, err := l.Step(ctx)
+	p.hold(domain, held, l.Revisions())
 	if err != nil || !held {
 		return err
 	}
@@ -137,11 +131,11 @@
 	}
 	var fleet []orderer.Server
 	for _, s := range servers {
-		models := loaded(s)
+		one := orderer.Server{ID: s.GetServer(), Models: loaded(s)}
 		if w, found := wants[orderer.WantKey(domain, s.GetServer())]; found {
-			models = w.Want.Models
+			one.Models, one.Role = w.Want.Models, w.Want.Role
 		}
-		fleet = append(fleet, orderer.Server{ID: s.GetServer(), Models: models})
+		fleet = append(fleet, one)
 	}
 	change := orderer.Plan(fleet, p.needs(fleet), orderer.Policy{})
 	if change == nil {
@@ -149,13 +143,51 @@
 	}
 	w := wants[orderer.WantKey(domain, change.Server)]
 	w.Key = orderer.WantKey(domain, change.Server)
-	w.Want.Models = change.Models
+	w.Want.Models, w.Want.Role = change.Models, change.Role
 	err = orderer.Write(ctx, p.config.Table, grant, []orderer.Wanted{w})
 	p.config.Log.Info().Str("event", "placed").Str("domain", domain).Str("server", change.Server).
-		Uint64("lease", grant.Number).Int("models", len(change.Models)).Err(err).Msg("")
+		Uint64("lease", grant.Number).Int("models", len(change.Models)).Str("role", change.Role).Err(err).Msg("")
 	return err
 }
 
+func (p *Placer) hold(domain string, held bool, revisions map[string]uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held[domain] = held
+	p.told[domain] = revisions
+}
+
+// leave forgets what this entry knew of a failure domain that it does not
+// decide for any more.
+func (p *Placer) leave(domain string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.held, domain)
+	delete(p.told, domain)
+}
+
+// Revision returns the revision of the wanted state of a backend server as this
+// entry last saw it, 0 if it does not know.
+func (p *Placer) Revision(domain, server string) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.told[domain][orderer.WantKey(domain, server)]
+}
+
+// Held returns for how many failure domains this entry believes that it
+// decides.
+func (p *Placer) Held() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, held := range p.held {
+		if held {
+			n++
+		}
+	}
+	return n
+}
+
 func loaded(s watcher.Server) []generator.Model {
 	var models []generator.Model
 	for _, o := range s.GetOffers() {
@@ -168,7 +200,7 @@
 // model without a version stands for every version that is there.
 func (p *Placer) needs(fleet []orderer.Server) []orderer.Need {
 	var needs []orderer.Need
-	add := func(name, version string, adapters []string) {
+	add := func(name, version string, adapters []string, roles []*wire.RoleShare) {
 		i := slices.IndexFunc(needs, func(n orderer.Need) bool { return n.Model.Name == name && n.Model.Version == version })
 		if i < 0 {
 			i = len(needs)
@@ -178,12 +210,13 @@
 		m.Adapters = append(m.Adapters, adapters...)
 		slices.Sort(m.Adapters)
 		m.Adapters = slices.Compact(m.Adapters)
+		needs[i].Roles = wishes(needs[i].Roles, roles)
 	}
 	for _, row := range p.config.Keeper.State().Rows(keeper.KindPlan) {
 		for _, o := range row.GetRecord().GetPlan().GetOffers() {
 			adapters := slices.DeleteFunc(slices.Clone(o.GetAdapters()), func(a string) bool { return a == "*" })
 			for _, version := range versions(fleet, o) {
-				add(o.GetModel(), version, adapters)
+				add(o.GetModel(), version, adapters, o.GetRoles())
 			}
 		}
 	}
@@ -191,6 +224,20 @@
 	return needs
 }
 
+// wishes adds a plan's wishes for roles to those of other plans: the largest
+// share of each role counts.
+func wishes(all []orderer.RoleShare, more []*wire.RoleShare) []orderer.RoleShare {
+	for _, r := range more {
+		i := slices.IndexFunc(all, func(w orderer.RoleShare) bool { return w.Role == r.GetRole() })
+		if i < 0 {
+			i = len(all)
+			all = append(all, orderer.RoleShare{Role: r.GetRole()})
+		}
+		all[i].Share = max(all[i].Share, r.GetShare())
+	}
+	return all
+}
+
 // versions returns the versions that an offer of a plan stands for.
 func versions(fleet []orderer.Server, o *wire.Offer) []string {
 	if o.GetModel() == "*" || strings.TrimSpace(o.GetModel()) == "" {
@@ -212,12 +259,7 @@
 
 // share fills in the shares of demand.
 func (p *Placer) share(needs []orderer.Need) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	total := 0.0
-	for _, tokens := range p.demand {
-		total += tokens
-	}
+	total := p.config.Demand.Total()
 	if total < minimum {
 		return
 	}
@@ -226,7 +268,8 @@
 		count[n.Model.Name]++
 	}
 	for i, n := range needs {
-		own := p.demand[kind{n.Model.Name, n.Model.Version}] + p.demand[kind{n.Model.Name, ""}]/count[n.Model.Name]
-		needs[i].Share = own / total
+		own := p.config.Demand.Mean(averager.KindOf(n.Model.Name, n.Model.Version))
+		open := p.config.Demand.Mean(averager.KindOf(n.Model.Name, ""))
+		needs[i].Share = (own + open/count[n.Model.Name]) / total
 	}
 }
