--- a/model/change.pml
+++ b/model/change.pml
@@ -4,8 +4,8 @@
  * PEERS entries, of which at most STALE are cut off and keep an old sequence
  * number. A change is in force once every entry that is not cut has it. One
  * gate is restarted at any moment, forgets everything, and starts from the
- * peers that answer (Keeper.fromPeers, Enough): NEED of them at least. Entries
- * propose with their own number (Gate.Enter refuses an older one).
+ * peers that answer: NEED of them at least. Entries propose with their own
+ * number; the gate refuses an older one.
  *
  * Checked: a process never goes back; once the last change is in force, no
  * work runs under an older one. */
@@ -26,7 +26,8 @@
 bool ready = true;     /* Keeper.Ready of the gate */
 bool sure = false;     /* the gate must know the last change */
 
-/* Keeper.Commit and the pushes to entries, then to the gate. */
+/* A commit and the pushes to entries, then to the gate.
+ * go: core/keeper Keeper.Commit, entry/internal/gossiper service.Push */
 proctype log() {
   byte i = 0;
   do
@@ -43,7 +44,7 @@
   :: i == PEERS -> break
   od;
   in_force = true;
-  atomic { /* gate.Push */
+  atomic { /* go: entry/internal/gossiper Gossiper.pushServers */
     if
     :: ready -> assert(gate <= head); gate = head; sure = true
     :: !ready
@@ -58,6 +59,7 @@
   byte answers = 0;
   byte best = 0;
   bool after;
+  /* go: core/keeper Keeper.fromPeers */
   atomic { ready = false; sure = false; gate = 0; after = in_force };
   do
   :: i < PEERS ->
@@ -69,12 +71,13 @@
   :: i == PEERS -> break
   od;
   if
-  :: answers >= NEED -> atomic { gate = best; ready = true; sure = after } /* Enough */
+  :: answers >= NEED -> atomic { gate = best; ready = true; sure = after } /* go: core/keeper Enough */
   :: answers < NEED /* serves nobody */
   fi
 }
 
-/* Gate.Enter on a proposal of an entry; the proposal may be old on arrival. */
+/* A proposal of an entry, which may be old on arrival.
+ * go: sidecar/internal/gatekeeper Gate.Enter */
 proctype propose(byte i) {
   byte sequence;
   sequence = at[i];
@@ -82,7 +85,7 @@
     if
     :: ready && sequence >= gate ->
        assert(!sure || sequence == head); /* nothing runs under an older change */
-       gate = sequence /* Keeper.Heard, CatchUp */
+       gate = sequence /* go: core/keeper Keeper.Heard, core/keeper Keeper.CatchUp */
     :: else /* REASON_STALE, or not ready */
     fi
   }
--- a/model/change.wrong.pml
+++ b/model/change.wrong.pml
@@ -1,3 +1,4 @@
-/* Wrong on purpose: a process starts from a single peer, which may be stale. */
+/* Wrong on purpose: a process starts from a single peer, which may be stale.
+ * Refuted by: assertion violated ( !(sure)||(sequence==head)) */
 #define NEED 1
 #include "change.pml"
--- a/model/gang.pml
+++ b/model/gang.pml
@@ -2,8 +2,8 @@
  *
  * LEADS leads each want two of three engines, each of which has room for one
  * gang, and take them in the order of engine ids. A lead that is refused frees
- * what it holds and tries again (Gate.Release, Gate.Reserve). A lead may die at
- * any moment; what it held ends with its lease (Gate.Expire).
+ * what it holds and tries again. A lead may die at
+ * any moment; what it held ends with its lease.
  *
  * Checked: no engine is held twice, no work runs with half a gang or after a
  * lease is over, nobody waits for ever, and in the end nothing is held. */
@@ -16,7 +16,7 @@
 bool dead[LEADS] = false;
 byte left = LEADS;
 
-/* Gate.Reserve */
+/* go: sidecar/internal/gatekeeper Gate.Reserve */
 inline reserve(e) {
   atomic {
     if
@@ -26,11 +26,12 @@
   }
 }
 
-/* Gate.Release */
+/* go: sidecar/internal/gatekeeper Gate.Release */
 inline release(e) {
   atomic { if :: holder[e] == self -> holder[e] = FREE :: else fi }
 }
 
+/* go: core/reserver Reserve, core/reserver Gang.Release */
 proctype lead(byte self; byte a; byte b) {
   byte first, second;
   byte tries = 0;
@@ -66,7 +67,7 @@
   left--
 }
 
-/* Gate.Expire: a lease lapses once nobody renews it. */
+/* A lease lapses once nobody renews it. go: sidecar/internal/gatekeeper Gate.Expire */
 proctype gate(byte e) {
   do
   :: atomic { holder[e] != FREE && dead[holder[e]] -> holder[e] = FREE }
--- a/model/lease.pml
+++ b/model/lease.pml
@@ -1,11 +1,10 @@
 /* Orders to engines: leases, wanted-state rows, convergence.
  *
- * Two placers take turns at one lease (core/orderer.Acquire) and write the
- * wanted row in a transaction that checks the lease (core/orderer.Write). A
- * lease may lapse at any moment while its holder is paused and still believes
- * that it holds it. Two sidecars of one engine, an old one that is paused and
- * its successor, converge the engine (sidecar/internal/converger), with
- * fencing numbers from the table. The engine checks numbers or ignores them.
+ * Two placers take turns at one lease and write the wanted row in a transaction
+ * that checks the lease. A lease may lapse at any moment while its holder is
+ * paused and still believes that it holds it. Two sidecars of one engine, an
+ * old one that is paused and its successor, converge the engine, with fencing
+ * numbers from the table. The engine checks numbers or ignores them.
  *
  * Checked: a row written under a lease number is never overwritten under an
  * older one; an engine that checks numbers never obeys an older one; when
@@ -19,21 +18,27 @@
 byte fence = 0;   /* highest that the engine has seen */
 byte have = 0;    /* revision that the engine has loaded */
 
-byte busy = 0;    /* placers and the old sidecar, while they may still act */
+byte placers = 2; /* that may still act */
+byte olds = 1;    /* old sidecars that may still act */
 
 proctype placer() {
   byte mine;
   byte rounds = 0;
   do
   :: rounds < 2 -> rounds++;
-     atomic { number++; mine = number }; /* Acquire: any moment, the old lease counts as lapsed */
+     atomic { number++; mine = number }; /* any moment, the old lease counts as lapsed. go: core/orderer Lessee.Step */
      /* paused here for as long as it takes */
-     atomic { /* Write */
-#ifdef BELIEF
+#ifdef TRUST
+     if /* looks whether it still holds the lease, is paused, and writes */
+     :: number != mine -> goto next
+     :: else
+     fi;
+#endif
+     atomic { /* go: core/orderer Write */
        if
+#ifdef TRUST
        :: true ->
 #else
-       if
        :: number == mine ->
 #endif
           assert(mine >= written);
@@ -41,12 +46,14 @@
        :: else
        fi
      }
+next:
+     skip
   :: rounds == 2 -> break
   od;
-  busy--
+  placers--
 }
 
-inline order(f, revision) { /* generator.Engine.Order, landing in its time */
+inline order(f, revision) { /* landing in its time. go: core/generator Engine.Order */
   atomic {
     if
     :: fencing && f < fence /* refused */
@@ -62,39 +69,38 @@
 proctype old_sidecar() {
   byte mine;
   byte revision;
-  atomic { fences++; mine = fences };
+  atomic { fences++; mine = fences }; /* go: core/orderer NextFence */
   revision = want;
   order(mine, revision);
-  busy--
+  olds--
 }
 
-/* Converger.Step, again and again. */
+/* Again and again. go: sidecar/internal/converger Converger.Step */
 proctype sidecar() {
   byte mine;
   byte revision;
   bool quiet;
   atomic { fences++; mine = fences };
   do
-  :: quiet = (busy == 0);
-     revision = want;
+  :: quiet = (placers + olds == 0);
+     revision = want; /* go: core/orderer ReadWant */
      if
      :: have != revision -> order(mine, revision) /* read again in the next step */
-#ifdef TRUST
-     :: have == revision -> break /* and never looks again */
+#ifdef ONCE
+     :: have == revision && placers == 0 -> break /* as wanted, and never looks again */
 #else
      :: have == revision && quiet -> break
      :: have == revision && !quiet
 #endif
      fi
   od;
-  busy == 0; /* everything is quiet */
+  placers + olds == 0; /* everything is quiet */
   assert(have == want)
 }
 
 init {
   atomic {
     if :: fencing = true :: fencing = false fi;
-    busy = 3;
     run placer(); run placer(); run old_sidecar()
   };
   run sidecar()
