--- a/prover/commands.go
+++ b/prover/commands.go
@@ -18,10 +18,9 @@
 type Script struct {
 	Stage *stager.Stage
 
-	services int
-	engines  int
-	mu       sync.Mutex
-	calls    map[string]chan error
+	engines int
+	mu      sync.Mutex
+	calls   map[string]chan error
 }
 
 // NewScript returns a scenario on a stage.
@@ -111,7 +110,6 @@
 			return "", fmt.Errorf("%w: %s", errUsage, word)
 		}
 	}
-	s.services = h.Services
 	s.engines = max(1, h.Engines)
 	return "", s.Stage.Up(h)
 }
@@ -382,25 +380,24 @@
 	return "", nil
 }
 
+// runs checks how often a booking ran, by the log that outlives the services.
 func (s *Script) runs(w []string) (string, error) {
 	want, err := stager.Number(w[1])
 	if err != nil {
 		return "", err
 	}
+	text, err := s.Stage.Counts("runs", "/runs")
+	if err != nil {
+		return "", err
+	}
+	counts := map[string]int{}
+	if err := json.Unmarshal([]byte(text), &counts); err != nil {
+		return "", err
+	}
 	total := 0
-	for n := range s.services {
-		text, err := s.Stage.Counts(fmt.Sprintf("service%d", n), "/runs")
-		if err != nil {
-			return "", err
-		}
-		counts := map[string]int{}
-		if err := json.Unmarshal([]byte(text), &counts); err != nil {
-			return "", err
-		}
-		for key, count := range counts {
-			if key == w[0] || strings.HasSuffix(key, "/"+w[0]) {
-				total += count
-			}
+	for key, count := range counts {
+		if key == w[0] || strings.HasSuffix(key, "/"+w[0]) {
+			total += count
 		}
 	}
 	if total != want {
--- a/prover/doc.go
+++ b/prover/doc.go
@@ -27,7 +27,7 @@
 //	book ENTRY OUTCOME KEY BODY [timeout=S] [as=NAME]
 //	                         make a booking; OUTCOME as above
 //	join NAME                wait for a call that was started with as=NAME
-//	runs KEY N               check that a booking ran N times in all services
+//	runs KEY N               check that a booking ran N times in all; services that end count, too
 //	crashes N                check that the engines crashed N times at most
 //	held ENGINE N            check that an engine holds N tokens of memory; N..M is a range
 //	open ENTRY N             check that an entry sees N backend servers open
--- a/prover/internal/stager/shape.go
+++ b/prover/internal/stager/shape.go
@@ -69,6 +69,7 @@
 	objectsPort = 5002
 	listPort    = 5003
 	weightsPort = 5004
+	runsPort    = 5005
 	outerPort   = 5100
 	innerPort   = 5200
 	enginePort  = 5300
@@ -88,7 +89,7 @@
 func (s *Stage) Inner(n int) string { return s.at(innerPort, n) }
 
 // Fault returns the address of a stand-in by its name: table, objects, list,
-// weights, engineN or serviceN.
+// weights, runs, engineN or serviceN.
 func (s *Stage) Fault(name string) (string, error) {
 	var n int
 	switch name {
@@ -100,6 +101,8 @@
 		return s.at(listPort, 0), nil
 	case "weights":
 		return s.at(weightsPort, 0), nil
+	case "runs":
+		return s.at(runsPort, 0), nil
 	}
 	if _, err := fmt.Sscanf(name, "engine%d", &n); err == nil {
 		return s.at(enginePort, n), nil
@@ -118,7 +121,10 @@
 
 // settings returns the settings files by process name.
 func (s *Stage) settings(h Shape) map[string]string {
-	files := map[string]string{"platform": s.platformFile(h)}
+	files := map[string]string{
+		"platform": s.platformFile(h),
+		"runs":     fmt.Sprintf("[runs]\naddress = %q\n", s.at(runsPort, 0)),
+	}
 	for n := range h.Engines {
 		files[fmt.Sprintf("engine%d", n)] = fmt.Sprintf(
 			"[[engine]]\naddress = %q\nmemory = %d\nprefill = %g\ndecode = %g\nwarm = %t\nwarmup = %d\nrestart = %d\nfencing = %t\nmodels = [\"base\", \"survey\"]\n",
@@ -127,7 +133,7 @@
 	}
 	for n := range h.Services {
 		i := h.Engines + n
-		files[fmt.Sprintf("service%d", n)] = fmt.Sprintf("[[service]]\naddress = %q\nwork = %d\n", s.at(servicePort, n), h.Work)
+		files[fmt.Sprintf("service%d", n)] = fmt.Sprintf("[[service]]\naddress = %q\nwork = %d\nruns = %q\n", s.at(servicePort, n), h.Work, s.at(runsPort, 0))
 		files[fmt.Sprintf("sidecar%d", i)] = s.sidecar(h, i, fmt.Sprintf("service%d", n), "service", "bookings", s.at(servicePort, n))
 	}
 	for n := range h.Entries {
@@ -139,8 +145,8 @@
 // platformFile lists the first entry and every sidecar in the VM list.
 func (s *Stage) platformFile(h Shape) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "[table]\naddress = %q\n[objects]\naddress = %q\n[weights]\naddress = %q\nrate = 2.0\nburst = 2\n[list]\naddress = %q\nlag = 500\n",
-		s.at(tablePort, 0), s.at(objectsPort, 0), s.at(weightsPort, 0), s.at(listPort, 0))
+	fmt.Fprintf(&b, "[table]\naddress = %q\njournal = %q\n[objects]\naddress = %q\n[weights]\naddress = %q\nrate = 2.0\nburst = 2\n[list]\naddress = %q\nlag = 500\n",
+		s.at(tablePort, 0), s.file("platform", ".journal"), s.at(objectsPort, 0), s.at(weightsPort, 0), s.at(listPort, 0))
 	for n := range h.Entries {
 		fmt.Fprintf(&b, "[[list.vm]]\nname = \"entry%d\"\ndomain = %q\naddress = %q\nrole = \"entry\"\n", n, domain(n), s.at(innerPort, n))
 	}
--- a/standin/answerer/engine.go
+++ b/standin/answerer/engine.go
@@ -59,6 +59,7 @@
 	crashes int
 	worst   float64 // most jobs offered against what it bore
 	orders  int
+	swapped int64
 	stop    chan struct{}
 	stopped chan struct{}
 }
@@ -329,6 +330,9 @@
 	}
 	select {
 	case to.chunks <- c:
+		if to != j {
+			e.swapped++
+		}
 	default: // its reader is behind
 	}
 }
--- a/standin/answerer/handler.go
+++ b/standin/answerer/handler.go
@@ -21,7 +21,8 @@
 	Orders  int     `json:"orders"`
 	Started int64   `json:"started"` // jobs that reached it, in all
 	Jobs    int     `json:"jobs"`
-	Used    int64   `json:"used"` // tokens of memory held
+	Used    int64   `json:"used"`    // tokens of memory held
+	Swapped int64   `json:"swapped"` // chunks sent on another job's stream
 }
 
 // Handler returns the HTTP interface.
@@ -74,7 +75,7 @@
 func (e *Engine) serveCounts(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	json.NewEncoder(w).Encode(Counts{Crashes: e.crashes, Worst: e.worst, Orders: e.orders, Started: e.arrived, Jobs: len(e.jobs), Used: e.used()})
+	json.NewEncoder(w).Encode(Counts{Crashes: e.crashes, Worst: e.worst, Orders: e.orders, Started: e.arrived, Jobs: len(e.jobs), Used: e.used(), Swapped: e.swapped})
 }
 
 func (e *Engine) serveJobs(w http.ResponseWriter, _ *http.Request) {
--- a/standin/booker/booker.go
+++ b/standin/booker/booker.go
@@ -8,27 +8,36 @@
 //
 // "POST /book" runs the booking that the Idempotency-Key header names,
 // "GET /runs" returns the runs of every booking, and any other call is echoed.
-// A booking is counted before its answer is written, so that a lost answer
-// still counts.
+// A booking is counted before its work and its answer, so that a lost answer
+// still counts. With Config.Runs set, the count is made by a tallier.Log at that
+// address and survives the service: the call to it is the booking's effect. The
+// fault early (milliseconds) holds a booking that has arrived before its effect;
+// "GET /arrivals/KEY" is 404 until the booking KEY has arrived.
 package booker
 
 import (
-	"encoding/json"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"sync"
 	"time"
 
 	"bamboohill/standin/faulter"
+	"bamboohill/standin/tallier"
 )
 
+// Early is the fault that holds bookings before their effects, in milliseconds.
+const Early = "early"
+
 // maxBody is the largest body that is taken, in bytes.
 const maxBody = 1 << 20
 
 // Config describes a service.
 type Config struct {
-	Work time.Duration // how long one call takes
+	Work time.Duration // how long one call takes after its effect
+	Runs string        // address of the log of runs; empty for a log of its own
 }
 
 // Service is the plain service.
@@ -36,28 +45,30 @@
 	Faults *faulter.Faults
 
 	work time.Duration
-	mu   sync.Mutex
-	runs map[string]int
+	runs string
+	own  *tallier.Log
+	here sync.Map // bookings that have arrived, by key
 }
 
 // New returns a service that has run nothing.
 func New(config Config) *Service {
-	return &Service{Faults: faulter.New(), work: config.Work, runs: map[string]int{}}
+	return &Service{Faults: faulter.New(), work: config.Work, runs: config.Runs, own: tallier.New()}
 }
 
 // Handler returns the HTTP interface.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /runs", s.list)
+	mux.Handle("GET /runs", s.own.Handler())
+	mux.HandleFunc("GET /arrivals/{key}", s.arrival)
 	mux.HandleFunc("POST /book", s.book)
 	mux.HandleFunc("/", s.echo)
 	return mux
 }
 
-func (s *Service) list(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	json.NewEncoder(w).Encode(s.runs)
+func (s *Service) arrival(w http.ResponseWriter, q *http.Request) {
+	if _, found := s.here.Load(q.PathValue("key")); !found {
+		http.NotFound(w, q)
+	}
 }
 
 func (s *Service) book(w http.ResponseWriter, q *http.Request) {
@@ -67,15 +78,36 @@
 		return
 	}
 	key := q.Header.Get("Idempotency-Key")
-	s.mu.Lock()
-	s.runs[key]++
-	n := s.runs[key]
-	s.mu.Unlock()
+	s.here.Store(key, true)
+	time.Sleep(time.Duration(s.Faults.Get(Early)) * time.Millisecond)
+	n, err := s.run(context.WithoutCancel(q.Context()), key)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
 	time.Sleep(s.work)
 	w.Header().Set("Content-Type", "application/json")
 	fmt.Fprintf(w, `{"booking":%q,"run":%d,"bytes":%d}`+"\n", key, n, len(body))
 }
 
+// run makes the booking and returns how often it has been made.
+func (s *Service) run(ctx context.Context, key string) (int, error) {
+	if s.runs == "" {
+		return s.own.Add(key), nil
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.runs+"/run?key="+url.QueryEscape(key), nil)
+	if err != nil {
+		return 0, err
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, err
+	}
+	defer r.Body.Close()
+	var n int
+	_, err = fmt.Fscan(r.Body, &n)
+	return n, err
+}
+
 func (s *Service) echo(w http.ResponseWriter, q *http.Request) {
 	time.Sleep(s.work)
 	w.Header().Set("Content-Type", q.Header.Get("Content-Type"))
--- a/standin/main.go
+++ b/standin/main.go
@@ -21,6 +21,7 @@
 	"bamboohill/standin/lister"
 	"bamboohill/standin/loader"
 	"bamboohill/standin/settings"
+	"bamboohill/standin/tallier"
 	"bamboohill/standin/transactor"
 
 	"github.com/phuslu/log"
@@ -36,7 +37,11 @@
 }
 
 func run(ctx context.Context, s *settings.Settings, l *log.Logger) error {
-	for address, handler := range systems(ctx, *s) {
+	all, err := systems(ctx, *s)
+	if err != nil {
+		return err
+	}
+	for address, handler := range all {
 		if err := serve(ctx, address, handler, l); err != nil {
 			return err
 		}
@@ -46,10 +51,13 @@
 }
 
 // systems returns the handlers by address.
-func systems(ctx context.Context, s settings.Settings) map[string]http.Handler {
+func systems(ctx context.Context, s settings.Settings) (map[string]http.Handler, error) {
 	all := map[string]http.Handler{}
 	if s.Table.Address != "" {
-		t := transactor.New()
+		t, err := transactor.Open(s.Table.Journal)
+		if err != nil {
+			return nil, err
+		}
 		all[s.Table.Address] = t.Faults.Wrap(t.Handler())
 	}
 	if s.Objects.Address != "" {
@@ -64,14 +72,18 @@
 		w := loader.New(loader.Config{Rate: s.Weights.Rate, Burst: s.Weights.Burst})
 		all[s.Weights.Address] = w.Faults.Wrap(w.Handler())
 	}
+	if s.Runs.Address != "" {
+		l := tallier.New()
+		all[s.Runs.Address] = l.Faults.Wrap(l.Handler())
+	}
 	for _, e := range s.Engines {
 		all[e.Address] = engine(ctx, e, s.Weights.Address)
 	}
 	for _, v := range s.Services {
-		b := booker.New(booker.Config{Work: time.Duration(v.Work) * time.Millisecond})
+		b := booker.New(booker.Config{Work: time.Duration(v.Work) * time.Millisecond, Runs: v.Runs})
 		all[v.Address] = b.Faults.Wrap(b.Handler())
 	}
-	return all
+	return all, nil
 }
 
 func engine(ctx context.Context, e settings.Engine, weights string) http.Handler {
--- a/standin/settings/settings.go
+++ b/standin/settings/settings.go
@@ -17,10 +17,11 @@
 // Settings names the systems that one process stands in for.
 type Settings struct {
 	Level    string    `toml:"level"` // of the log
-	Table    Place     `toml:"table"`
+	Table    Table     `toml:"table"`
 	Objects  Place     `toml:"objects"`
 	List     List      `toml:"list"`
 	Weights  Weights   `toml:"weights"`
+	Runs     Place     `toml:"runs"` // log of the plain services' runs
 	Engines  []Engine  `toml:"engine"`
 	Services []Service `toml:"service"`
 }
@@ -30,6 +31,12 @@
 	Address string `toml:"address"`
 }
 
+// Table is the table service.
+type Table struct {
+	Address string `toml:"address"`
+	Journal string `toml:"journal"` // file that keeps its rows; in memory alone if empty
+}
+
 // List is the platform's list of VMs.
 type List struct {
 	Address string `toml:"address"`
@@ -71,13 +78,14 @@
 type Service struct {
 	Address string `toml:"address"`
 	Work    int    `toml:"work"` // milliseconds a call
+	Runs    string `toml:"runs"` // address of the log of runs; its own if empty
 }
 
 // Check implements checker.Checked.
 func (s *Settings) Check() []checker.Problem {
 	var bad checker.Problems
 	places := map[string]string{
-		"table": s.Table.Address, "objects": s.Objects.Address, "list": s.List.Address, "weights": s.Weights.Address,
+		"table": s.Table.Address, "objects": s.Objects.Address, "list": s.List.Address, "weights": s.Weights.Address, "runs": s.Runs.Address,
 	}
 	for name, a := range places {
 		bad.Require(a == "" || checker.IsAddress(a), name+".address", "must be IP:PORT")
@@ -87,8 +95,9 @@
 	}
 	for i, v := range s.Services {
 		bad.Require(checker.IsAddress(v.Address), fmt.Sprintf("service[%d].address", i), "must be IP:PORT")
+		bad.Require(v.Runs == "" || checker.IsAddress(v.Runs), fmt.Sprintf("service[%d].runs", i), "must be IP:PORT")
 	}
-	none := s.Table.Address+s.Objects.Address+s.List.Address+s.Weights.Address == "" && len(s.Engines)+len(s.Services) == 0
+	none := s.Table.Address+s.Objects.Address+s.List.Address+s.Weights.Address+s.Runs.Address == "" && len(s.Engines)+len(s.Services) == 0
 	bad.Require(!none, "table", "at least one system must be set")
 	return bad
 }
--- a/standin/transactor/transactor.go
+++ b/standin/transactor/transactor.go
@@ -7,12 +7,15 @@
 //	http.ListenAndServe(address, t.Faults.Wrap(t.Handler()))
 //
 // It serves the format that bamboohill/core/storer reads, counts its reads and
-// writes at /table/counts and keeps its rows in memory.
+// writes at /table/counts and keeps its rows in memory. One that is
+// opened on a journal appends each transaction to that file before it answers,
+// and when it is killed and opened again it has every row that it answered for.
 package transactor
 
 import (
 	"encoding/json"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -35,6 +38,8 @@
 	mu     sync.Mutex
 	rows   map[string]storer.Row
 	counts Counts
+
+	journal *os.File // nil if none is kept
 }
 
 // New returns an empty table.
@@ -104,7 +109,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.counts.Writes++
-	return txn.Apply(t.rows)
+	if err := txn.Apply(t.rows); err != nil {
+		return err
+	}
+	t.keep(txn)
+	return nil
 }
 
 func (t *Table) count(w http.ResponseWriter, _ *http.Request) {
