How a change spreads over real processes, and what it costs the table

Cause: the spread was measured with all processes in one only. Change: load spread takes a caller's key and a model of its plan away, through one entry after the other, with every entry asked all the while; bench/spread runs it for several sizes. It ends with what entries and sidecars lack when a change is not in force in half a minute, and names processes that have ended.

--- a/load/main.go
+++ b/load/main.go
@@ -44,6 +44,7 @@
 		strangersCommand(),
 		overheadCommand(),
 		experimentCommand(),
+		spreadCommand(),
 		capacityCommand(),
 		measureCommand(),
 	}
