A sidecar says that it is open once it has its configuration

Cause: a sidecar that has just started reports its backend server as open as soon as the engine answers, while its gate refuses everything until it has read the configuration. Change: without a configuration the report's state is down. Ruled out: the entry's view, which showed what it had been told. Test: TestOpenOnceConfigured, which failed first ("STATE_OPEN != STATE_DOWN").

--- a/sidecar/internal/server/propose_test.go
+++ b/sidecar/internal/server/propose_test.go
@@ -80,3 +80,16 @@
 	cancel()
 	all.Wait()
 }
+
+// A sidecar without a configuration, whose gate refuses everything, does not
+// tell entries that it is open.
+func TestOpenOnceConfigured(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, quick)
+	r.until("open", func() bool { return r.server.Report().GetState() == wire.State_STATE_OPEN })
+	r.end()
+	r.table.Close()
+	r.begin(r.server.config.Settings.Entries[0])
+	is.Equal(r.ask(50, 4).refused.GetDetail(), "no configuration yet")
+	is.Equal(r.server.Report().GetState(), wire.State_STATE_DOWN)
+}
--- a/sidecar/internal/server/report.go
+++ b/sidecar/internal/server/report.go
@@ -27,7 +27,8 @@
 	if s.engine != nil {
 		alive = s.describe(r)
 	}
-	r.State = s.state(state.Out(set.Domain, set.VM), alive)
+	// Without a configuration the gate refuses everything.
+	r.State = s.state(state.Out(set.Domain, set.VM), alive && s.keeper.Ready())
 	return r
 }
 
