--- a/standin/main.go
+++ b/standin/main.go
@@ -1,6 +1,6 @@
 // Command standin runs small stand-ins of the systems that bamboohill serves
 // and rests on: model engines, plain services, the table service, the object
-// store, the list of VMs and the weight store.
+// store, the list of VMs, the weight store and the balancer.
 //
 // # Usage
 //
@@ -20,6 +20,7 @@
 	"bamboohill/standin/booker"
 	"bamboohill/standin/lister"
 	"bamboohill/standin/loader"
+	"bamboohill/standin/relayer"
 	"bamboohill/standin/settings"
 	"bamboohill/standin/transactor"
 
@@ -41,10 +42,27 @@
 			return err
 		}
 	}
+	if s.Balancer.Address != "" {
+		if err := balance(ctx, s.Balancer, l); err != nil {
+			return err
+		}
+	}
 	<-ctx.Done()
 	return nil
 }
 
+// balance starts the balancer.
+func balance(ctx context.Context, v settings.Balancer, l *log.Logger) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", v.Address)
+	if err != nil {
+		return err
+	}
+	b := relayer.NewBalancer(relayer.BalancerConfig{Targets: v.Targets, Every: time.Duration(v.Every) * time.Millisecond})
+	go b.Run(ctx)
+	go b.Relay().Serve(listener)
+	return serve(ctx, v.Control, b.Faults.Wrap(b.Handler()), l)
+}
+
 // systems returns the handlers by address.
 func systems(ctx context.Context, s settings.Settings) map[string]http.Handler {
 	all := map[string]http.Handler{}
--- /dev/null
+++ b/standin/relayer/balancer.go
@@ -0,0 +1,134 @@
+package relayer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"bamboohill/standin/faulter"
+)
+
+// Late is the fault by which a balancer acts on an answer of /readyz so many
+// milliseconds later.
+const Late = "late"
+
+// defaultEvery is the time between questions to one target.
+const defaultEvery = time.Second
+
+// BalancerConfig describes a Balancer. The zero Every is a second.
+type BalancerConfig struct {
+	Targets []string
+	Every   time.Duration // between questions to one target
+}
+
+// Balancer spreads connections over targets in turn.
+type Balancer struct {
+	Faults *faulter.Faults
+
+	config BalancerConfig
+	relay  *Relay
+	client *http.Client
+
+	mu    sync.Mutex
+	ready map[string]bool // as acted on
+	turn  int
+}
+
+// NewBalancer returns a balancer that holds no target ready yet.
+func NewBalancer(config BalancerConfig) *Balancer {
+	if config.Every <= 0 {
+		config.Every = defaultEvery
+	}
+	b := &Balancer{
+		Faults: faulter.New(), config: config, ready: map[string]bool{},
+		client: &http.Client{Timeout: config.Every, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	b.relay = New(Config{Pick: b.pick})
+	return b
+}
+
+// Relay returns what passes the connections on.
+func (b *Balancer) Relay() *Relay { return b.relay }
+
+// Run asks every target until the context ends.
+func (b *Balancer) Run(ctx context.Context) {
+	for _, target := range b.config.Targets {
+		go b.watch(ctx, target)
+	}
+	<-ctx.Done()
+}
+
+func (b *Balancer) watch(ctx context.Context, target string) {
+	ticks := time.NewTicker(b.config.Every)
+	defer ticks.Stop()
+	for {
+		ready := b.ask(ctx, target)
+		late := time.Duration(b.Faults.Get(Late)) * time.Millisecond
+		time.AfterFunc(late, func() { b.note(target, ready) })
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+		}
+	}
+}
+
+func (b *Balancer) ask(ctx context.Context, target string) bool {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	r, err := b.client.Do(q)
+	if err != nil {
+		return false
+	}
+	defer r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+func (b *Balancer) note(target string, ready bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready[target] = ready
+}
+
+// pick returns the next target that is ready.
+func (b *Balancer) pick() (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for range b.config.Targets {
+		target := b.config.Targets[b.turn%len(b.config.Targets)]
+		b.turn++
+		if b.ready[target] {
+			return target, true
+		}
+	}
+	return "", false
+}
+
+// Handler serves /counts: the connections by target, the number refused, and
+// the targets that are held ready.
+func (b *Balancer) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) {
+		sent, refused := b.relay.Counts()
+		json.NewEncoder(w).Encode(map[string]any{"sent": sent, "refused": refused, "ready": b.held()})
+	})
+	return mux
+}
+
+func (b *Balancer) held() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	held := []string{}
+	for target, ready := range b.ready {
+		if ready {
+			held = append(held, target)
+		}
+	}
+	slices.Sort(held)
+	return held
+}
--- /dev/null
+++ b/standin/relayer/relay.go
@@ -0,0 +1,183 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Cut is what a relay does with a connection's bytes.
+type Cut int
+
+// Cuts of a connection. Swallow takes the connection and drops what the caller
+// sends, so that it gets no answer and the target no request; Mute lets
+// requests through and drops the answers; Reset ends the connection.
+const (
+	Pass Cut = iota
+	Swallow
+	Mute
+	Reset
+)
+
+// Times of a connection.
+const (
+	dialLimit = 2 * time.Second
+	cutEvery  = 20 * time.Millisecond // between looks at a connection's cut
+)
+
+// chunk is how many bytes are passed on at once.
+const chunk = 32 << 10
+
+// Config describes a Relay. Pick names the target of a new connection; Cut,
+// which may be nil, is asked for what to do with one caller's connections, by
+// the caller's address.
+type Config struct {
+	Pick func() (target string, found bool)
+	Cut  func(caller net.Addr) func() Cut
+}
+
+// Relay passes connections on.
+type Relay struct {
+	config  Config
+	cut     atomic.Int64
+	refused atomic.Int64
+
+	mu   sync.Mutex
+	sent map[string]int // connections by target
+}
+
+// errLost ends a connection of which a cut has dropped bytes.
+var errLost = errors.New("relayer: bytes were dropped")
+
+// To returns a Pick of one target.
+func To(target string) func() (string, bool) {
+	return func() (string, bool) { return target, true }
+}
+
+// New returns a relay that cuts nothing.
+func New(config Config) *Relay {
+	return &Relay{config: config, sent: map[string]int{}}
+}
+
+// Cut sets what is done with every connection, open ones too.
+func (r *Relay) Cut(cut Cut) { r.cut.Store(int64(cut)) }
+
+// Counts returns the connections passed on by target, and how many found no
+// target or one that refused them.
+func (r *Relay) Counts() (sent map[string]int, refused int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sent = map[string]int{}
+	for target, n := range r.sent {
+		sent[target] = n
+	}
+	return sent, int(r.refused.Load())
+}
+
+// Serve passes on what comes to a listener until it is closed.
+func (r *Relay) Serve(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		go r.pass(conn.(*net.TCPConn))
+	}
+}
+
+// judge returns the question what to do with a connection now.
+func (r *Relay) judge(caller *net.TCPConn) func() Cut {
+	own := func() Cut { return Pass }
+	if r.config.Cut != nil {
+		own = r.config.Cut(caller.RemoteAddr())
+	}
+	return func() Cut { return max(own(), Cut(r.cut.Load())) }
+}
+
+func (r *Relay) pass(caller *net.TCPConn) {
+	defer caller.Close()
+	cut := r.judge(caller)
+	if cut() == Reset {
+		caller.SetLinger(0)
+		return
+	}
+	target, err := r.dial()
+	if err != nil {
+		r.refused.Add(1)
+		caller.SetLinger(0)
+		return
+	}
+	defer target.Close()
+	done := make(chan error, 2)
+	go func() { done <- copyUnless(target, caller, cut, Swallow) }()
+	go func() { done <- copyUnless(caller, target, cut, Mute) }()
+	for range 2 {
+		if err := <-done; err != nil {
+			caller.SetLinger(0)
+			target.SetLinger(0)
+			return
+		}
+	}
+}
+
+func (r *Relay) dial() (*net.TCPConn, error) {
+	address, found := r.config.Pick()
+	if !found {
+		return nil, net.ErrClosed
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), dialLimit)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	r.sent[address]++
+	r.mu.Unlock()
+	return conn.(*net.TCPConn), nil
+}
+
+// copyUnless passes bytes on until the source ends, which it tells the sink.
+// While the cut is the given one it drops them instead, and once that is over
+// a connection that lost some is ended.
+func copyUnless(sink, source *net.TCPConn, cut func() Cut, drop Cut) error {
+	buffer := make([]byte, chunk)
+	lost := false
+	for {
+		source.SetReadDeadline(time.Now().Add(cutEvery))
+		n, err := source.Read(buffer)
+		now := cut()
+		switch {
+		case now == Reset || lost && now != drop:
+			return errLost
+		case now == drop:
+			lost = lost || n > 0
+		case n > 0:
+			if _, bad := sink.Write(buffer[:n]); bad != nil {
+				return bad
+			}
+		}
+		var slow net.Error
+		if errors.As(err, &slow) && slow.Timeout() {
+			continue
+		}
+		if err != nil {
+			return end(sink, err, lost)
+		}
+	}
+}
+
+// end passes the end of a source on; one that broke off breaks the sink too.
+func end(sink *net.TCPConn, err error, lost bool) error {
+	if lost {
+		return errLost
+	}
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	return sink.CloseWrite()
+}
--- /dev/null
+++ b/standin/relayer/relayer_test.go
@@ -0,0 +1,112 @@
+package relayer
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// echo answers every line and counts what reached it.
+func echo(t *testing.T) (address string, heard *atomic.Int64) {
+	heard = &atomic.Int64{}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		heard.Add(1)
+		io.WriteString(w, "echo")
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://"), heard
+}
+
+func listen(t *testing.T, r *Relay) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go r.Serve(listener)
+	return "http://" + listener.Addr().String()
+}
+
+func TestCuts(t *testing.T) {
+	cases := map[string]struct {
+		cut     Cut
+		answers bool
+		heard   int64
+	}{
+		"pass":    {Pass, true, 1},
+		"swallow": {Swallow, false, 0},
+		"mute":    {Mute, false, 1},
+		"reset":   {Reset, false, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			target, heard := echo(t)
+			r := New(Config{Pick: To(target)})
+			r.Cut(c.cut)
+			url := listen(t, r)
+			client := &http.Client{Timeout: 300 * time.Millisecond}
+			if c.answers {
+				client.Timeout = 0
+			}
+			reply, err := client.Get(url)
+			is.Equal(err == nil, c.answers)
+			if err == nil {
+				reply.Body.Close()
+			}
+			for c.heard > heard.Load() {
+				time.Sleep(time.Millisecond)
+			}
+			is.Equal(heard.Load(), c.heard)
+			r.Cut(Pass) // a connection that lost bytes is not used again
+			client.Timeout = 0
+			reply, err = client.Get(url)
+			is.NoErr(err)
+			reply.Body.Close()
+		})
+	}
+}
+
+func TestBalancerFollowsReadiness(t *testing.T) {
+	is := is.New(t)
+	var ready atomic.Bool
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !ready.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	defer s.Close()
+	other, heard := echo(t)
+	address := strings.TrimPrefix(s.URL, "http://")
+	b := NewBalancer(BalancerConfig{Targets: []string{address, other}, Every: 5 * time.Millisecond})
+	go b.Run(t.Context())
+	until(func() bool { return len(b.held()) == 1 })
+	url := listen(t, b.Relay())
+	ready.Store(true)
+	until(func() bool { return len(b.held()) == 2 })
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for range 4 {
+		reply, err := client.Get(url)
+		is.NoErr(err)
+		reply.Body.Close()
+	}
+	sent, refused := b.Relay().Counts()
+	is.Equal(sent, map[string]int{address: 2, other: 2})
+	is.Equal(refused, 0)
+	is.True(heard.Load() > 0)
+	ready.Store(false)
+	until(func() bool { return len(b.held()) == 1 })
+}
+
+func until(done func() bool) {
+	for !done() {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/standin/settings/settings.go
+++ b/standin/settings/settings.go
@@ -23,6 +23,15 @@
 	Weights  Weights   `toml:"weights"`
 	Engines  []Engine  `toml:"engine"`
 	Services []Service `toml:"service"`
+	Balancer Balancer  `toml:"balancer"`
+}
+
+// Balancer is the platform's balancer before the entries.
+type Balancer struct {
+	Address string   `toml:"address"` // for callers
+	Control string   `toml:"control"` // for its faults and counts
+	Targets []string `toml:"targets"` // the entries' addresses for callers
+	Every   int      `toml:"every"`   // milliseconds between questions whether one is ready
 }
 
 // Place is a system that needs an address alone; an empty one is not started.
@@ -78,6 +87,7 @@
 	var bad checker.Problems
 	places := map[string]string{
 		"table": s.Table.Address, "objects": s.Objects.Address, "list": s.List.Address, "weights": s.Weights.Address,
+		"balancer": s.Balancer.Address,
 	}
 	for name, a := range places {
 		bad.Require(a == "" || checker.IsAddress(a), name+".address", "must be IP:PORT")
@@ -88,7 +98,10 @@
 	for i, v := range s.Services {
 		bad.Require(checker.IsAddress(v.Address), fmt.Sprintf("service[%d].address", i), "must be IP:PORT")
 	}
-	none := s.Table.Address+s.Objects.Address+s.List.Address+s.Weights.Address == "" && len(s.Engines)+len(s.Services) == 0
+	bad.Require(s.Balancer.Address == "" || checker.IsAddress(s.Balancer.Control), "balancer.control", "must be IP:PORT")
+	bad.Require(checker.AreAddresses(s.Balancer.Targets), "balancer.targets", "must hold IP:PORT")
+	bad.Require(s.Balancer.Every >= 0, "balancer.every", "must not be negative")
+	none := s.Table.Address+s.Objects.Address+s.List.Address+s.Weights.Address+s.Balancer.Address == "" && len(s.Engines)+len(s.Services) == 0
 	bad.Require(!none, "table", "at least one system must be set")
 	return bad
 }
