--- a/core/watcher/watcher.go
+++ b/core/watcher/watcher.go
@@ -70,6 +70,7 @@
 
 type message struct {
 	report *wire.Report
+	passed bool // on by another entry
 	failed ider.Server
 	tick   bool
 }
@@ -101,6 +102,15 @@
 	}
 }
 
+// HearOf takes a report that another entry passes on. It is news of a server,
+// and no sign that this entry reaches it: one to which calls failed stays as
+// silent and as failed as it was until it is heard itself, or starts again.
+func (w *Watcher) HearOf(report *wire.Report) {
+	if report.GetServer() != "" {
+		w.owner.Tell(message{report: report, passed: true})
+	}
+}
+
 // Fail notes that a proposal to a server got no answer.
 func (w *Watcher) Fail(server ider.Server) { w.owner.Tell(message{failed: server}) }
 
@@ -126,7 +136,7 @@
 	now := w.config.Now()
 	switch {
 	case m.report != nil:
-		if !w.hear(m.report, now) {
+		if !w.hear(m.report, m.passed, now) {
 			return
 		}
 	case m.failed != "":
@@ -140,7 +150,7 @@
 	w.publish(now)
 }
 
-func (w *Watcher) hear(report *wire.Report, now time.Time) bool {
+func (w *Watcher) hear(report *wire.Report, passed bool, now time.Time) bool {
 	id := ider.Server(report.GetServer())
 	r, found := w.known[id]
 	if found && !newer(report, r.Report) && !replaces(report, r) {
@@ -150,6 +160,10 @@
 		r = &record{}
 		w.known[id] = r
 	}
+	if passed && r.Failed > 0 && report.GetBoot() == r.GetBoot() {
+		r.Report = report
+		return true
+	}
 	w.back(r, now)
 	r.Server = Server{Report: report, Heard: now}
 	return true
--- a/core/watcher/watcher_test.go
+++ b/core/watcher/watcher_test.go
@@ -202,3 +202,25 @@
 		is.Equal(w.View().Servers[2].GetRunning(), int32(2))
 	})
 }
+
+// An entry that is cut off from a server hears of it from others all the time.
+func TestPassedOnReportsProveNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(4)
+		defer b.Stop()
+		for range 5 {
+			b.second(3, 4)
+			b.HearOf(&wire.Report{Server: "s3", Domain: "ikeja", Boot: 1, Serial: b.serial, Running: 9})
+			b.Tick()
+			synctest.Wait()
+		}
+		is.Equal(len(b.View().Gone), 1)
+		is.Equal(b.View().Gone[0].GetRunning(), int32(9)) // news all the same
+		b.HearOf(&wire.Report{Server: "s3", Domain: "ikeja", Boot: 2, Serial: 1})
+		b.HearOf(&wire.Report{Server: "s4", Domain: "ikeja", Boot: 1, Serial: 1})
+		synctest.Wait()
+		is.Equal(len(b.View().Servers)+len(b.View().Gone), 5)
+		is.Equal(b.View().Gone[0].Failed, 0) // it has started again: anything may be true
+	})
+}
--- a/entry/internal/gossiper/gossiper.go
+++ b/entry/internal/gossiper/gossiper.go
@@ -259,7 +259,7 @@
 	}
 	g.take(reply, now)
 	for _, r := range reply.GetReports() {
-		g.config.Watcher.Hear(r)
+		g.config.Watcher.HearOf(r)
 	}
 	return reply
 }
--- a/entry/internal/server/place.go
+++ b/entry/internal/server/place.go
@@ -18,7 +18,7 @@
 	set := s.config.Settings
 	return placer.New(placer.Config{
 		Table: s.table, Keeper: s.keeper, Watcher: s.watcher, Log: s.config.Log,
-		Name:  set.Inner + "/" + strconv.FormatUint(s.boot, 10),
+		Name:  set.Advertise + "/" + strconv.FormatUint(s.boot, 10),
 		Every: min(placeMost, placePolls*time.Duration(set.Poll)*time.Millisecond),
 	})
 }
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -111,7 +111,7 @@
 	sidecars.Client.Transport = s.tracer.Transport("attempt", sidecars.Client.Transport)
 	proposals := proposer.New(proposer.Config{Peer: sidecars})
 	s.borrower = borrower.New(borrower.Config{
-		Self: set.Inner, Live: s.gossiper.Live, Borrow: s.gossiper.Borrow, Plan: s.plan,
+		Self: set.Advertise, Live: s.gossiper.Live, Borrow: s.gossiper.Borrow, Plan: s.plan,
 		Backlog: func() time.Duration { return limiter.Backlog(s.watcher.View().Servers) },
 	})
 	d := dispatcher.New(dispatcher.Config{
@@ -126,7 +126,7 @@
 			Picker:   router.New(router.Config{Hints: s.hints, Seed: s.boot}),
 			Admitter: admitter.New(admitter.Config{}),
 		}),
-		Watcher: s.watcher, Keeper: s.keeper, Entry: set.Inner, Log: config.Log, Suspects: s.suspects, Accuse: s.accuse,
+		Watcher: s.watcher, Keeper: s.keeper, Entry: set.Advertise, Log: config.Log, Suspects: s.suspects, Accuse: s.accuse,
 		Propose: func(ctx context.Context, address string, p *wire.Proposal, payload []byte) (dispatcher.Attempt, error) {
 			if p.GetModel() != "" {
 				s.placer.Note(p.GetModel(), p.GetVersion(), p.GetPrompt()+p.GetAnswer())
@@ -153,7 +153,7 @@
 	entries := certifier.NewPeer(s.certs, certifier.Entry)
 	config := keeper.Config{
 		Table: s.table,
-		Peers: puller.New(puller.Config{Addresses: func() []string { return s.gossiper.Known() }, Self: set.Inner, Peer: entries}),
+		Peers: puller.New(puller.Config{Addresses: func() []string { return s.gossiper.Known() }, Self: set.Advertise, Peer: entries}),
 		Changed: func(state *keeper.State) {
 			s.config.Log.Info().Str("event", "configuration").Uint64("sequence", state.Sequence).Msg("")
 			s.suspects.Pardon(state)
@@ -165,7 +165,7 @@
 	}
 	s.keeper = keeper.New(config)
 	members := gossiper.Config{
-		Address: set.Inner, Boot: s.boot, Seeds: set.Entries, Keeper: s.keeper, Watcher: s.watcher, Log: s.config.Log,
+		Address: set.Advertise, Boot: s.boot, Seeds: set.Entries, Keeper: s.keeper, Watcher: s.watcher, Log: s.config.Log,
 		Accuse: func(a *wire.Accusation) { s.suspects.Hear(a) },
 		Borrow: func(ctx context.Context, q *wire.BorrowRequest) (*wire.BorrowReply, error) {
 			return s.borrower.Lend(ctx, q)
--- a/entry/internal/settings/settings.go
+++ b/entry/internal/settings/settings.go
@@ -20,12 +20,13 @@
 
 // Settings is what one entry needs to know.
 type Settings struct {
-	Level     string          `toml:"level"`   // of the log
-	Address   string          `toml:"address"` // for callers and operators, IP:PORT
-	Inner     string          `toml:"inner"`   // for entries and sidecars, IP:PORT
-	VM        string          `toml:"vm"`      // name of this VM
-	Domain    string          `toml:"domain"`  // failure domain
-	Entries   []string        `toml:"entries"` // inner addresses of some other entries
+	Level     string          `toml:"level"`     // of the log
+	Address   string          `toml:"address"`   // for callers and operators, IP:PORT
+	Inner     string          `toml:"inner"`     // for entries and sidecars, IP:PORT
+	Advertise string          `toml:"advertise"` // where other processes reach inner, IP:PORT
+	VM        string          `toml:"vm"`        // name of this VM
+	Domain    string          `toml:"domain"`    // failure domain
+	Entries   []string        `toml:"entries"`   // inner addresses of some other entries
 	Platform  storer.Platform `toml:"platform"`
 	Bounds    Bounds          `toml:"bounds"`
 	Operators []Operator      `toml:"operator"`
@@ -79,6 +80,7 @@
 	bad.Require(slices.Contains(logger.Levels, s.Level), "level", "must be debug, info, warn or error")
 	bad.Require(checker.IsAddress(s.Address), "address", "must be IP:PORT")
 	bad.Require(checker.IsAddress(s.Inner), "inner", "must be IP:PORT")
+	bad.Require(checker.IsAddress(s.Advertise), "advertise", "must be IP:PORT")
 	bad.Require(s.VM != "", "vm", "must name this VM")
 	bad.Require(s.Domain != "", "domain", "must name the failure domain")
 	bad.Require(checker.AreAddresses(s.Entries), "entries", "must hold IP:PORT")
@@ -103,6 +105,7 @@
 
 func (s *Settings) defaults() {
 	checker.Default(&s.Level, "info")
+	checker.Default(&s.Advertise, s.Inner)
 	checker.Default(&s.Bounds.Body, defaultBody)
 	checker.Default(&s.Bounds.Memory, defaultMemory)
 	checker.Default(&s.Bounds.Timeout, defaultTimeout)
--- a/prover/commands.go
+++ b/prover/commands.go
@@ -20,13 +20,15 @@
 
 	services int
 	engines  int
+	entries  int
 	mu       sync.Mutex
 	calls    map[string]chan error
+	jobs     map[string]int // started by an engine, as last stored
 }
 
 // NewScript returns a scenario on a stage.
 func NewScript(stage *stager.Stage) *Script {
-	return &Script{Stage: stage, calls: map[string]chan error{}}
+	return &Script{Stage: stage, calls: map[string]chan error{}, jobs: map[string]int{}}
 }
 
 // errUsage is returned for a command with the wrong words.
@@ -55,6 +57,11 @@
 		"busy":     {2, s.busy},
 		"crashes":  {1, s.crashes},
 		"held":     {2, s.held},
+		"down":     {2, s.down},
+		"started":  {2, s.started},
+		"sequence": {2, s.sequence},
+		"halves":   {1, s.halves},
+		"cut":      {3, func(w []string) (string, error) { return "", s.Stage.Cut(w[0], w[1], w[2]) }},
 		"counts":   {2, func(w []string) (string, error) { return s.Stage.Counts(w[0], w[1]) }},
 	}
 	if name == "until" && len(words) > 0 {
@@ -105,6 +112,8 @@
 		case key == "front":
 			h.TLS = true
 			h.Front = true
+		case key == "relays":
+			h.Relays = true
 		case key == "alone":
 			h.Alone = true
 		default:
@@ -112,6 +121,7 @@
 		}
 	}
 	s.services = h.Services
+	s.entries = max(1, h.Entries)
 	s.engines = max(1, h.Engines)
 	return "", s.Stage.Up(h)
 }
@@ -272,31 +282,41 @@
 var errOutcome = errors.New("prover: another outcome")
 
 // servers reads what an entry sees of the backend servers.
-func (s *Script) servers(entry string) (open, running int, err error) {
+func (s *Script) servers(entry string) (v view, err error) {
 	n, err := stager.Number(entry)
 	if err != nil {
-		return 0, 0, err
+		return v, err
 	}
 	text, err := s.Stage.Admin(n, "GET", "status", "")
 	if err != nil {
-		return 0, 0, err
+		return v, err
 	}
 	var status struct {
 		Servers []struct {
 			State   string `json:"state"`
+			Health  string `json:"health"`
 			Running int    `json:"running"`
 		} `json:"servers"`
 	}
 	if err := json.Unmarshal([]byte(text), &status); err != nil {
-		return 0, 0, err
+		return v, err
 	}
-	for _, v := range status.Servers {
-		running += v.Running
-		if v.State == "STATE_OPEN" {
-			open++
+	for _, r := range status.Servers {
+		v.running += r.Running
+		if r.State == "STATE_OPEN" {
+			v.open++
+		}
+		if r.Health != "alive" {
+			v.down++
 		}
 	}
-	return open, running, nil
+	return v, nil
+}
+
+// view is what an entry sees of the backend servers.
+type view struct {
+	open, running int
+	down          int // suspected or gone
 }
 
 // open checks that an entry sees so many backend servers open.
@@ -305,22 +325,99 @@
 	if err != nil {
 		return "", err
 	}
-	got, _, err := s.servers(w[0])
-	if err == nil && got != want {
-		err = fmt.Errorf("prover: entry sees %d open servers, want %d", got, want)
+	got, err := s.servers(w[0])
+	if err == nil && got.open != want {
+		err = fmt.Errorf("prover: entry sees %d open servers, want %d", got.open, want)
+	}
+	return "", err
+}
+
+// sequence checks that an entry has a configuration of a number in force.
+func (s *Script) sequence(w []string) (string, error) {
+	n, err := stager.Number(w[0])
+	if err != nil {
+		return "", err
+	}
+	text, err := s.Stage.Admin(n, "GET", "status", "")
+	if err == nil && !strings.Contains(text, `"sequence":`+w[1]+",") {
+		err = fmt.Errorf("prover: entry %s has another change than %s in force", w[0], w[1])
 	}
 	return "", err
 }
 
+// halves cuts the entries and sidecars of the upper half off from those of the
+// lower one, both ways, or ends that.
+func (s *Script) halves(w []string) (string, error) {
+	var lower, upper []string
+	add := func(kind string, count int) {
+		for n := range count {
+			name := fmt.Sprintf("%s%d", kind, n)
+			if 2*n < count {
+				lower = append(lower, name)
+			} else {
+				upper = append(upper, name)
+			}
+		}
+	}
+	add("entry", s.entries)
+	add("sidecar", s.engines+s.services)
+	for _, a := range lower {
+		for _, b := range upper {
+			if err := errors.Join(s.Stage.Cut(a, b, w[0]), s.Stage.Cut(b, a, w[0])); err != nil {
+				return "", err
+			}
+		}
+	}
+	return "", nil
+}
+
+// down checks how many backend servers an entry holds for silent or gone.
+func (s *Script) down(w []string) (string, error) {
+	want, err := stager.Number(w[1])
+	if err != nil {
+		return "", err
+	}
+	got, err := s.servers(w[0])
+	if err == nil && got.down != want {
+		err = fmt.Errorf("prover: entry sees %d servers silent or gone, want %d", got.down, want)
+	}
+	return "", err
+}
+
+// started stores how many jobs an engine has started (store), or checks that
+// it has started none (same) or some (more) since.
+func (s *Script) started(w []string) (string, error) {
+	text, err := s.Stage.Counts(w[0], "/counts")
+	if err != nil {
+		return "", err
+	}
+	var counts struct {
+		Started int `json:"started"`
+	}
+	if err := json.Unmarshal([]byte(text), &counts); err != nil {
+		return "", err
+	}
+	before := s.jobs[w[0]]
+	switch {
+	case w[1] == "store":
+		s.jobs[w[0]] = counts.Started
+	case w[1] == "same" && counts.Started != before || w[1] == "more" && counts.Started <= before:
+		return "", fmt.Errorf("prover: %s has started %d jobs, want %s than %d", w[0], counts.Started, w[1], before)
+	case w[1] != "same" && w[1] != "more":
+		return "", fmt.Errorf("%w: started %s", errUsage, w[1])
+	}
+	return "", nil
+}
+
 // busy checks that an entry sees at least so many requests running.
 func (s *Script) busy(w []string) (string, error) {
 	want, err := stager.Number(w[1])
 	if err != nil {
 		return "", err
 	}
-	_, got, err := s.servers(w[0])
-	if err == nil && got < want {
-		err = fmt.Errorf("prover: entry sees %d requests running, want %d", got, want)
+	got, err := s.servers(w[0])
+	if err == nil && got.running < want {
+		err = fmt.Errorf("prover: entry sees %d requests running, want %d", got.running, want)
 	}
 	return "", err
 }
--- a/prover/doc.go
+++ b/prover/doc.go
@@ -12,13 +12,19 @@
 //
 //	stack KEY=VALUE ...      start a stack; keys: entries engines services memory
 //	                         prefill decode cold warmup work beat poll drain restart fencing
-//	                         grace tls front alone
+//	                         grace tls front alone relays
 //	signal NAME SIGNAL       send KILL, TERM, STOP or CONT to a process
 //	start NAME               start a process again
 //	issue NAME               write a new certificate for a process
 //	grep-log NAME TEXT       check that a process's log holds a text
 //	exited NAME STATUS       wait for a process to end with an exit status
 //	fault STANDIN NAME VALUE set a fault (see bamboohill/standin/faulter)
+//	cut FROM TO MODE         what becomes of the calls of one process to another, in a
+//	                         stack with relays=true; FROM and TO are process names,
+//	                         table, objects, list or *; MODE is pass, swallow (taken
+//	                         and never answered), mute (answers are lost) or reset
+//	halves MODE              cut the upper half of entries and sidecars off from the lower
+//	sequence ENTRY N         check that an entry has change N in force
 //	put ENTRY KIND/NAME JSON write a configuration row through an entry
 //	admin ENTRY METHOD PATH  call the administration API; the answer is stdout
 //	ask ENTRY OUTCOME WORDS TOKENS [whole] [timeout=S] [model=M] [text=T] [key=K] [as=NAME]
@@ -31,6 +37,9 @@
 //	crashes N                check that the engines crashed N times at most
 //	held ENGINE N            check that an engine holds N tokens of memory; N..M is a range
 //	open ENTRY N             check that an entry sees N backend servers open
+//	down ENTRY N             check that an entry holds N backend servers for silent or gone
+//	started ENGINE WHAT      store how many jobs an engine has started, or check that it has
+//	                         started none (same) or some (more) since
 //	busy ENTRY N             check that an entry sees N requests running or more
 //	counts STANDIN PATH      what a stand-in counted; the answer is stdout
 //	until CMD ...            repeat a command until it succeeds, 20 s at most
--- a/prover/internal/stager/shape.go
+++ b/prover/internal/stager/shape.go
@@ -34,6 +34,7 @@
 	Drain    int     // milliseconds that a sidecar may take to leave
 	Restart  int     // milliseconds that a crashed engine is away
 	Fencing  bool    // engines refuse orders with an old number
+	Relays   bool    // relays between the processes, for cuts
 	Alone    bool    // a process starts knowing no other entry
 	TLS      bool    // between entries and sidecars
 	Front    bool    // TLS towards callers too
@@ -112,8 +113,8 @@
 
 func domain(n int) string { return Domains[n%len(Domains)] }
 
-func (s *Stage) platform() string {
-	return fmt.Sprintf("[platform]\ntable = %q\nobjects = %q\nlist = %q\n", s.at(tablePort, 0), s.at(objectsPort, 0), s.at(listPort, 0))
+func (s *Stage) platform(h Shape) string {
+	return fmt.Sprintf("[platform]\ntable = %q\nobjects = %q\nlist = %q\n", s.reach(h, tablePort, 0), s.reach(h, objectsPort, 0), s.reach(h, listPort, 0))
 }
 
 // settings returns the settings files by process name.
@@ -142,27 +143,27 @@
 	fmt.Fprintf(&b, "[table]\naddress = %q\n[objects]\naddress = %q\n[weights]\naddress = %q\nrate = 2.0\nburst = 2\n[list]\naddress = %q\nlag = 500\n",
 		s.at(tablePort, 0), s.at(objectsPort, 0), s.at(weightsPort, 0), s.at(listPort, 0))
 	for n := range h.Entries {
-		fmt.Fprintf(&b, "[[list.vm]]\nname = \"entry%d\"\ndomain = %q\naddress = %q\nrole = \"entry\"\n", n, domain(n), s.at(innerPort, n))
+		fmt.Fprintf(&b, "[[list.vm]]\nname = \"entry%d\"\ndomain = %q\naddress = %q\nrole = \"entry\"\n", n, domain(n), s.reach(h, innerPort, n))
 	}
 	for n := range h.Engines + h.Services {
-		fmt.Fprintf(&b, "[[list.vm]]\nname = \"vm%d\"\ndomain = %q\naddress = %q\nrole = \"sidecar\"\n", n, domain(n), s.at(sidecarPort, n))
+		fmt.Fprintf(&b, "[[list.vm]]\nname = \"vm%d\"\ndomain = %q\naddress = %q\nrole = \"sidecar\"\n", n, domain(n), s.reach(h, sidecarPort, n))
 	}
 	return b.String()
 }
 
 func (s *Stage) sidecar(h Shape, n int, server, kind, service, backend string) string {
-	return fmt.Sprintf("address = %q\nserver = %q\nvm = \"vm%d\"\ndomain = %q\nkind = %q\nservice = %q\nbackend = %q\nbeat = %d\ndrain = %d\nentries = [%q]\n%s%s",
-		s.at(sidecarPort, n), server, n, domain(n), kind, service, backend, h.Beat, h.Drain, s.at(innerPort, 0), s.platform(), s.tlsTable(h, fmt.Sprintf("sidecar%d", n)))
+	return fmt.Sprintf("address = %q\nadvertise = %q\nserver = %q\nvm = \"vm%d\"\ndomain = %q\nkind = %q\nservice = %q\nbackend = %q\nbeat = %d\ndrain = %d\nentries = [%q]\n%s%s",
+		s.at(sidecarPort, n), s.reach(h, sidecarPort, n), server, n, domain(n), kind, service, backend, h.Beat, h.Drain, s.reach(h, innerPort, 0), s.platform(h), s.tlsTable(h, fmt.Sprintf("sidecar%d", n)))
 }
 
 func (s *Stage) entry(h Shape, n int) string {
 	peers := ""
 	if h.Entries > 1 && !h.Alone {
-		peers = fmt.Sprintf("%q", s.at(innerPort, (n+1)%h.Entries))
+		peers = fmt.Sprintf("%q", s.reach(h, innerPort, (n+1)%h.Entries))
 	}
 	sum := sha256.Sum256([]byte(OperatorKey))
-	return fmt.Sprintf("address = %q\ninner = %q\nvm = \"entry%d\"\ndomain = %q\npoll = %d\ngrace = %d\nentries = [%s]\n%s%s[[operator]]\nname = \"proof\"\nhash = %q\nrole = \"write\"\n",
-		s.at(outerPort, n), s.at(innerPort, n), n, domain(n), h.Poll, h.Grace, peers, s.platform(), s.tlsTable(h, fmt.Sprintf("entry%d", n)), hex.EncodeToString(sum[:]))
+	return fmt.Sprintf("address = %q\ninner = %q\nadvertise = %q\nvm = \"entry%d\"\ndomain = %q\npoll = %d\ngrace = %d\nentries = [%s]\n%s%s[[operator]]\nname = \"proof\"\nhash = %q\nrole = \"write\"\n",
+		s.at(outerPort, n), s.at(innerPort, n), s.reach(h, innerPort, n), n, domain(n), h.Poll, h.Grace, peers, s.platform(h), s.tlsTable(h, fmt.Sprintf("entry%d", n)), hex.EncodeToString(sum[:]))
 }
 
 // lists returns the rows that every stack starts with, by KIND/NAME.
--- a/prover/internal/stager/stager.go
+++ b/prover/internal/stager/stager.go
@@ -19,6 +19,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"bamboohill/standin/relayer"
 )
 
 // Bounds of a scenario's waits.
@@ -42,6 +44,8 @@
 	authority *authority
 	scheme    string // of the entries' callers
 
+	relays relays
+
 	mu        sync.Mutex
 	processes map[string]*process
 }
@@ -54,7 +58,9 @@
 
 // New returns a stage with nothing on it.
 func New(config Config) *Stage {
-	return &Stage{config: config, scheme: "http://", client: &http.Client{Timeout: callLimit}, processes: map[string]*process{}}
+	return &Stage{
+		relays: relays{cuts: map[pair]relayer.Cut{}}, config: config, scheme: "http://", client: &http.Client{Timeout: callLimit}, processes: map[string]*process{},
+	}
 }
 
 // Up writes the settings, starts every process, waits until each entry is
@@ -64,6 +70,9 @@
 	if err := s.issueAll(h); err != nil {
 		return err
 	}
+	if err := s.relayAll(h); err != nil {
+		return err
+	}
 	files := s.settings(h)
 	for name, text := range files {
 		if err := os.WriteFile(s.file(name, ".toml"), []byte(text), 0o600); err != nil {
@@ -209,6 +218,7 @@
 
 // Close kills every process that still runs.
 func (s *Stage) Close() {
+	defer s.relays.close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.processes {
--- a/prover/prover_test.go
+++ b/prover/prover_test.go
@@ -52,7 +52,7 @@
 func TestScenarios(t *testing.T) {
 	commands := map[string]func(*testscript.TestScript, bool, []string){}
 	for _, name := range []string{
-		"stack", "signal", "start", "exited", "fault", "put", "admin", "ask", "book", "join", "runs", "counts", "until", "issue", "grep-log", "crashes", "open", "busy", "held",
+		"stack", "signal", "start", "exited", "fault", "put", "admin", "ask", "book", "join", "runs", "counts", "until", "issue", "grep-log", "crashes", "open", "busy", "held", "cut", "down", "started", "sequence", "halves",
 	} {
 		commands[name] = func(ts *testscript.TestScript, negated bool, words []string) {
 			out, err := ts.Value(scriptKey{}).(*Script).Run(name, words)
@@ -75,6 +75,9 @@
 			env.Values[scriptKey{}] = s
 			env.Setenv("ENTRY0", s.Stage.Entry(0))
 			env.Setenv("ENTRY1", s.Stage.Entry(1))
+			for n := 2; n < 4; n++ {
+				env.Setenv(fmt.Sprintf("ENTRY%d", n), s.Stage.Entry(n))
+			}
 			env.Setenv("INNER0", s.Stage.Inner(0))
 			env.Setenv("OPERATOR_KEY", stager.OperatorKey)
 			env.Setenv("PATH", programs+string(os.PathListSeparator)+os.Getenv("PATH"))
--- a/sidecar/internal/server/report.go
+++ b/sidecar/internal/server/report.go
@@ -16,7 +16,7 @@
 	set := s.config.Settings
 	state := s.keeper.State()
 	r := &wire.Report{
-		Server: set.Server, Vm: set.VM, Domain: set.Domain, Address: set.Address, Boot: s.boot, Serial: s.serial.Add(1),
+		Server: set.Server, Vm: set.VM, Domain: set.Domain, Address: set.Advertise, Boot: s.boot, Serial: s.serial.Add(1),
 		Kind: wire.Kind_KIND_MODEL, Service: set.Service, Free: unbounded, Running: int32(s.gate.Running()),
 		Limit: int32(s.gate.Limit()), Sequence: state.Sequence, Cold: s.gate.Cold(),
 	}
--- a/sidecar/internal/settings/settings.go
+++ b/sidecar/internal/settings/settings.go
@@ -24,21 +24,22 @@
 
 // Settings is what one sidecar needs to know.
 type Settings struct {
-	Level    string          `toml:"level"`    // of the log
-	Address  string          `toml:"address"`  // where entries reach it, IP:PORT
-	Server   string          `toml:"server"`   // id of the backend server
-	VM       string          `toml:"vm"`       // name of this VM
-	Domain   string          `toml:"domain"`   // failure domain
-	Kind     string          `toml:"kind"`     // model or service
-	Service  string          `toml:"service"`  // name of the plain service
-	Backend  string          `toml:"backend"`  // of the backend server, IP:PORT
-	Entries  []string        `toml:"entries"`  // some entries to start from
-	Platform storer.Platform `toml:"platform"` // the platform's services
-	Gate     Gate            `toml:"gate"`     // limits
-	Beat     int             `toml:"beat"`     // milliseconds between heartbeats
-	Drain    int             `toml:"drain"`    // milliseconds to leave
-	TLS      certifier.Files `toml:"tls"`      // towards entries
-	Trace    tracer.Settings `toml:"trace"`
+	Level     string          `toml:"level"`     // of the log
+	Address   string          `toml:"address"`   // for entries, IP:PORT
+	Advertise string          `toml:"advertise"` // that address as entries are told it, IP:PORT
+	Server    string          `toml:"server"`    // id of the backend server
+	VM        string          `toml:"vm"`        // name of this VM
+	Domain    string          `toml:"domain"`    // failure domain
+	Kind      string          `toml:"kind"`      // model or service
+	Service   string          `toml:"service"`   // name of the plain service
+	Backend   string          `toml:"backend"`   // of the backend server, IP:PORT
+	Entries   []string        `toml:"entries"`   // some entries to start from
+	Platform  storer.Platform `toml:"platform"`  // the platform's services
+	Gate      Gate            `toml:"gate"`      // limits
+	Beat      int             `toml:"beat"`      // milliseconds between heartbeats
+	Drain     int             `toml:"drain"`     // milliseconds to leave
+	TLS       certifier.Files `toml:"tls"`       // towards entries
+	Trace     tracer.Settings `toml:"trace"`
 }
 
 // Gate bounds what a backend server is given.
@@ -61,6 +62,7 @@
 	var bad checker.Problems
 	bad.Require(slices.Contains(logger.Levels, s.Level), "level", "must be debug, info, warn or error")
 	bad.Require(checker.IsAddress(s.Address), "address", "must be IP:PORT")
+	bad.Require(checker.IsAddress(s.Advertise), "advertise", "must be IP:PORT")
 	bad.Require(checker.IsAddress(s.Backend), "backend", "must be IP:PORT")
 	bad.Require(s.Server != "", "server", "must name the backend server")
 	bad.Require(s.VM != "", "vm", "must name this VM")
@@ -81,6 +83,7 @@
 
 func (s *Settings) defaults() {
 	checker.Default(&s.Level, "info")
+	checker.Default(&s.Advertise, s.Address)
 	checker.Default(&s.Kind, Model)
 	checker.Default(&s.Gate.Cold, defaultCold)
 	checker.Default(&s.Gate.Warm, defaultWarm)
--- a/standin/relayer/relay.go
+++ b/standin/relayer/relay.go
@@ -33,11 +33,10 @@
 const chunk = 32 << 10
 
 // Config describes a Relay. Pick names the target of a new connection; Cut,
-// which may be nil, is asked for what to do with one caller's connections, by
-// the caller's address.
+// which may be nil, returns the question what to do with one connection now.
 type Config struct {
 	Pick func() (target string, found bool)
-	Cut  func(caller net.Addr) func() Cut
+	Cut  func(net.Conn) func() Cut
 }
 
 // Relay passes connections on.
@@ -93,7 +92,7 @@
 func (r *Relay) judge(caller *net.TCPConn) func() Cut {
 	own := func() Cut { return Pass }
 	if r.config.Cut != nil {
-		own = r.config.Cut(caller.RemoteAddr())
+		own = r.config.Cut(caller)
 	}
 	return func() Cut { return max(own(), Cut(r.cut.Load())) }
 }
