--- /dev/null
+++ b/prover/balancer.go
@@ -0,0 +1,128 @@
+package prover
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"bamboohill/prover/internal/stager"
+)
+
+// spread is what the balancer counts.
+type spread struct {
+	Ready   []string       `json:"ready"`
+	Sent    map[string]int `json:"sent"`
+	Refused int            `json:"refused"`
+}
+
+func (s *Script) spread() (p spread, err error) {
+	text, err := s.Stage.Counts("balancer", "/counts")
+	if err != nil {
+		return p, err
+	}
+	return p, json.Unmarshal([]byte(text), &p)
+}
+
+// balanced checks how many entries the balancer holds ready.
+func (s *Script) balanced(w []string) (string, error) {
+	want, err := stager.Number(w[0])
+	if err != nil {
+		return "", err
+	}
+	p, err := s.spread()
+	if err == nil && len(p.Ready) != want {
+		err = fmt.Errorf("prover: the balancer holds %d entries ready, want %d", len(p.Ready), want)
+	}
+	return "", err
+}
+
+// refused checks how many connections found no entry behind the balancer.
+func (s *Script) refused(w []string) (string, error) {
+	want, err := stager.Number(w[0])
+	if err != nil {
+		return "", err
+	}
+	p, err := s.spread()
+	if err == nil && p.Refused != want {
+		err = fmt.Errorf("prover: %d connections found no entry, want %d", p.Refused, want)
+	}
+	return "", err
+}
+
+// polite checks that an entry answers and asks its caller to close.
+func (s *Script) polite(w []string) (string, error) {
+	n, err := stager.Number(w[0])
+	if err != nil {
+		return "", err
+	}
+	return "", s.Stage.Polite(n)
+}
+
+// callers is how many callers of a load send one call after the other.
+const callers = 3
+
+// errIdle is returned for a load that sent nothing.
+var errIdle = errors.New("prover: no call was sent")
+
+// load is callers that send prompts and bookings until they are told to stop.
+type load struct {
+	stop context.CancelFunc
+	all  sync.WaitGroup
+	sent atomic.Int64
+
+	mu     sync.Mutex
+	failed error
+}
+
+// callsUnderWay starts a load on an entry, or ends it and checks that every
+// call was answered.
+func (s *Script) callsUnderWay(w []string) (string, error) {
+	n, err := entry(w[0])
+	if err != nil {
+		return "", err
+	}
+	switch w[1] {
+	case "start":
+		ctx, stop := context.WithCancel(context.Background())
+		l := &load{stop: stop}
+		s.loads[w[0]] = l
+		for i := range callers {
+			l.all.Go(func() { s.send(ctx, l, n, i) })
+		}
+		return "", nil
+	case "end":
+		l := s.loads[w[0]]
+		if l == nil {
+			return "", errIdle
+		}
+		l.stop()
+		l.all.Wait()
+		if l.sent.Load() == 0 {
+			return "", errIdle
+		}
+		return fmt.Sprintf("sent=%d", l.sent.Load()), l.failed
+	}
+	return "", fmt.Errorf("%w: calls %s", errUsage, w[1])
+}
+
+// send sends one call after the other: prompts, and a booking each third time.
+func (s *Script) send(ctx context.Context, l *load, n, caller int) {
+	for i := 0; ctx.Err() == nil; i++ {
+		name := fmt.Sprintf("load-%d-%d", caller, i)
+		var err error
+		if i%3 == 2 {
+			_, err = s.Stage.Book(n, name, "{}", "")
+		} else {
+			err = s.Stage.Ask(context.Background(), stager.Question{Entry: n, Prompt: Prompt(100, name), Tokens: 8})
+		}
+		l.sent.Add(1)
+		if err != nil {
+			l.mu.Lock()
+			l.failed = errors.Join(l.failed, fmt.Errorf("%s: %w", name, err))
+			l.mu.Unlock()
+		}
+	}
+}
--- a/prover/commands.go
+++ b/prover/commands.go
@@ -24,11 +24,12 @@
 	mu       sync.Mutex
 	calls    map[string]chan error
 	jobs     map[string]int // started by an engine, as last stored
+	loads    map[string]*load
 }
 
 // NewScript returns a scenario on a stage.
 func NewScript(stage *stager.Stage) *Script {
-	return &Script{Stage: stage, calls: map[string]chan error{}, jobs: map[string]int{}}
+	return &Script{Stage: stage, calls: map[string]chan error{}, jobs: map[string]int{}, loads: map[string]*load{}}
 }
 
 // errUsage is returned for a command with the wrong words.
@@ -61,6 +62,10 @@
 		"started":  {2, s.started},
 		"sequence": {2, s.sequence},
 		"halves":   {1, s.halves},
+		"balanced": {1, s.balanced},
+		"refused":  {1, s.refused},
+		"polite":   {1, s.polite},
+		"calls":    {2, s.callsUnderWay},
 		"cut":      {3, func(w []string) (string, error) { return "", s.Stage.Cut(w[0], w[1], w[2]) }},
 		"counts":   {2, func(w []string) (string, error) { return s.Stage.Counts(w[0], w[1]) }},
 	}
@@ -89,6 +94,7 @@
 	numbers := map[string]*int{
 		"entries": &h.Entries, "engines": &h.Engines, "services": &h.Services, "memory": &h.Memory, "warmup": &h.Warmup,
 		"work": &h.Work, "beat": &h.Beat, "poll": &h.Poll, "drain": &h.Drain, "grace": &h.Grace, "restart": &h.Restart,
+		"balancer": &h.Balancer,
 	}
 	for _, word := range words {
 		key, value, _ := strings.Cut(word, "=")
@@ -187,7 +193,7 @@
 func (s *Script) ask(w []string) (string, error) {
 	var numbers [3]int
 	for i, text := range []string{w[0], w[2], w[3]} {
-		n, err := stager.Number(text)
+		n, err := entry(text)
 		if err != nil {
 			return "", err
 		}
@@ -218,8 +224,16 @@
 	return "", s.call(as, func() error { return expect(w[1], s.Stage.Ask(context.Background(), u)) })
 }
 
+// entry returns the number of an entry, or that of the balancer.
+func entry(word string) (int, error) {
+	if word == "balancer" {
+		return stager.Balancer, nil
+	}
+	return stager.Number(word)
+}
+
 func (s *Script) book(w []string) (string, error) {
-	n, err := stager.Number(w[0])
+	n, err := entry(w[0])
 	if err != nil {
 		return "", err
 	}
@@ -332,83 +346,6 @@
 	return "", err
 }
 
-// sequence checks that an entry has a configuration of a number in force.
-func (s *Script) sequence(w []string) (string, error) {
-	n, err := stager.Number(w[0])
-	if err != nil {
-		return "", err
-	}
-	text, err := s.Stage.Admin(n, "GET", "status", "")
-	if err == nil && !strings.Contains(text, `"sequence":`+w[1]+",") {
-		err = fmt.Errorf("prover: entry %s has another change than %s in force", w[0], w[1])
-	}
-	return "", err
-}
-
-// halves cuts the entries and sidecars of the upper half off from those of the
-// lower one, both ways, or ends that.
-func (s *Script) halves(w []string) (string, error) {
-	var lower, upper []string
-	add := func(kind string, count int) {
-		for n := range count {
-			name := fmt.Sprintf("%s%d", kind, n)
-			if 2*n < count {
-				lower = append(lower, name)
-			} else {
-				upper = append(upper, name)
-			}
-		}
-	}
-	add("entry", s.entries)
-	add("sidecar", s.engines+s.services)
-	for _, a := range lower {
-		for _, b := range upper {
-			if err := errors.Join(s.Stage.Cut(a, b, w[0]), s.Stage.Cut(b, a, w[0])); err != nil {
-				return "", err
-			}
-		}
-	}
-	return "", nil
-}
-
-// down checks how many backend servers an entry holds for silent or gone.
-func (s *Script) down(w []string) (string, error) {
-	want, err := stager.Number(w[1])
-	if err != nil {
-		return "", err
-	}
-	got, err := s.servers(w[0])
-	if err == nil && got.down != want {
-		err = fmt.Errorf("prover: entry sees %d servers silent or gone, want %d", got.down, want)
-	}
-	return "", err
-}
-
-// started stores how many jobs an engine has started (store), or checks that
-// it has started none (same) or some (more) since.
-func (s *Script) started(w []string) (string, error) {
-	text, err := s.Stage.Counts(w[0], "/counts")
-	if err != nil {
-		return "", err
-	}
-	var counts struct {
-		Started int `json:"started"`
-	}
-	if err := json.Unmarshal([]byte(text), &counts); err != nil {
-		return "", err
-	}
-	before := s.jobs[w[0]]
-	switch {
-	case w[1] == "store":
-		s.jobs[w[0]] = counts.Started
-	case w[1] == "same" && counts.Started != before || w[1] == "more" && counts.Started <= before:
-		return "", fmt.Errorf("prover: %s has started %d jobs, want %s than %d", w[0], counts.Started, w[1], before)
-	case w[1] != "same" && w[1] != "more":
-		return "", fmt.Errorf("%w: started %s", errUsage, w[1])
-	}
-	return "", nil
-}
-
 // busy checks that an entry sees at least so many requests running.
 func (s *Script) busy(w []string) (string, error) {
 	want, err := stager.Number(w[1])
--- /dev/null
+++ b/prover/cuts.go
@@ -0,0 +1,87 @@
+package prover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"bamboohill/prover/internal/stager"
+)
+
+// sequence checks that an entry has a configuration of a number in force.
+func (s *Script) sequence(w []string) (string, error) {
+	n, err := stager.Number(w[0])
+	if err != nil {
+		return "", err
+	}
+	text, err := s.Stage.Admin(n, "GET", "status", "")
+	if err == nil && !strings.Contains(text, `"sequence":`+w[1]+",") {
+		err = fmt.Errorf("prover: entry %s has another change than %s in force", w[0], w[1])
+	}
+	return "", err
+}
+
+// halves cuts the entries and sidecars of the upper half off from those of the
+// lower one, both ways, or ends that.
+func (s *Script) halves(w []string) (string, error) {
+	var lower, upper []string
+	add := func(kind string, count int) {
+		for n := range count {
+			name := fmt.Sprintf("%s%d", kind, n)
+			if 2*n < count {
+				lower = append(lower, name)
+			} else {
+				upper = append(upper, name)
+			}
+		}
+	}
+	add("entry", s.entries)
+	add("sidecar", s.engines+s.services)
+	for _, a := range lower {
+		for _, b := range upper {
+			if err := errors.Join(s.Stage.Cut(a, b, w[0]), s.Stage.Cut(b, a, w[0])); err != nil {
+				return "", err
+			}
+		}
+	}
+	return "", nil
+}
+
+// down checks how many backend servers an entry holds for silent or gone.
+func (s *Script) down(w []string) (string, error) {
+	want, err := stager.Number(w[1])
+	if err != nil {
+		return "", err
+	}
+	got, err := s.servers(w[0])
+	if err == nil && got.down != want {
+		err = fmt.Errorf("prover: entry sees %d servers silent or gone, want %d", got.down, want)
+	}
+	return "", err
+}
+
+// started stores how many jobs an engine has started (store), or checks that
+// it has started none (same) or some (more) since.
+func (s *Script) started(w []string) (string, error) {
+	text, err := s.Stage.Counts(w[0], "/counts")
+	if err != nil {
+		return "", err
+	}
+	var counts struct {
+		Started int `json:"started"`
+	}
+	if err := json.Unmarshal([]byte(text), &counts); err != nil {
+		return "", err
+	}
+	before := s.jobs[w[0]]
+	switch {
+	case w[1] == "store":
+		s.jobs[w[0]] = counts.Started
+	case w[1] == "same" && counts.Started != before || w[1] == "more" && counts.Started <= before:
+		return "", fmt.Errorf("prover: %s has started %d jobs, want %s than %d", w[0], counts.Started, w[1], before)
+	case w[1] != "same" && w[1] != "more":
+		return "", fmt.Errorf("%w: started %s", errUsage, w[1])
+	}
+	return "", nil
+}
--- a/prover/doc.go
+++ b/prover/doc.go
@@ -12,7 +12,8 @@
 //
 //	stack KEY=VALUE ...      start a stack; keys: entries engines services memory
 //	                         prefill decode cold warmup work beat poll drain restart fencing
-//	                         grace tls front alone relays
+//	                         grace tls front alone relays balancer (milliseconds between
+//	                         its questions); then ENTRY may be the word balancer in calls
 //	signal NAME SIGNAL       send KILL, TERM, STOP or CONT to a process
 //	start NAME               start a process again
 //	issue NAME               write a new certificate for a process
@@ -40,6 +41,11 @@
 //	down ENTRY N             check that an entry holds N backend servers for silent or gone
 //	started ENGINE WHAT      store how many jobs an engine has started, or check that it has
 //	                         started none (same) or some (more) since
+//	balanced N               check that the balancer holds N entries ready
+//	refused N                check that N of its connections found no entry
+//	polite ENTRY             check that an entry answers and asks to close the connection
+//	calls ENTRY start|end    start four callers that send prompts and bookings, or end them
+//	                         and check that every call was answered
 //	busy ENTRY N             check that an entry sees N requests running or more
 //	counts STANDIN PATH      what a stand-in counted; the answer is stdout
 //	until CMD ...            repeat a command until it succeeds, 20 s at most
--- a/prover/internal/stager/shape.go
+++ b/prover/internal/stager/shape.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"encoding/hex"
 	"fmt"
+	"strconv"
 	"strings"
 )
 
@@ -34,6 +35,7 @@
 	Drain    int     // milliseconds that a sidecar may take to leave
 	Restart  int     // milliseconds that a crashed engine is away
 	Fencing  bool    // engines refuse orders with an old number
+	Balancer int     // milliseconds between a balancer's questions, 0 for none
 	Relays   bool    // relays between the processes, for cuts
 	Alone    bool    // a process starts knowing no other entry
 	TLS      bool    // between entries and sidecars
@@ -70,6 +72,8 @@
 	objectsPort = 5002
 	listPort    = 5003
 	weightsPort = 5004
+	balancePort = 5005
+	controlPort = 5006
 	outerPort   = 5100
 	innerPort   = 5200
 	enginePort  = 5300
@@ -82,14 +86,32 @@
 // Entry returns the address for callers and operators of entry n.
 func (s *Stage) Entry(n int) string { return s.at(outerPort, n) }
 
-// front returns the base URL of entry n.
-func (s *Stage) front(n int) string { return s.scheme + s.Entry(n) }
+// Balancer is the number of the balancer where one of an entry is asked for.
+const Balancer = -1
+
+// front returns the base URL of entry n, or of the balancer before all.
+func (s *Stage) front(n int) string {
+	if n == Balancer {
+		return s.scheme + s.at(balancePort, 0)
+	}
+	return s.scheme + s.Entry(n)
+}
+
+// balancer returns the settings of the balancer.
+func (s *Stage) balancer(h Shape) string {
+	var targets []string
+	for n := range h.Entries {
+		targets = append(targets, strconv.Quote(s.Entry(n)))
+	}
+	return fmt.Sprintf("[balancer]\naddress = %q\ncontrol = %q\nevery = %d\ntargets = [%s]\n",
+		s.at(balancePort, 0), s.at(controlPort, 0), h.Balancer, strings.Join(targets, ", "))
+}
 
 // Inner returns the address for processes of entry n.
 func (s *Stage) Inner(n int) string { return s.at(innerPort, n) }
 
 // Fault returns the address of a stand-in by its name: table, objects, list,
-// weights, engineN or serviceN.
+// weights, balancer, engineN or serviceN.
 func (s *Stage) Fault(name string) (string, error) {
 	var n int
 	switch name {
@@ -101,6 +123,8 @@
 		return s.at(listPort, 0), nil
 	case "weights":
 		return s.at(weightsPort, 0), nil
+	case "balancer":
+		return s.at(controlPort, 0), nil
 	}
 	if _, err := fmt.Sscanf(name, "engine%d", &n); err == nil {
 		return s.at(enginePort, n), nil
@@ -120,6 +144,9 @@
 // settings returns the settings files by process name.
 func (s *Stage) settings(h Shape) map[string]string {
 	files := map[string]string{"platform": s.platformFile(h)}
+	if h.Balancer > 0 {
+		files["balancer"] = s.balancer(h)
+	}
 	for n := range h.Engines {
 		files[fmt.Sprintf("engine%d", n)] = fmt.Sprintf(
 			"[[engine]]\naddress = %q\nmemory = %d\nprefill = %g\ndecode = %g\nwarm = %t\nwarmup = %d\nrestart = %d\nfencing = %t\nmodels = [\"base\", \"survey\"]\n",
--- a/prover/internal/stager/stager.go
+++ b/prover/internal/stager/stager.go
@@ -321,6 +321,27 @@
 	return s.call(http.MethodPost, s.front(n)+"/services/bookings/book", CallerKey, body, headers)
 }
 
+// errStays is returned for an answer that does not ask to close.
+var errStays = errors.New("stager: the answer does not ask the caller to close the connection")
+
+// Polite checks that entry n answers and asks its caller to close the
+// connection.
+func (s *Stage) Polite(n int) error {
+	q, err := http.NewRequestWithContext(context.Background(), http.MethodGet, s.front(n)+"/healthz", nil)
+	if err != nil {
+		return err
+	}
+	r, err := s.client.Do(q)
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK || !r.Close {
+		return errStays
+	}
+	return nil
+}
+
 // Outcome names what became of a call: answered, not-run or unknown; a call
 // that got no answer at all is unknown.
 func Outcome(err error) string {
