Scenarios: outages of each platform service, leaving VMs and domains

Change: outage-objects, outage-list, outage-table (down, frozen, slow or losing answers, each across a restart of an entry and a sidecar; the words checked); leave-vm, leave-cold, leave-fails, leave-back; the words changes, listed, borne.

Found on the way, all of the scenarios' own making: three callers on one service whose gate is at its cold limit of two are refused (not run); a stack of a few calls has a retry budget of five, and a refusal is due once it is spent; an entry holds a domain for out for one heartbeat after it is back in.

--- a/prover/balancer.go
+++ b/prover/balancer.go
@@ -1,6 +1,7 @@
 package prover
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -74,7 +75,8 @@
 	sent atomic.Int64
 
 	mu     sync.Mutex
-	failed error
+	failed int
+	first  error // of those that failed
 }
 
 // callsUnderWay starts a load on an entry, or ends it and checks that every
@@ -103,14 +105,18 @@
 		if l.sent.Load() == 0 {
 			return "", errIdle
 		}
-		return fmt.Sprintf("sent=%d", l.sent.Load()), l.failed
+		if l.failed > 0 {
+			return "", fmt.Errorf("prover: %d of %d calls failed, the first: %w", l.failed, l.sent.Load(), l.first)
+		}
+		return fmt.Sprintf("sent=%d", l.sent.Load()), nil
 	}
 	return "", fmt.Errorf("%w: calls %s", errUsage, w[1])
 }
 
-// send sends one call after the other: prompts, and a booking each third time.
+// send sends one call after the other, one at least: prompts, and a booking each
+// third time.
 func (s *Script) send(ctx context.Context, l *load, n, caller int) {
-	for i := 0; ctx.Err() == nil; i++ {
+	for i := 0; i == 0 || ctx.Err() == nil; i++ {
 		name := fmt.Sprintf("load-%d-%d", caller, i)
 		var err error
 		if i%3 == 2 {
@@ -121,7 +127,8 @@
 		l.sent.Add(1)
 		if err != nil {
 			l.mu.Lock()
-			l.failed = errors.Join(l.failed, fmt.Errorf("%s: %w", name, err))
+			l.failed++
+			l.first = cmp.Or(l.first, fmt.Errorf("%s: %w", name, err))
 			l.mu.Unlock()
 		}
 	}
--- a/prover/doc.go
+++ b/prover/doc.go
@@ -26,6 +26,8 @@
 //	                         and never answered), mute (answers are lost) or reset
 //	halves MODE              cut the upper half of entries and sidecars off from the lower
 //	sequence ENTRY N         check that an entry has change N in force
+//	changes ENTRY N          make N changes of one row through an entry
+//	listed VM leaving|stays  what the platform's list says of a VM
 //	put ENTRY KIND/NAME JSON write a configuration row through an entry
 //	admin ENTRY METHOD PATH  call the administration API; the answer is stdout
 //	ask ENTRY OUTCOME WORDS TOKENS [whole] [timeout=S] [model=M] [text=T] [key=K] [as=NAME]
@@ -46,6 +48,7 @@
 //	polite ENTRY             check that an entry answers and asks to close the connection
 //	calls ENTRY start|end    start four callers that send prompts and bookings, or end them
 //	                         and check that every call was answered
+//	borne ENGINE             check that an engine was never offered more than it bears
 //	busy ENTRY N             check that an entry sees N requests running or more
 //	counts STANDIN PATH      what a stand-in counted; the answer is stdout
 //	until CMD ...            repeat a command until it succeeds, 20 s at most
--- a/prover/internal/stager/stager.go
+++ b/prover/internal/stager/stager.go
@@ -262,6 +262,16 @@
 	return s.call(http.MethodGet, "http://"+address+path, "", "", nil)
 }
 
+// Replace puts a body to a path of a stand-in.
+func (s *Stage) Replace(name, path, body string) error {
+	address, err := s.Fault(name)
+	if err != nil {
+		return err
+	}
+	_, err = s.call(http.MethodPut, "http://"+address+path, "", body, nil)
+	return err
+}
+
 // Put writes a configuration row through entry n.
 func (s *Stage) Put(n int, key, record string) error {
 	_, err := s.Admin(n, http.MethodPut, "rows/"+key, record)
--- /dev/null
+++ b/prover/outages.go
@@ -0,0 +1,49 @@
+package prover
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"bamboohill/prover/internal/stager"
+)
+
+// changes writes a row so many times through an entry.
+func (s *Script) changes(w []string) (string, error) {
+	var numbers [2]int
+	for i, text := range w[:2] {
+		n, err := stager.Number(text)
+		if err != nil {
+			return "", err
+		}
+		numbers[i] = n
+	}
+	for i := range numbers[1] {
+		record := fmt.Sprintf(`{"plan":{"name":"filler","timeoutMs":"%d"}}`, 1000+i)
+		if err := s.Stage.Put(numbers[0], "plan/filler", record); err != nil {
+			return "", err
+		}
+	}
+	return "", nil
+}
+
+// listed lets the platform's list say that a VM is leaving, or that it stays.
+func (s *Script) listed(w []string) (string, error) {
+	text, err := s.Stage.Counts("list", "/vms")
+	if err != nil {
+		return "", err
+	}
+	var vms []map[string]any
+	if err := json.Unmarshal([]byte(text), &vms); err != nil {
+		return "", err
+	}
+	for _, v := range vms {
+		if v["name"] == w[0] {
+			v["leaving"] = w[1] == "leaving"
+		}
+	}
+	next, err := json.Marshal(vms)
+	if err != nil {
+		return "", err
+	}
+	return "", s.Stage.Replace("list", "/vms", string(next))
+}
--- a/prover/prover_test.go
+++ b/prover/prover_test.go
@@ -52,7 +52,7 @@
 func TestScenarios(t *testing.T) {
 	commands := map[string]func(*testscript.TestScript, bool, []string){}
 	for _, name := range []string{
-		"stack", "signal", "start", "exited", "fault", "put", "admin", "ask", "book", "join", "runs", "counts", "until", "issue", "grep-log", "crashes", "open", "busy", "held", "cut", "down", "started", "sequence", "halves", "balanced", "refused", "polite", "calls",
+		"stack", "signal", "start", "exited", "fault", "put", "admin", "ask", "book", "join", "runs", "counts", "until", "issue", "grep-log", "crashes", "open", "busy", "held", "cut", "down", "started", "sequence", "halves", "balanced", "refused", "polite", "calls", "changes", "listed", "borne",
 	} {
 		commands[name] = func(ts *testscript.TestScript, negated bool, words []string) {
 			out, err := ts.Value(scriptKey{}).(*Script).Run(name, words)
