A planned replacement is no flap

Cause: a sidecar that says it leaves, ends, and is away for more than the three seconds of silence counts as gone, so each return was held back: 1, 2, 4 and up to 30 s for a server that is replaced again and again within a minute.

Change: one whose last word was that it leaves is offered work as soon as it is heard again (core/watcher). Sudden deaths are held as before.

Failed first: TestPlannedLeaveIsNoFlap printed 3 != 4 (servers offered at once); passes now, and its other case keeps the hold of one that died.

--- a/core/watcher/health.go
+++ b/core/watcher/health.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bamboohill/core/ider"
+	"bamboohill/wire"
 )
 
 // Health is what an entry makes of a backend server's silence and failures.
@@ -84,8 +85,9 @@
 	}
 }
 
-// back notes that a server which was gone is heard again. One of a failure
-// domain of which most were gone is not at fault and serves at once.
+// back notes that a server which was gone is heard again. One that had said it
+// leaves, and one of a failure domain of which most were gone, is not at fault
+// and serves at once.
 func (w *Watcher) back(r *record, now time.Time) {
 	if r.gone.IsZero() {
 		return
@@ -93,7 +95,7 @@
 	if now.Sub(r.held) > calmAfter {
 		r.flaps = 0
 	}
-	if !mostGone(w.known, r.GetDomain()) {
+	if r.GetState() != wire.State_STATE_LEAVING && !mostGone(w.known, r.GetDomain()) {
 		r.held = now.Add(hold(r.flaps))
 		r.flaps++
 	}
--- a/core/watcher/watcher_test.go
+++ b/core/watcher/watcher_test.go
@@ -224,3 +224,32 @@
 		is.Equal(b.View().Gone[0].Failed, 0) // it has started again: anything may be true
 	})
 }
+
+// A server that is replaced as planned, again and again, is not flapping.
+func TestPlannedLeaveIsNoFlap(t *testing.T) {
+	for name, c := range map[string]struct {
+		state   wire.State
+		offered int
+	}{
+		"leaving":      {wire.State_STATE_LEAVING, 4},
+		"died instead": {wire.State_STATE_OPEN, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(4)
+				defer b.Stop()
+				for boot := range uint64(3) {
+					b.Hear(&wire.Report{Server: "s3", Domain: "ikeja", Boot: boot + 2, Serial: 9, State: c.state})
+					for range 5 {
+						b.second(3, 4)
+					}
+					is.Equal(len(b.View().Gone), 1)
+					b.Hear(&wire.Report{Server: "s3", Domain: "ikeja", Boot: boot + 3, Serial: 1, State: wire.State_STATE_OPEN})
+					synctest.Wait()
+					is.Equal(len(b.View().Servers), c.offered) // at once
+				}
+			})
+		})
+	}
+}
