--- a/prover/internal/stager/sockets_test.go
+++ b/prover/internal/stager/sockets_test.go
@@ -10,10 +10,10 @@
 
 func TestSocketIsFoundByItsProcess(t *testing.T) {
 	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer listener.Close()
-	caller, err := net.Dial("tcp", listener.Addr().String())
+	caller, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", listener.Addr().String())
 	is.NoErr(err)
 	defer caller.Close()
 	inode, err := socket(caller.LocalAddr(), caller.RemoteAddr())
--- a/standin/relayer/relayer_test.go
+++ b/standin/relayer/relayer_test.go
@@ -25,7 +25,7 @@
 }
 
 func listen(t *testing.T, r *Relay) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -56,7 +56,7 @@
 			if c.answers {
 				client.Timeout = 0
 			}
-			reply, err := client.Get(url)
+			reply, err := get(t, client, url)
 			is.Equal(err == nil, c.answers)
 			if err == nil {
 				reply.Body.Close()
@@ -67,7 +67,7 @@
 			is.Equal(heard.Load(), c.heard)
 			r.Cut(Pass) // a connection that lost bytes is not used again
 			client.Timeout = 0
-			reply, err = client.Get(url)
+			reply, err = get(t, client, url)
 			is.NoErr(err)
 			reply.Body.Close()
 		})
@@ -93,7 +93,7 @@
 	until(func() bool { return len(b.held()) == 2 })
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for range 4 {
-		reply, err := client.Get(url)
+		reply, err := get(t, client, url)
 		is.NoErr(err)
 		reply.Body.Close()
 	}
@@ -105,6 +105,14 @@
 	until(func() bool { return len(b.held()) == 1 })
 }
 
+func get(t *testing.T, client *http.Client, url string) (*http.Response, error) {
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	return client.Do(q)
+}
+
 func until(done func() bool) {
 	for !done() {
 		time.Sleep(time.Millisecond)
