--- a/prover/doc.go
+++ b/prover/doc.go
@@ -12,10 +12,11 @@
 //
 //	stack KEY=VALUE ...      start a stack; keys: entries engines services memory
 //	                         prefill decode cold warmup work beat poll drain restart fencing
-//	                         grace tls front alone relays balancer (milliseconds between
-//	                         its questions); then ENTRY may be the word balancer in calls
+//	                         grace tls front alone weights spares relays balancer
+//	                         (milliseconds between its questions; then ENTRY may be the
+//	                         word balancer in calls)
 //	signal NAME SIGNAL       send KILL, TERM, STOP or CONT to a process
-//	start NAME               start a process again
+//	start NAME               start a process again, or spareN, a second sidecar of engine N
 //	issue NAME               write a new certificate for a process
 //	grep-log NAME TEXT       check that a process's log holds a text
 //	exited NAME STATUS       wait for a process to end with an exit status
@@ -46,11 +47,13 @@
 //	balanced N               check that the balancer holds N entries ready
 //	refused N                check that N of its connections found no entry
 //	polite ENTRY             check that an entry answers and asks to close the connection
-//	calls ENTRY start|end    start four callers that send prompts and bookings, or end them
+//	calls ENTRY start|end    start three callers that send prompts and bookings, or end them
 //	                         and check that every call was answered
 //	borne ENGINE             check that an engine was never offered more than it bears
 //	busy ENTRY N             check that an entry sees N requests running or more
 //	counts STANDIN PATH      what a stand-in counted; the answer is stdout
+//	counted PROCESS PATH KEY=N ...
+//	                         check numbers that a stand-in or entry counts; N.. is at least N
 //	until CMD ...            repeat a command until it succeeds, 20 s at most
 //
 // A call with as=NAME runs beside the script; its outcome is checked at join.
--- a/prover/prover_test.go
+++ b/prover/prover_test.go
@@ -52,7 +52,7 @@
 func TestScenarios(t *testing.T) {
 	commands := map[string]func(*testscript.TestScript, bool, []string){}
 	for _, name := range []string{
-		"stack", "signal", "start", "exited", "fault", "put", "admin", "ask", "book", "join", "runs", "counts", "until", "issue", "grep-log", "crashes", "open", "busy", "held", "cut", "down", "started", "sequence", "halves", "balanced", "refused", "polite", "calls", "changes", "listed", "borne",
+		"stack", "signal", "start", "exited", "fault", "put", "admin", "ask", "book", "join", "runs", "counts", "counted", "until", "issue", "grep-log", "crashes", "open", "busy", "held", "cut", "down", "started", "sequence", "halves", "balanced", "refused", "polite", "calls", "changes", "listed", "borne",
 	} {
 		commands[name] = func(ts *testscript.TestScript, negated bool, words []string) {
 			out, err := ts.Value(scriptKey{}).(*Script).Run(name, words)
@@ -79,6 +79,7 @@
 				env.Setenv(fmt.Sprintf("ENTRY%d", n), s.Stage.Entry(n))
 			}
 			env.Setenv("INNER0", s.Stage.Inner(0))
+			env.Setenv("INNER1", s.Stage.Inner(1))
 			env.Setenv("OPERATOR_KEY", stager.OperatorKey)
 			env.Setenv("PATH", programs+string(os.PathListSeparator)+os.Getenv("PATH"))
 			env.Defer(s.Stage.Close)
