--- a/standin/answerer/engine.go
+++ b/standin/answerer/engine.go
@@ -61,6 +61,7 @@
 	orders  int
 	refused int // orders
 	delayed int // orders held back
+	swapped int64
 	stop    chan struct{}
 	stopped chan struct{}
 }
@@ -331,6 +332,9 @@
 	}
 	select {
 	case to.chunks <- c:
+		if to != j {
+			e.swapped++
+		}
 	default: // its reader is behind
 	}
 }
