--- a/core/watcher/watcher_test.go
+++ b/core/watcher/watcher_test.go
@@ -202,3 +202,54 @@
 		is.Equal(w.View().Servers[2].GetRunning(), int32(2))
 	})
 }
+
+// An entry that is cut off from a server hears of it from others all the time.
+func TestPassedOnReportsProveNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(4)
+		defer b.Stop()
+		for range 5 {
+			b.second(3, 4)
+			b.HearOf(&wire.Report{Server: "s3", Domain: "ikeja", Boot: 1, Serial: b.serial, Running: 9})
+			b.Tick()
+			synctest.Wait()
+		}
+		is.Equal(len(b.View().Gone), 1)
+		is.Equal(b.View().Gone[0].GetRunning(), int32(9)) // news all the same
+		b.HearOf(&wire.Report{Server: "s3", Domain: "ikeja", Boot: 2, Serial: 1})
+		b.HearOf(&wire.Report{Server: "s4", Domain: "ikeja", Boot: 1, Serial: 1})
+		synctest.Wait()
+		is.Equal(len(b.View().Servers)+len(b.View().Gone), 5)
+		is.Equal(b.View().Gone[0].Failed, 0) // it has started again: anything may be true
+	})
+}
+
+// A server that is replaced as planned, again and again, is not flapping.
+func TestPlannedLeaveIsNoFlap(t *testing.T) {
+	for name, c := range map[string]struct {
+		state   wire.State
+		offered int
+	}{
+		"leaving":      {wire.State_STATE_LEAVING, 4},
+		"died instead": {wire.State_STATE_OPEN, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(4)
+				defer b.Stop()
+				for boot := range uint64(3) {
+					b.Hear(&wire.Report{Server: "s3", Domain: "ikeja", Boot: boot + 2, Serial: 9, State: c.state})
+					for range 5 {
+						b.second(3, 4)
+					}
+					is.Equal(len(b.View().Gone), 1)
+					b.Hear(&wire.Report{Server: "s3", Domain: "ikeja", Boot: boot + 3, Serial: 1, State: wire.State_STATE_OPEN})
+					synctest.Wait()
+					is.Equal(len(b.View().Servers), c.offered) // at once
+				}
+			})
+		})
+	}
+}
--- a/entry/internal/gossiper/gossiper.go
+++ b/entry/internal/gossiper/gossiper.go
@@ -274,7 +274,7 @@
 		g.config.Demand.Settle(mine.GetDemand(), reply.GetDemand())
 	}
 	for _, r := range reply.GetReports() {
-		g.config.Watcher.Hear(r)
+		g.config.Watcher.HearOf(r)
 	}
 	return reply
 }
--- a/prover/internal/stager/shape.go
+++ b/prover/internal/stager/shape.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"encoding/hex"
 	"fmt"
+	"strconv"
 	"strings"
 )
 
@@ -34,6 +35,8 @@
 	Drain    int     // milliseconds that a sidecar may take to leave
 	Restart  int     // milliseconds that a crashed engine is away
 	Fencing  bool    // engines refuse orders with an old number
+	Balancer int     // milliseconds between a balancer's questions, 0 for none
+	Relays   bool    // relays between the processes, for cuts
 	Weights  bool    // engines load from the weight store
 	Spares   int     // first engines for which a second sidecar spareN may be started
 	Alone    bool    // a process starts knowing no other entry
@@ -72,6 +75,8 @@
 	listPort    = 5003
 	weightsPort = 5004
 	runsPort    = 5005
+	balancePort = 5006
+	controlPort = 5007
 	outerPort   = 5100
 	innerPort   = 5200
 	enginePort  = 5300
@@ -85,14 +90,33 @@
 // Entry returns the address for callers and operators of entry n.
 func (s *Stage) Entry(n int) string { return s.at(outerPort, n) }
 
-// front returns the base URL of entry n.
-func (s *Stage) front(n int) string { return s.scheme + s.Entry(n) }
+// Balancer is the number of the balancer where one of an entry is asked for.
+const Balancer = -1
+
+// front returns the base URL of entry n, or of the balancer before all.
+func (s *Stage) front(n int) string {
+	if n == Balancer {
+		return s.scheme + s.at(balancePort, 0)
+	}
+	return s.scheme + s.Entry(n)
+}
+
+// balancer returns the settings of the balancer.
+func (s *Stage) balancer(h Shape) string {
+	var targets []string
+	for n := range h.Entries {
+		targets = append(targets, strconv.Quote(s.Entry(n)))
+	}
+	return fmt.Sprintf("[balancer]\naddress = %q\ncontrol = %q\nevery = %d\ntargets = [%s]\n",
+		s.at(balancePort, 0), s.at(controlPort, 0), h.Balancer, strings.Join(targets, ", "))
+}
 
 // Inner returns the address for processes of entry n.
 func (s *Stage) Inner(n int) string { return s.at(innerPort, n) }
 
 // Fault returns the address of a process by its name: table, objects, list,
-// weights, runs, engineN or serviceN, and entryN, which has counts alone.
+// weights, runs, balancer, engineN or serviceN, and entryN, which has counts
+// alone.
 func (s *Stage) Fault(name string) (string, error) {
 	var n int
 	switch name {
@@ -104,6 +128,8 @@
 		return s.at(listPort, 0), nil
 	case "weights":
 		return s.at(weightsPort, 0), nil
+	case "balancer":
+		return s.at(controlPort, 0), nil
 	case "runs":
 		return s.at(runsPort, 0), nil
 	}
@@ -121,8 +147,8 @@
 
 func domain(n int) string { return Domains[n%len(Domains)] }
 
-func (s *Stage) platform() string {
-	return fmt.Sprintf("[platform]\ntable = %q\nobjects = %q\nlist = %q\n", s.at(tablePort, 0), s.at(objectsPort, 0), s.at(listPort, 0))
+func (s *Stage) platform(h Shape) string {
+	return fmt.Sprintf("[platform]\ntable = %q\nobjects = %q\nlist = %q\n", s.reach(h, tablePort, 0), s.reach(h, objectsPort, 0), s.reach(h, listPort, 0))
 }
 
 // settings returns the settings files by process name.
@@ -131,6 +157,9 @@
 		"platform": s.platformFile(h),
 		"runs":     fmt.Sprintf("[runs]\naddress = %q\n", s.at(runsPort, 0)),
 	}
+	if h.Balancer > 0 {
+		files["balancer"] = s.balancer(h)
+	}
 	for n := range h.Engines {
 		files[fmt.Sprintf("engine%d", n)] = fmt.Sprintf(
 			"[[engine]]\naddress = %q\nmemory = %d\nprefill = %g\ndecode = %g\nwarm = %t\nwarmup = %d\nrestart = %d\nfencing = %t\nstore = %q\nmodels = [\"base\", \"survey\"]\n",
@@ -157,10 +186,10 @@
 	fmt.Fprintf(&b, "[table]\naddress = %q\njournal = %q\n[objects]\naddress = %q\n[weights]\naddress = %q\nrate = 2.0\nburst = 2\n[list]\naddress = %q\nlag = 500\n",
 		s.at(tablePort, 0), s.file("platform", ".journal"), s.at(objectsPort, 0), s.at(weightsPort, 0), s.at(listPort, 0))
 	for n := range h.Entries {
-		fmt.Fprintf(&b, "[[list.vm]]\nname = \"entry%d\"\ndomain = %q\naddress = %q\nrole = \"entry\"\n", n, domain(n), s.at(innerPort, n))
+		fmt.Fprintf(&b, "[[list.vm]]\nname = \"entry%d\"\ndomain = %q\naddress = %q\nrole = \"entry\"\n", n, domain(n), s.reach(h, innerPort, n))
 	}
 	for n := range h.Engines + h.Services {
-		fmt.Fprintf(&b, "[[list.vm]]\nname = \"vm%d\"\ndomain = %q\naddress = %q\nrole = \"sidecar\"\n", n, domain(n), s.at(sidecarPort, n))
+		fmt.Fprintf(&b, "[[list.vm]]\nname = \"vm%d\"\ndomain = %q\naddress = %q\nrole = \"sidecar\"\n", n, domain(n), s.reach(h, sidecarPort, n))
 	}
 	return b.String()
 }
@@ -172,7 +201,7 @@
 // spare returns the settings of the sidecar of engine n on another VM.
 func (s *Stage) spare(h Shape, n int) string {
 	text := s.sidecar(h, n, fmt.Sprintf("engine%d", n), "model", "", s.at(enginePort, n))
-	text = strings.Replace(text, s.at(sidecarPort, n), s.at(sparePort, n), 1)
+	text = strings.ReplaceAll(text, s.at(sidecarPort, n), s.at(sparePort, n))
 	return strings.Replace(text, fmt.Sprintf("vm = \"vm%d\"", n), fmt.Sprintf("vm = \"%s%d\"", spare, n), 1)
 }
 
@@ -185,18 +214,18 @@
 }
 
 func (s *Stage) sidecar(h Shape, n int, server, kind, service, backend string) string {
-	return fmt.Sprintf("address = %q\nserver = %q\nvm = \"vm%d\"\ndomain = %q\nkind = %q\nservice = %q\nbackend = %q\nbeat = %d\ndrain = %d\nentries = [%q]\n%s%s",
-		s.at(sidecarPort, n), server, n, domain(n), kind, service, backend, h.Beat, h.Drain, s.at(innerPort, 0), s.platform(), s.tlsTable(h, fmt.Sprintf("sidecar%d", n)))
+	return fmt.Sprintf("address = %q\nadvertise = %q\nserver = %q\nvm = \"vm%d\"\ndomain = %q\nkind = %q\nservice = %q\nbackend = %q\nbeat = %d\ndrain = %d\nentries = [%q]\n%s%s",
+		s.at(sidecarPort, n), s.reach(h, sidecarPort, n), server, n, domain(n), kind, service, backend, h.Beat, h.Drain, s.reach(h, innerPort, 0), s.platform(h), s.tlsTable(h, fmt.Sprintf("sidecar%d", n)))
 }
 
 func (s *Stage) entry(h Shape, n int) string {
 	peers := ""
 	if h.Entries > 1 && !h.Alone {
-		peers = fmt.Sprintf("%q", s.at(innerPort, (n+1)%h.Entries))
+		peers = fmt.Sprintf("%q", s.reach(h, innerPort, (n+1)%h.Entries))
 	}
 	sum := sha256.Sum256([]byte(OperatorKey))
-	return fmt.Sprintf("address = %q\ninner = %q\nvm = \"entry%d\"\ndomain = %q\npoll = %d\ngrace = %d\nentries = [%s]\n%s%s[[operator]]\nname = \"proof\"\nhash = %q\nrole = \"write\"\n",
-		s.at(outerPort, n), s.at(innerPort, n), n, domain(n), h.Poll, h.Grace, peers, s.platform(), s.tlsTable(h, fmt.Sprintf("entry%d", n)), hex.EncodeToString(sum[:]))
+	return fmt.Sprintf("address = %q\ninner = %q\nadvertise = %q\nvm = \"entry%d\"\ndomain = %q\npoll = %d\ngrace = %d\nentries = [%s]\n%s%s[[operator]]\nname = \"proof\"\nhash = %q\nrole = \"write\"\n",
+		s.at(outerPort, n), s.at(innerPort, n), s.reach(h, innerPort, n), n, domain(n), h.Poll, h.Grace, peers, s.platform(h), s.tlsTable(h, fmt.Sprintf("entry%d", n)), hex.EncodeToString(sum[:]))
 }
 
 // lists returns the rows that every stack starts with, by KIND/NAME.
--- a/prover/internal/stager/stager.go
+++ b/prover/internal/stager/stager.go
@@ -19,6 +19,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"bamboohill/standin/relayer"
 )
 
 // Bounds of a scenario's waits.
@@ -42,6 +44,8 @@
 	authority *authority
 	scheme    string // of the entries' callers
 
+	relays relays
+
 	mu        sync.Mutex
 	processes map[string]*process
 }
@@ -54,7 +58,9 @@
 
 // New returns a stage with nothing on it.
 func New(config Config) *Stage {
-	return &Stage{config: config, scheme: "http://", client: &http.Client{Timeout: callLimit}, processes: map[string]*process{}}
+	return &Stage{
+		relays: relays{cuts: map[pair]relayer.Cut{}}, config: config, scheme: "http://", client: &http.Client{Timeout: callLimit}, processes: map[string]*process{},
+	}
 }
 
 // Up writes the settings, starts every process, waits until each entry is
@@ -64,6 +70,9 @@
 	if err := s.issueAll(h); err != nil {
 		return err
 	}
+	if err := s.relayAll(h); err != nil {
+		return err
+	}
 	files := s.settings(h)
 	for name, text := range files {
 		if err := os.WriteFile(s.file(name, ".toml"), []byte(text), 0o600); err != nil {
@@ -216,6 +225,7 @@
 
 // Close kills every process that still runs.
 func (s *Stage) Close() {
+	defer s.relays.close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.processes {
@@ -259,6 +269,16 @@
 	return s.call(http.MethodGet, "http://"+address+path, "", "", nil)
 }
 
+// Replace puts a body to a path of a stand-in.
+func (s *Stage) Replace(name, path, body string) error {
+	address, err := s.Fault(name)
+	if err != nil {
+		return err
+	}
+	_, err = s.call(http.MethodPut, "http://"+address+path, "", body, nil)
+	return err
+}
+
 // Put writes a configuration row through entry n.
 func (s *Stage) Put(n int, key, record string) error {
 	_, err := s.Admin(n, http.MethodPut, "rows/"+key, record)
@@ -318,6 +338,27 @@
 	return s.call(http.MethodPost, s.front(n)+"/services/bookings/book", CallerKey, body, headers)
 }
 
+// errStays is returned for an answer that does not ask to close.
+var errStays = errors.New("stager: the answer does not ask the caller to close the connection")
+
+// Polite checks that entry n answers and asks its caller to close the
+// connection.
+func (s *Stage) Polite(n int) error {
+	q, err := http.NewRequestWithContext(context.Background(), http.MethodGet, s.front(n)+"/healthz", nil)
+	if err != nil {
+		return err
+	}
+	r, err := s.client.Do(q)
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK || !r.Close {
+		return errStays
+	}
+	return nil
+}
+
 // Outcome names what became of a call: answered, not-run or unknown; a call
 // that got no answer at all is unknown.
 func Outcome(err error) string {
--- a/standin/settings/settings.go
+++ b/standin/settings/settings.go
@@ -24,6 +24,15 @@
 	Runs     Place     `toml:"runs"` // log of the plain services' runs
 	Engines  []Engine  `toml:"engine"`
 	Services []Service `toml:"service"`
+	Balancer Balancer  `toml:"balancer"`
+}
+
+// Balancer is the platform's balancer before the entries.
+type Balancer struct {
+	Address string   `toml:"address"` // for callers
+	Control string   `toml:"control"` // for its faults and counts
+	Targets []string `toml:"targets"` // the entries' addresses for callers
+	Every   int      `toml:"every"`   // milliseconds between questions whether one is ready
 }
 
 // Place is a system that needs an address alone; an empty one is not started.
@@ -87,6 +96,7 @@
 	var bad checker.Problems
 	places := map[string]string{
 		"table": s.Table.Address, "objects": s.Objects.Address, "list": s.List.Address, "weights": s.Weights.Address, "runs": s.Runs.Address,
+		"balancer": s.Balancer.Address,
 	}
 	for name, a := range places {
 		bad.Require(a == "" || checker.IsAddress(a), name+".address", "must be IP:PORT")
@@ -99,7 +109,10 @@
 		bad.Require(checker.IsAddress(v.Address), fmt.Sprintf("service[%d].address", i), "must be IP:PORT")
 		bad.Require(v.Runs == "" || checker.IsAddress(v.Runs), fmt.Sprintf("service[%d].runs", i), "must be IP:PORT")
 	}
-	none := s.Table.Address+s.Objects.Address+s.List.Address+s.Weights.Address+s.Runs.Address == "" && len(s.Engines)+len(s.Services) == 0
+	bad.Require(s.Balancer.Address == "" || checker.IsAddress(s.Balancer.Control), "balancer.control", "must be IP:PORT")
+	bad.Require(checker.AreAddresses(s.Balancer.Targets), "balancer.targets", "must hold IP:PORT")
+	bad.Require(s.Balancer.Every >= 0, "balancer.every", "must not be negative")
+	none := s.Table.Address+s.Objects.Address+s.List.Address+s.Weights.Address+s.Runs.Address+s.Balancer.Address == "" && len(s.Engines)+len(s.Services) == 0
 	bad.Require(!none, "table", "at least one system must be set")
 	return bad
 }
