A sidecar that hardly any entry answers reads its wanted state itself

The likely cause, not seen directly: the sidecars did not beat to that entry, so that nobody told them.

Change: while fewer than two entries reply, the row is read at each look at the engine, as the configuration's head is already.

--- a/sidecar/internal/converger/converger.go
+++ b/sidecar/internal/converger/converger.go
@@ -108,6 +108,10 @@
 	return c.order(ctx, status)
 }
 
+// Doubt has the next step read the wanted row: whoever could tell of a newer
+// revision may not be heard.
+func (c *Converger) Doubt() { c.due = time.Time{} }
+
 // read reads the wanted row and says when to read it next.
 func (c *Converger) read(ctx context.Context, told uint64) error {
 	wanted, err := orderer.ReadWant(ctx, c.config.Table, c.config.Domain, c.config.Server)
--- a/sidecar/internal/server/orders.go
+++ b/sidecar/internal/server/orders.go
@@ -37,6 +37,9 @@
 	s.wanted.loop(ctx, every, func(ctx context.Context, told uint64) {
 		ctx, cancel := context.WithTimeout(ctx, convergeLimit)
 		defer cancel()
+		if s.isLonely() {
+			c.Doubt()
+		}
 		done, err := c.Step(ctx, told)
 		if err != nil {
 			s.config.Log.Warn().Str("event", "converge").Err(err).Msg("")
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -153,10 +153,13 @@
 	return config
 }
 
-// lonely reads the configuration often while fewer than two entries reply to
-// heartbeats: the one that does may itself be cut off.
+// isLonely reports whether fewer than two entries reply to heartbeats: the one
+// that does may itself be cut off.
+func (s *Server) isLonely() bool { return s.reporter.Answered() < 2 }
+
+// lonely reads the configuration often while hardly any entry replies.
 func (s *Server) lonely(ctx context.Context) {
-	if s.reporter.Answered() < 2 {
+	if s.isLonely() {
 		s.keeper.Refresh(ctx)
 	}
 }
