Detect a dead backend server at any pace of heartbeats

Cause: a server was gone after silence of three of its heartbeats and a failed call, so heartbeats 20 s apart would have meant a minute of offers to a dead server. Change: calls that fail for longer than silence takes, with no report between, are enough (two at the least), and the entry asks every server whose last call failed each second, between its rounds of greetings. Ruled out: counting failed calls alone (one lost connection would take a server out); asking only in the rounds of greetings, which come each 10 s at 340 entries. Before: TestSlowHeartbeatsDelayNoDetection printed 0 != 1 for heartbeats of 20 and 60 s; TestDeadServerIsFoundBetweenHeartbeats failed without the loop. After: gone 4.5 s after the first failed call at 0.5, 20 and 60 s alike (fake clock). A server that answers in between stays.

--- a/core/watcher/health.go
+++ b/core/watcher/health.go
@@ -44,11 +44,22 @@
 // record is what the owner keeps of one server besides its report.
 type record struct {
 	Server
-	gone  time.Time // since when it is gone; zero if not
-	flaps int
-	held  time.Time // not offered work before this
+	failing time.Time // first failed call since the newest report, if Failed is not 0
+	gone    time.Time // since when it is gone; zero if not
+	flaps   int
+	held    time.Time // not offered work before this
 }
 
+// unreached reports whether calls to a server have failed for longer than a
+// limit, with no report in between. Heartbeats of a large fleet come far apart;
+// a server that is asked and does not answer needs no more of them to miss.
+func (r *record) unreached(now time.Time, limit time.Duration) bool {
+	return r.Failed >= proofs && now.Sub(r.failing) > limit
+}
+
+// proofs is how many calls must fail where no heartbeat was missed.
+const proofs = 2
+
 // mostGone reports whether more than half of a failure domain's servers are
 // gone: then this entry may be the one that is cut off.
 func mostGone(known map[ider.Server]*record, domain string) bool {
@@ -69,7 +80,7 @@
 // failure domain of which most are gone.
 func (w *Watcher) judge(now time.Time) {
 	for _, r := range w.known {
-		gone := Judge(r.Heard, r.Failed, now, w.patience(r.Server)) == Gone
+		gone := Judge(r.Heard, r.Failed, now, w.patience(r.Server)) == Gone || r.unreached(now, w.config.Silence)
 		switch {
 		case gone && r.gone.IsZero():
 			r.gone = now
--- a/core/watcher/watcher.go
+++ b/core/watcher/watcher.go
@@ -8,7 +8,9 @@
 //	w.Hear(report)
 //	for _, s := range w.View().Servers { ... }
 //
-// A server is gone when it is both silent and calls to it failed. Gone ones,
+// A server is gone when it is both silent and calls to it failed, or when calls
+// alone have failed for as long as silence takes, however far apart its
+// heartbeats come. Gone ones,
 // and for a while those that come and go, are kept apart from those that are
 // offered work; when nobody else is left they are offered work all the same,
 // and none of a failure domain is forgotten while most of it is gone. An entry
@@ -134,6 +136,9 @@
 		if !found {
 			return
 		}
+		if s.Failed == 0 {
+			s.failing = now
+		}
 		s.Failed++
 	}
 	w.judge(now)
@@ -190,9 +195,20 @@
 // Quiet returns at most n of the servers that are silent, drawn at random.
 func (w *Watcher) Quiet(n int) []Server {
 	view := w.View()
+	return some(n, slices.Concat(view.Servers, view.Gone), w.Silent)
+}
+
+// Suspects returns at most n of the servers that are offered work though the
+// last call to them failed, drawn at random.
+func (w *Watcher) Suspects(n int) []Server {
+	return some(n, w.View().Servers, func(s Server) bool { return s.Failed > 0 })
+}
+
+// some returns at most n of the servers that are wanted, drawn at random.
+func some(n int, servers []Server, wanted func(Server) bool) []Server {
 	var all []Server
-	for _, s := range slices.Concat(view.Servers, view.Gone) {
-		if w.Silent(s) {
+	for _, s := range servers {
+		if wanted(s) {
 			all = append(all, s)
 		}
 	}
--- a/core/watcher/watcher_test.go
+++ b/core/watcher/watcher_test.go
@@ -202,3 +202,64 @@
 		is.Equal(w.View().Servers[2].GetRunning(), int32(2))
 	})
 }
+
+// TestSlowHeartbeatsDelayNoDetection lets calls to a server fail whose
+// heartbeats come far apart. What counts is how long calls fail, not the pace.
+func TestSlowHeartbeatsDelayNoDetection(t *testing.T) {
+	for name, test := range map[string]struct {
+		every   time.Duration
+		fails   []time.Duration // after the report
+		answers time.Duration   // a report in between, 0 is none
+		at      time.Duration
+		gone    int
+	}{
+		"fast, calls fail":                 {500 * time.Millisecond, []time.Duration{time.Second, 2 * time.Second, 4500 * time.Millisecond}, 0, 5 * time.Second, 1},
+		"slow, calls fail":                 {20 * time.Second, []time.Duration{time.Second, 2 * time.Second, 4500 * time.Millisecond}, 0, 5 * time.Second, 1},
+		"slowest, calls fail":              {time.Minute, []time.Duration{time.Second, 2 * time.Second, 4500 * time.Millisecond}, 0, 5 * time.Second, 1},
+		"slow, calls failed a moment":      {20 * time.Second, []time.Duration{time.Second, 2 * time.Second}, 0, 3 * time.Second, 0},
+		"slow, one call failed long ago":   {20 * time.Second, []time.Duration{time.Second}, 0, 10 * time.Second, 0},
+		"slow, an answer in between":       {20 * time.Second, []time.Duration{time.Second, 2 * time.Second, 4500 * time.Millisecond}, 3 * time.Second, 5 * time.Second, 0},
+		"slow, no call, within its pace":   {20 * time.Second, nil, 0, 50 * time.Second, 0},
+		"slow, one call, beyond its pace":  {20 * time.Second, []time.Duration{61 * time.Second}, 0, 62 * time.Second, 1},
+		"slow, asked in vain since a call": {20 * time.Second, []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 5 * time.Second}, 0, 6 * time.Second, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := New(Config{})
+				defer w.Stop()
+				for i := range 3 { // the others of the failure domain live
+					w.Hear(&wire.Report{Server: fmt.Sprint("other", i), Boot: 1, Serial: 1, EveryMs: time.Hour.Milliseconds()})
+				}
+				w.Hear(&wire.Report{Server: "s", Boot: 1, Serial: 1, EveryMs: test.every.Milliseconds()})
+				for _, f := range test.fails {
+					time.AfterFunc(f, func() { w.Fail("s") })
+				}
+				if test.answers > 0 {
+					time.AfterFunc(test.answers, func() {
+						w.Hear(&wire.Report{Server: "s", Boot: 1, Serial: 2, EveryMs: test.every.Milliseconds()})
+					})
+				}
+				time.Sleep(test.at)
+				w.Tick()
+				synctest.Wait()
+				is.Equal(len(w.View().Gone), test.gone)
+			})
+		})
+	}
+}
+
+func TestSuspectsAreThoseThatFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(4)
+		defer b.Stop()
+		b.Fail("s1")
+		b.Fail("s2")
+		synctest.Wait()
+		is.Equal(len(b.Suspects(9)), 2)
+		is.Equal(len(b.Suspects(1)), 1)
+		b.beat(4)
+		is.Equal(len(b.Suspects(9)), 0)
+	})
+}
--- a/entry/internal/gossiper/gossiper.go
+++ b/entry/internal/gossiper/gossiper.go
@@ -145,6 +145,7 @@
 // Run greets and spreads until the context ends.
 func (g *Gossiper) Run(ctx context.Context) {
 	go g.spreadLoop(ctx)
+	go g.suspectLoop(ctx)
 	for n := 0; ctx.Err() == nil; n++ {
 		if n%listEvery == 0 {
 			g.readList(ctx)
@@ -321,11 +322,30 @@
 // probe asks the servers whose heartbeats stopped. One that answers is heard;
 // one that does not is shown to fail. A cut that goes one way only is told
 // from a death so.
-func (g *Gossiper) probe(ctx context.Context) {
-	quiet := g.config.Watcher.Quiet(probeWidth)
-	reached := make(map[string]watcher.Server, len(quiet))
+func (g *Gossiper) probe(ctx context.Context) { g.ask(ctx, g.config.Watcher.Quiet(probeWidth)) }
+
+// suspectLoop asks the servers to which the last call failed, much sooner than
+// a round comes when entries are many: within silence's time it is known
+// whether they live, however far apart their heartbeats come.
+func (g *Gossiper) suspectLoop(ctx context.Context) {
+	t := time.NewTicker(g.config.Every)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			g.ask(ctx, g.config.Watcher.Suspects(probeWidth))
+		}
+	}
+}
+
+// ask asks servers for their reports. One that answers is heard, any other has
+// failed once more.
+func (g *Gossiper) ask(ctx context.Context, servers []watcher.Server) {
+	reached := make(map[string]watcher.Server, len(servers))
 	var addresses []string
-	for _, s := range quiet {
+	for _, s := range servers {
 		reached[s.GetAddress()] = s
 		addresses = append(addresses, s.GetAddress())
 	}
