Heartbeats as datagrams, paced by a budget of control bytes

Cause: an entry of a large fleet spent 600 B on each heartbeat as a call; at 340 entries and 12,000 sidecars even beats each 60 s took control to 3.5 KB/s, and today's default of 0.5 s was out of reach. Change: the first heartbeat is a call (TLS proves the role); its reply grants a session with a key, and the ones after it are datagrams with a code of HMAC: what differs from the report of the call, one packet each way. The entry asks for the pace that its budget (control, 3,000 B/s) leaves beside greetings and pushes. Answers to proposals stand in for two of three heartbeats; a change of state, models or cold goes out at once; what the entry has to say at length asks for a call. Greetings keep to 0.3 of the budget. Ruled out: a key in the settings for all (one stolen file is every sidecar); differences from the last report sent (a lost one spoils those after it).

--- a/core/certifier/meter.go
+++ b/core/certifier/meter.go
@@ -1,9 +1,9 @@
 package certifier
 
 import (
-	"context"
 	"expvar"
 	"net"
+	"sync/atomic"
 )
 
 // innerBytes counts every byte, both ways, on the connections between the
@@ -15,21 +15,33 @@
 // since the start.
 func InnerBytes() int64 { return innerBytes.Value() }
 
+// AddInner counts bytes that were exchanged with the system's other processes
+// by other means than these connections.
+func AddInner(n int) { innerBytes.Add(int64(n)) }
+
 type meteredConn struct {
 	net.Conn
+	bytes *atomic.Int64 // counted besides; nil if not
+}
+
+func (c meteredConn) count(n int) {
+	innerBytes.Add(int64(n))
+	if c.bytes != nil {
+		c.bytes.Add(int64(n))
+	}
 }
 
 // Read implements net.Conn.
 func (c meteredConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	innerBytes.Add(int64(n))
+	c.count(n)
 	return n, err
 }
 
 // Write implements net.Conn.
 func (c meteredConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
-	innerBytes.Add(int64(n))
+	c.count(n)
 	return n, err
 }
 
@@ -43,13 +55,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return meteredConn{c}, nil
-}
-
-func dialMetered(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return meteredConn{c}, nil
+	return meteredConn{Conn: c}, nil
 }
--- a/core/certifier/peer.go
+++ b/core/certifier/peer.go
@@ -1,7 +1,10 @@
 package certifier
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,20 +19,35 @@
 type Peer struct {
 	Client *http.Client
 	scheme string
+	bytes  atomic.Int64
+}
+
+// Bytes returns the bytes exchanged over connections that this peer has made.
+func (p *Peer) Bytes() int64 { return p.bytes.Load() }
+
+// dial makes a connection whose bytes count as this peer's.
+func (p *Peer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return meteredConn{Conn: c, bytes: &p.bytes}, nil
 }
 
 // NewPeer returns a peer that trusts servers of the given roles. With a nil
 // store connections are plain.
 func NewPeer(s *Store, roles ...string) *Peer {
+	p := &Peer{scheme: "http://"}
 	t := &http.Transport{
-		DialContext:         dialMetered,
+		DialContext:         p.dial,
 		MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleLimit, ExpectContinueTimeout: continueLimit, DisableCompression: true,
 	}
-	if s == nil {
-		return &Peer{Client: &http.Client{Transport: t}, scheme: "http://"}
+	p.Client = &http.Client{Transport: t}
+	if s != nil {
+		t.TLSClientConfig = s.client(roles)
+		p.scheme = "https://"
 	}
-	t.TLSClientConfig = s.client(roles)
-	return &Peer{Client: &http.Client{Transport: t}, scheme: "https://"}
+	return p
 }
 
 // URL returns the base URL of a process at an ip:port.
--- a/entry/internal/gossiper/gossiper.go
+++ b/entry/internal/gossiper/gossiper.go
@@ -23,8 +23,10 @@
 	listEvery    = 10 // greetings between two readings of the list of VMs
 	fanout       = 3  // entries greeted at once
 	gapEntries   = 32 // entries for which rounds come a multiple of Every apart
-	spreadWidth  = 64 // pushes under way at once
-	probeWidth   = 8  // silent servers asked at once
+	longestGap   = 20 * time.Second
+	roundWeight  = 0.3 // of the bytes of the newest round
+	spreadWidth  = 64  // pushes under way at once
+	probeWidth   = 8   // silent servers asked at once
 )
 
 // Lister reads the platform's list of VMs.
@@ -45,6 +47,9 @@
 	Watcher *watcher.Watcher
 	Every   time.Duration
 	Limit   time.Duration
+	// Budget is how many bytes a second greetings may take, those of other
+	// entries included; 0 is no bound.
+	Budget int
 	// Copies is how many entries push to one sidecar, by rank among live ones; 0
 	// means all of a few, and one or two of many.
 	Copies   int
@@ -67,6 +72,7 @@
 	mu     sync.Mutex
 	roster *roster
 	random *rand.Rand
+	round  float64           // bytes of one round
 	peers  map[string]uint64 // sequence number that each entry last said
 	sent   map[string]mark   // what each server last took
 }
@@ -161,12 +167,29 @@
 	}
 }
 
-// gap is the mean time between two rounds. It grows with the number of entries,
-// so that the cost of a round stays a fixed share of an entry's budget.
+// gap is the mean time between two rounds. It grows with the number of entries
+// and with the bytes of a round, so that greetings stay within their budget.
 func (g *Gossiper) gap() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.config.Every * time.Duration(max(1, len(g.roster.all)/gapEntries))
+	gap := g.config.Every * time.Duration(max(1, len(g.roster.all)/gapEntries))
+	return max(gap, afford(g.round, g.config.Budget))
+}
+
+// afford returns how far apart rounds of so many bytes must come: for each of
+// its own an entry is greeted in another one's, on average.
+func afford(round float64, budget int) time.Duration {
+	if budget <= 0 {
+		return 0
+	}
+	return min(time.Duration(2*round/float64(budget)*float64(time.Second)), longestGap)
+}
+
+// weigh follows the bytes of a round.
+func (g *Gossiper) weigh(bytes int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.round += roundWeight * (float64(bytes) - g.round)
 }
 
 // shuffle puts n things in random order.
@@ -209,7 +232,9 @@
 	g.mu.Lock()
 	targets := g.roster.targets(fanout, g.random)
 	g.mu.Unlock()
+	before := g.config.Entries.Bytes()
 	g.each(ctx, targets, func(ctx context.Context, a string) { g.greet(ctx, a, false) })
+	g.weigh(g.config.Entries.Bytes() - before)
 	g.probe(ctx)
 	g.mu.Lock()
 	gone := g.roster.judge(time.Now())
--- a/entry/internal/gossiper/suspect_test.go
+++ b/entry/internal/gossiper/suspect_test.go
@@ -52,3 +52,23 @@
 		})
 	}
 }
+
+func TestAfford(t *testing.T) {
+	for name, test := range map[string]struct {
+		round  float64
+		budget int
+		want   time.Duration
+	}{
+		"no bound":       {3000, 0, 0},
+		"nobody greeted": {0, 900, 0},
+		"three entries":  {1125, 900, 2500 * time.Millisecond},
+		"many":           {3150, 900, 7 * time.Second},
+		"never further":  {1 << 20, 900, longestGap},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := afford(test.round, test.budget); got != test.want {
+				t.Errorf("afford = %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -11,6 +11,7 @@
 	"context"
 	"expvar"
 	"io"
+	"net"
 	"net/http"
 	"net/http/pprof"
 	"runtime/debug"
@@ -24,6 +25,7 @@
 	"bamboohill/core/hinter"
 	"bamboohill/core/keeper"
 	"bamboohill/core/limiter"
+	"bamboohill/core/pacer"
 	"bamboohill/core/puller"
 	"bamboohill/core/router"
 	"bamboohill/core/storer"
@@ -34,6 +36,7 @@
 	"bamboohill/entry/internal/dispatcher"
 	"bamboohill/entry/internal/ganger"
 	"bamboohill/entry/internal/gossiper"
+	"bamboohill/entry/internal/listener"
 	"bamboohill/entry/internal/placer"
 	"bamboohill/entry/internal/proposer"
 	"bamboohill/entry/internal/receiver"
@@ -52,6 +55,9 @@
 	accuseLimit = 500 * time.Millisecond
 )
 
+// greetShare is the part of an entry's control traffic that greetings may take.
+const greetShare = 0.3
+
 // Shares of an entry's memory: what callers' bodies may take, and from where
 // on garbage is collected at once.
 const (
@@ -79,6 +85,9 @@
 	placer   *placer.Placer
 	borrower *borrower.Borrower
 	hints    *hinter.Hinter
+	listener *listener.Listener
+	pacer    *pacer.Pacer
+	sidecars *certifier.Peer // for callers' work
 	stopping atomic.Bool
 	outer    http.Handler
 	inner    http.Handler
@@ -102,12 +111,15 @@
 	s.watcher = watcher.New(watcher.Config{})
 	s.suspects = accuser.New(accuser.Config{})
 	s.hints = hinter.New(hinter.Config{})
+	s.listener = listener.New(listener.Config{Hear: s.hear, Reply: s.reply})
+	s.pacer = pacer.New(pacer.Config{Budget: set.Control})
 	s.join()
 	s.placer = s.newPlacer()
 	if s.tracer, err = tracer.New(tracer.Config{Program: "entry", Exporter: set.Trace.Exporter, Endpoint: set.Trace.Endpoint}); err != nil {
 		return nil, err
 	}
 	sidecars := certifier.NewPeer(s.certs, certifier.Sidecar)
+	s.sidecars = sidecars
 	sidecars.Client.Transport = s.tracer.Transport("attempt", sidecars.Client.Transport)
 	proposals := proposer.New(proposer.Config{Peer: sidecars})
 	s.borrower = borrower.New(borrower.Config{
@@ -170,7 +182,7 @@
 		Borrow: func(ctx context.Context, q *wire.BorrowRequest) (*wire.BorrowReply, error) {
 			return s.borrower.Lend(ctx, q)
 		},
-		Entries: entries, Sidecars: certifier.NewPeer(s.certs, certifier.Sidecar),
+		Budget: int(greetShare * float64(set.Control)), Entries: entries, Sidecars: certifier.NewPeer(s.certs, certifier.Sidecar),
 	}
 	if set.Platform.List != "" {
 		members.List = storer.NewVMs(storer.Config{Address: set.Platform.List})
@@ -250,6 +262,13 @@
 	if err != nil {
 		return err
 	}
+	datagrams, err := (&net.ListenConfig{}).ListenPacket(ctx, "udp", set.Inner)
+	if err != nil {
+		return err
+	}
+	defer datagrams.Close()
+	go s.listener.Serve(datagrams)
+	go s.pace(background)
 	go s.gossiper.Run(background)
 	go s.placer.Run(background)
 	go s.borrower.Run(background)
@@ -296,20 +315,3 @@
 	s.config.Log.Info().Str("event", "listening").Str("address", address).Msg("")
 	return web, nil
 }
-
-// beats serves the calls of wire.Heartbeats.
-type beats struct {
-	s *Server
-}
-
-// Beat implements wire.Heartbeats.
-func (b beats) Beat(_ context.Context, report *wire.Report) (*wire.BeatReply, error) {
-	b.s.watcher.Hear(report)
-	b.s.hints.Hear(report)
-	reply := &wire.BeatReply{Suspects: b.s.suspects.Suspects(), Entries: b.s.gossiper.Named(report.GetServer())}
-	if b.s.keeper.Ready() {
-		reply.Sequence = b.s.keeper.State().Sequence
-	}
-	b.s.gossiper.Behind(report.GetSequence())
-	return reply, nil
-}
--- a/entry/internal/server/vars.go
+++ b/entry/internal/server/vars.go
@@ -34,6 +34,15 @@
 		"limits_sharing":         func() any { return s.borrower.Counts().Sharing },
 		"goroutines":             func() any { return runtime.NumGoroutine() },
 		"inner_bytes":            func() any { return certifier.InnerBytes() },
+		"control_bytes":          func() any { return s.control() },
+		"beats_calls":            func() any { return s.listener.Counts().Calls.Load() },
+		"beats_datagrams":        func() any { return s.listener.Counts().Datagrams.Load() },
+		"beats_forged":           func() any { return s.listener.Counts().Forged.Load() },
+		"beats_unknown":          func() any { return s.listener.Counts().Unknown.Load() },
+		"beats_late":             func() any { return s.listener.Counts().Late.Load() },
+		"beats_bytes":            func() any { return s.listener.Counts().Bytes.Load() },
+		"beats_every_ms":         func() any { return s.pacer.Every(s.listener.Heard()).Milliseconds() },
+		"beats_heard":            func() any { return s.listener.Heard() },
 	} {
 		m.Set(name, expvar.Func(value))
 	}
--- a/entry/internal/settings/settings.go
+++ b/entry/internal/settings/settings.go
@@ -29,10 +29,11 @@
 	Platform  storer.Platform `toml:"platform"`
 	Bounds    Bounds          `toml:"bounds"`
 	Operators []Operator      `toml:"operator"`
-	Poll      int             `toml:"poll"`  // milliseconds between reads of the configuration's head
-	Grace     int             `toml:"grace"` // milliseconds from the order to stop until no new connection is taken
-	TLS       certifier.Files `toml:"tls"`   // towards entries and sidecars
-	Front     certifier.Files `toml:"front"` // towards callers and operators; no authority
+	Poll      int             `toml:"poll"`    // milliseconds between reads of the configuration's head
+	Grace     int             `toml:"grace"`   // milliseconds from the order to stop until no new connection is taken
+	Control   int             `toml:"control"` // bytes a second, both ways, for all that is not callers' work
+	TLS       certifier.Files `toml:"tls"`     // towards entries and sidecars
+	Front     certifier.Files `toml:"front"`   // towards callers and operators; no authority
 	Trace     tracer.Settings `toml:"trace"`
 }
 
@@ -65,6 +66,7 @@
 	defaultTimeout = 60_000
 	defaultPoll    = 1000
 	defaultGrace   = 3000
+	defaultControl = 3000
 
 	defaultConnections = 4096
 )
@@ -90,6 +92,7 @@
 	bad.Require(s.TLS.Whole(), "tls", "must name certificate, key and authority, or none")
 	bad.Require((s.Front.Certificate == "") == (s.Front.Key == ""), "front", "must name certificate and key, or none")
 	bad.Require(s.Grace >= 0, "grace", "must not be negative")
+	bad.Require(s.Control >= 100, "control", "must be at least 100 bytes a second")
 	bad.Require(s.Poll >= 10, "poll", "must be at least 10 milliseconds")
 	for i, o := range s.Operators {
 		at := fmt.Sprintf("operator[%d].", i)
@@ -109,6 +112,7 @@
 	checker.Default(&s.Bounds.Connections, defaultConnections)
 	checker.Default(&s.Poll, defaultPoll)
 	checker.Default(&s.Grace, defaultGrace)
+	checker.Default(&s.Control, defaultControl)
 }
 
 func isHash(text string) bool {
--- a/sidecar/internal/reporter/reporter.go
+++ b/sidecar/internal/reporter/reporter.go
@@ -3,17 +3,28 @@
 // # Usage
 //
 //	r := reporter.New(reporter.Config{Entries: addresses, Report: sidecar.Report})
-//	r.Run(ctx)
+//	go r.Run(ctx)
+//	r.Told(entry) // an answer has just carried a report to it
 //
 // Each report goes to the entries that rendezvous hashing picks for this
 // backend server among those known; replies name more entries. One that fails
 // some beats in a row is replaced by the next and asked again now and then.
+//
+// How far apart heartbeats come is what the entries can afford, Config.Every at
+// the least. An entry that an answer has told lately needs none, but for every
+// third round, which carries the cache's events; a change of what decides
+// whether work may come here (state, models, a cold start) goes out at once.
+//
+// The first heartbeat to an entry is a call. Its reply may grant a pass, with
+// which those that follow are datagrams; one without an answer, or whose answer
+// asks for it, is followed by a call.
 package reporter
 
 import (
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -34,36 +45,53 @@
 
 // entry is one entry that may hear this server.
 type entry struct {
-	fixed  bool // named by settings
-	failed int  // beats in a row
+	fixed    bool // named by settings
+	failed   int  // beats in a row
+	told     time.Time
+	every    time.Duration // between beats, as it can afford
+	pass     *pass         // nil: it takes calls alone
+	unheard  int           // datagrams in a row without an answer
+	answered bool          // to the last beat
 }
 
-// Config describes a Reporter.
+// Config describes a Reporter. A nil Conn sends calls alone.
 type Config struct {
 	Entries []string // addresses to start from, ip:port
 	Every   time.Duration
 	Peer    *certifier.Peer
+	Conn    net.PacketConn // for datagrams
 	Report  func() *wire.Report
-	// Heard is called with the address of an entry and its reply.
+	// Events adds the cache's events since the last report; nil if there is no
+	// cache.
+	Events func(*wire.Report)
+	// Heard is called with the address of an entry and its reply to a call.
 	Heard func(string, *wire.BeatReply)
+	// Behind is called with the address of an entry and the sequence number that
+	// its answer to a datagram says.
+	Behind func(string, uint64)
 }
 
 // Reporter sends heartbeats.
 type Reporter struct {
 	config Config
-	mu     sync.Mutex
-	known  map[string]*entry
+	counts Counts
+	acks   *acks
 
-	replies  int // to the beat under way
-	answered int // to the last beat
+	mu    sync.Mutex
+	known map[string]*entry
+	plan  plan
+	sent  []string // entries that hear this server, resting ones now and then
 }
 
 // New returns a reporter.
 func New(config Config) *Reporter {
-	r := &Reporter{config: config, known: map[string]*entry{}}
+	r := &Reporter{config: config, known: map[string]*entry{}, acks: newAcks(), plan: plan{floor: config.Every}}
 	for _, a := range config.Entries {
 		r.known[a] = &entry{fixed: true}
 	}
+	if config.Conn != nil {
+		go r.acks.read(config.Conn)
+	}
 	return r
 }
 
@@ -74,12 +102,48 @@
 	return slices.Sorted(maps.Keys(r.known))
 }
 
+// Told notes that an answer has just carried a report to an entry.
+func (r *Reporter) Told(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.known[address]; e != nil {
+		e.told = time.Now()
+	}
+}
+
+// Renew makes the next heartbeat to an entry a call, whose reply says more.
+func (r *Reporter) Renew(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.known[address]; e != nil {
+		e.pass = nil
+	}
+}
+
+// Every returns the time between heartbeats now.
+func (r *Reporter) Every() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.every()
+}
+
+// every is what the entry that can afford the least asks for; the lock is held.
+func (r *Reporter) every() time.Duration {
+	most := r.config.Every
+	for _, a := range r.sent {
+		if e := r.known[a]; e != nil {
+			most = max(most, e.every)
+		}
+	}
+	return min(most, longest)
+}
+
 // Run sends heartbeats until the context ends.
 func (r *Reporter) Run(ctx context.Context) {
 	t := time.NewTicker(r.config.Every)
 	defer t.Stop()
 	for {
-		r.Beat(ctx)
+		r.Look(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -88,56 +152,120 @@
 	}
 }
 
-// Answered returns how many entries replied to the last beat.
+// Look sends what is due now, if anything.
+func (r *Reporter) Look(ctx context.Context) {
+	report := r.config.Report()
+	picked := r.pick(report.GetServer())
+	now := time.Now()
+	r.mu.Lock()
+	every := r.every()
+	var told, failing []string
+	for _, a := range picked {
+		e := r.known[a]
+		if now.Sub(e.told) < every && !e.told.IsZero() {
+			told = append(told, a)
+		}
+		if !e.answered && e.failed < restAfter {
+			failing = append(failing, a)
+		}
+	}
+	r.sent = picked
+	todo := r.plan.next(look{now: now, every: every, picked: picked, told: told, failing: failing, essence: essenceOf(report), jitter: rand.Float64()})
+	r.mu.Unlock()
+	switch {
+	case todo.whole:
+		r.round(ctx, report, picked)
+	case len(todo.to) > 0:
+		r.bare(ctx, report, todo.to)
+	}
+	r.counts.Saved.Add(int64(todo.saved))
+}
+
+// Answered returns how many of the entries that hear this server replied to the
+// last heartbeat that it sent them.
 func (r *Reporter) Answered() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.answered
+	n := 0
+	for _, a := range r.sent {
+		if e := r.known[a]; e != nil && e.answered {
+			n++
+		}
+	}
+	return n
 }
 
-// Beat sends one report to the chosen entries and waits for their replies.
+// Beat sends one report to the chosen entries at once and waits for their
+// replies.
 func (r *Reporter) Beat(ctx context.Context) {
 	report := r.config.Report()
-	report.EveryMs = r.config.Every.Milliseconds()
+	picked := r.pick(report.GetServer())
+	r.mu.Lock()
+	r.sent = picked
+	r.plan.sent(time.Now(), r.every(), essenceOf(report), rand.Float64())
+	r.mu.Unlock()
+	r.round(ctx, report, picked)
+}
+
+// round sends a report with the cache's events to every chosen entry: one that
+// is left out would miss events.
+func (r *Reporter) round(ctx context.Context, report *wire.Report, picked []string) {
+	if r.config.Events != nil {
+		r.config.Events(report)
+	}
+	r.bare(ctx, report, picked)
+}
+
+// bare sends a report to some entries and waits for their replies.
+func (r *Reporter) bare(ctx context.Context, report *wire.Report, to []string) {
+	report.EveryMs = r.Every().Milliseconds()
 	var all sync.WaitGroup
-	for _, address := range r.pick(report.GetServer()) {
+	for _, address := range to {
 		all.Go(func() { r.send(ctx, address, report) })
 	}
 	all.Wait()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.answered, r.replies = r.replies, 0
 }
 
+// send sends a report to one entry, as a datagram if it may.
 func (r *Reporter) send(ctx context.Context, address string, report *wire.Report) {
-	ctx, cancel := context.WithTimeout(ctx, r.config.Every)
+	if r.datagram(ctx, address, report) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, max(r.config.Every, callLimit))
 	defer cancel()
 	reply, err := wire.NewHeartbeatsProtobufClient(r.config.Peer.URL(address), r.config.Peer.Client).Beat(ctx, report)
+	r.counts.Calls.Add(1)
 	r.note(address, err == nil)
 	if err != nil {
 		return
 	}
+	r.take(address, report, reply)
 	r.learn(reply.GetEntries())
 	if r.config.Heard != nil {
 		r.config.Heard(address, reply)
 	}
 }
 
+// callLimit is the least time that a heartbeat's call may take.
+const callLimit = 500 * time.Millisecond
+
 // note counts an entry's failed beats in a row.
 func (r *Reporter) note(address string, answered bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.known[address]
-	switch {
-	case e == nil:
-	case answered:
+	if e == nil {
+		return
+	}
+	e.answered = answered
+	if answered {
 		e.failed = 0
-		r.replies++
-	default:
-		e.failed++
-		if e.failed >= forgetAfter && !e.fixed {
-			delete(r.known, address)
-		}
+		return
+	}
+	e.failed++
+	e.pass = nil
+	if e.failed >= forgetAfter && !e.fixed {
+		delete(r.known, address)
 	}
 }
 
--- a/sidecar/internal/server/propose.go
+++ b/sidecar/internal/server/propose.go
@@ -45,6 +45,7 @@
 	if s.keeper.Heard(p.GetSequence()) {
 		s.catchUp(p.GetSequence(), p.GetEntry())
 	}
+	defer s.reporter.Told(p.GetEntry())
 	refused := s.enter(p)
 	if refused == nil {
 		refused = s.run(w, q, p, frames)
--- a/sidecar/internal/server/report.go
+++ b/sidecar/internal/server/report.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"expvar"
+	"net"
 	"time"
 
 	"bamboohill/sidecar/internal/settings"
@@ -67,11 +69,36 @@
 	eventsLimit = 2 * time.Second
 )
 
-// beat returns the report of a heartbeat, which alone carries cache events.
-func (s *Server) beat() *wire.Report {
-	r := s.Report()
-	s.noter.Fill(r)
-	return r
+// listenDatagrams opens a port for datagrams to and from entries, at the IP
+// address where these reach the sidecar.
+func listenDatagrams(address string) (net.PacketConn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	return (&net.ListenConfig{}).ListenPacket(context.Background(), "udp", net.JoinHostPort(host, "0"))
+}
+
+// behind takes the sequence number that an entry's answer to a datagram says.
+func (s *Server) behind(address string, sequence uint64) {
+	if s.keeper.Heard(sequence) {
+		s.catchUp(sequence, address)
+	}
+}
+
+// reporterVars shows how heartbeats go out.
+func (s *Server) reporterVars(m *expvar.Map) {
+	counts := s.reporter.Counts()
+	for name, value := range map[string]func() any{
+		"beats_calls":     func() any { return counts.Calls.Load() },
+		"beats_datagrams": func() any { return counts.Datagrams.Load() },
+		"beats_lost":      func() any { return counts.Lost.Load() },
+		"beats_saved":     func() any { return counts.Saved.Load() },
+		"beats_bytes":     func() any { return counts.Bytes.Load() },
+		"beats_every_ms":  func() any { return s.reporter.Every().Milliseconds() },
+	} {
+		m.Set(name, expvar.Func(value))
+	}
 }
 
 // readEvents asks the engine for its cache events. They may come late; while
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -15,6 +15,7 @@
 	"context"
 	"expvar"
 	"io"
+	"net"
 	"net/http"
 	"net/http/pprof"
 	"runtime"
@@ -58,26 +59,27 @@
 
 // Server is one sidecar.
 type Server struct {
-	config   Config
-	boot     uint64
-	certs    *certifier.Store // towards entries, nil if plain
-	peer     *certifier.Peer
-	serial   atomic.Uint64
-	gate     *gatekeeper.Gate
-	engine   *engine // nil beside a plain service
-	attempts *attempts
-	noter    *hinter.Noter // of the prefix cache
-	leaving  leaving
-	suspects *accuser.Accuser
-	telling  sync.Mutex // held while entries are told of a crash
-	runner   *runner.Runner
-	recorder *recorder.Recorder
-	keeper   *keeper.Keeper
-	reporter *reporter.Reporter
-	list     *storer.VMs // nil if not set
-	client   *http.Client
-	counts   counts
-	tracer   *tracer.Tracer
+	config    Config
+	boot      uint64
+	certs     *certifier.Store // towards entries, nil if plain
+	peer      *certifier.Peer
+	serial    atomic.Uint64
+	gate      *gatekeeper.Gate
+	engine    *engine // nil beside a plain service
+	attempts  *attempts
+	noter     *hinter.Noter // of the prefix cache
+	leaving   leaving
+	suspects  *accuser.Accuser
+	telling   sync.Mutex // held while entries are told of a crash
+	runner    *runner.Runner
+	recorder  *recorder.Recorder
+	keeper    *keeper.Keeper
+	reporter  *reporter.Reporter
+	datagrams net.PacketConn // towards entries
+	list      *storer.VMs    // nil if not set
+	client    *http.Client
+	counts    counts
+	tracer    *tracer.Tracer
 }
 
 // counts is what the sidecar shows of itself at /debug/vars.
@@ -129,9 +131,12 @@
 	}
 	s.runner = runner.New(run)
 	s.recorder = newRecorder(s)
+	if s.datagrams, err = listenDatagrams(set.Address); err != nil {
+		return nil, err
+	}
 	s.reporter = reporter.New(reporter.Config{
-		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Report: s.beat, Heard: s.heard,
-		Peer: s.peer,
+		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Report: s.Report, Events: s.noter.Fill,
+		Heard: s.heard, Behind: s.behind, Peer: s.peer, Conn: s.datagrams,
 	})
 	s.keeper = keeper.New(s.configuration())
 	return s, nil
@@ -176,6 +181,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	defer s.tracer.Stop(background)
+	defer s.datagrams.Close()
 	defer s.keeper.Stop()
 	defer s.recorder.Close()
 	s.start(background)
@@ -259,6 +265,7 @@
 	m.Set("engine_crashes", &s.counts.crashes)
 	m.Set("streams_moved", &s.counts.moved)
 	m.Set("cold_by_first_token", &s.counts.slow)
+	s.reporterVars(m)
 	s.recorderVars(m)
 	w.Header().Set("Content-Type", "application/json")
 	io.WriteString(w, m.String()+"\n")
