--- a/core/sealer/sealer.go
+++ b/core/sealer/sealer.go
@@ -16,6 +16,8 @@
 const (
 	Beat Direction = 1 // of a sidecar
 	Ack  Direction = 2 // of an entry
+	Push Direction = 3 // of an entry
+	Took Direction = 4 // of a sidecar that took a push
 )
 
 // Sizes in bytes.
--- a/entry/internal/gossiper/gossiper.go
+++ b/entry/internal/gossiper/gossiper.go
@@ -56,6 +56,9 @@
 	Entries  *certifier.Peer
 	Sidecars *certifier.Peer
 	Log      *log.Logger
+	// Direct pushes to one boot of a sidecar without a call, and reports whether
+	// it was taken; may be nil.
+	Direct func(ctx context.Context, server string, boot uint64, batch *wire.Batch) (uint64, bool)
 	// Accuse takes a crash suspect that another entry tells of.
 	Accuse func(*wire.Accusation)
 	// Borrow lends a share of an account's limits to another entry.
--- a/entry/internal/gossiper/spread.go
+++ b/entry/internal/gossiper/spread.go
@@ -115,15 +115,27 @@
 			// It is far behind: tell it so, and let it pull.
 			batch = &wire.Batch{Sequence: state.Sequence}
 		}
-		reply, err := g.gate(a).Push(ctx, batch)
+		sequence, err := g.push(ctx, s, batch)
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if err == nil {
-			g.sent[s.GetServer()] = mark{boot: s.GetBoot(), sequence: reply.GetSequence(), at: now}
+			g.sent[s.GetServer()] = mark{boot: s.GetBoot(), sequence: sequence, at: now}
 		}
 	})
 }
 
+// push delivers changes to one sidecar, by a call if nothing shorter does, and
+// returns the sequence number in force there.
+func (g *Gossiper) push(ctx context.Context, s watcher.Server, batch *wire.Batch) (uint64, error) {
+	if g.config.Direct != nil {
+		if sequence, taken := g.config.Direct(ctx, s.GetServer(), s.GetBoot(), batch); taken {
+			return sequence, nil
+		}
+	}
+	reply, err := g.gate(s.GetAddress()).Push(ctx, batch)
+	return reply.GetSequence(), err
+}
+
 // Named returns the entries that a heartbeat's reply names to a server: this
 // one and the others that rank first for it, a few more than it beats to.
 func (g *Gossiper) Named(server string) []string {
--- a/entry/internal/listener/counts.go
+++ b/entry/internal/listener/counts.go
@@ -18,7 +18,9 @@
 	Forged    atomic.Int64 // datagrams with a wrong code, or of another server
 	Unknown   atomic.Int64 // datagrams of no session
 	Late      atomic.Int64 // datagrams not newer than the last
-	Bytes     atomic.Int64 // of datagrams both ways, headers included
+	Bytes     atomic.Int64 // of heartbeats' datagrams both ways, headers included
+	Pushes    atomic.Int64 // pushes that were taken as datagrams
+	Unheard   atomic.Int64 // pushes without an answer
 }
 
 // Beats returns how many heartbeats were taken and about how many bytes they
--- a/entry/internal/listener/listener.go
+++ b/entry/internal/listener/listener.go
@@ -43,6 +43,8 @@
 	told   uint64 // digest of what the last call was answered
 	since  time.Time
 	heard  time.Time
+	from   net.Addr // of the newest datagram
+	deaf   int      // pushes in a row without an answer
 }
 
 // Listener holds the sessions of one entry.
@@ -53,6 +55,9 @@
 	mu       sync.Mutex
 	sessions map[uint64]*session
 	servers  map[string]*session
+	conn     net.PacketConn // nil before Serve
+	pushes   uint64
+	pushed   map[uint64]chan *wire.DirectReply // pushes under way, by serial number
 }
 
 // New returns a listener without sessions. It panics without Hear or Reply.
@@ -69,7 +74,7 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
-	return &Listener{config: config, sessions: map[uint64]*session{}, servers: map[string]*session{}}
+	return &Listener{config: config, sessions: map[uint64]*session{}, servers: map[string]*session{}, pushed: map[uint64]chan *wire.DirectReply{}}
 }
 
 // Counts returns the counters.
@@ -124,31 +129,31 @@
 
 // Serve takes and answers datagrams until the connection is closed.
 func (l *Listener) Serve(conn net.PacketConn) error {
+	l.mu.Lock()
+	l.conn = conn
+	l.mu.Unlock()
 	buffer := make([]byte, sealer.Largest+1)
 	for {
 		n, from, err := conn.ReadFrom(buffer)
 		if err != nil {
 			return err
 		}
-		l.count(n)
-		answer := l.Take(buffer[:n])
+		certifier.AddInner(n + headerBytes)
+		answer := l.Take(buffer[:n], from)
 		if answer == nil {
 			continue
 		}
+		l.counts.Bytes.Add(int64(n + len(answer) + 2*headerBytes))
 		if n, err := conn.WriteTo(answer, from); err == nil {
-			l.count(n)
+			certifier.AddInner(n + headerBytes)
 		}
 	}
 }
 
-func (l *Listener) count(bytes int) {
-	l.counts.Bytes.Add(int64(bytes + headerBytes))
-	certifier.AddInner(bytes + headerBytes)
-}
-
-// Take takes one datagram and returns its answer, nil if it is dropped.
-func (l *Listener) Take(datagram []byte) []byte {
-	s, report := l.open(datagram)
+// Take takes one datagram and returns its answer, nil if it is dropped or the
+// answer to a push.
+func (l *Listener) Take(datagram []byte, from net.Addr) []byte {
+	s, report := l.open(datagram, from)
 	if report == nil {
 		return nil
 	}
@@ -168,7 +173,7 @@
 
 // open returns the report of a datagram, nil if it is dropped. It takes nothing
 // from a datagram before its code is proved.
-func (l *Listener) open(datagram []byte) (*session, *wire.Report) {
+func (l *Listener) open(datagram []byte, from net.Addr) (*session, *wire.Report) {
 	id, _ := sealer.Session(datagram)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -179,6 +184,9 @@
 	}
 	body, err := sealer.Open(s.key, sealer.Beat, datagram)
 	beat := &wire.Beat{}
+	if err != nil && l.took(s, datagram) {
+		return nil, nil
+	}
 	if err != nil || proto.Unmarshal(body, beat) != nil {
 		l.counts.Forged.Add(1)
 		return nil, nil
@@ -194,5 +202,6 @@
 	}
 	s.serial = report.GetSerial()
 	s.heard = l.config.Now()
+	s.from = from
 	return s, report
 }
--- /dev/null
+++ b/entry/internal/listener/push_test.go
@@ -0,0 +1,123 @@
+package listener
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bamboohill/core/sealer"
+	"bamboohill/wire"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+)
+
+// pipe carries an entry's datagrams to a fake sidecar that answers pushes.
+type pipe struct {
+	net.PacketConn
+	in     chan []byte
+	answer func(datagram []byte) [][]byte
+}
+
+func (p *pipe) WriteTo(datagram []byte, _ net.Addr) (int, error) {
+	for _, d := range p.answer(datagram) {
+		p.in <- d
+	}
+	return len(datagram), nil
+}
+
+func (p *pipe) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	d, open := <-p.in
+	if !open {
+		return 0, nil, net.ErrClosed
+	}
+	return copy(buffer, d), &net.UDPAddr{}, nil
+}
+
+// take answers a push as a sidecar with a key does.
+func take(t *testing.T, s *sender, key, datagram []byte) []byte {
+	t.Helper()
+	body, err := sealer.Open(s.pass.GetKey(), sealer.Push, datagram)
+	push := &wire.DirectPush{}
+	if err != nil || proto.Unmarshal(body, push) != nil {
+		return nil
+	}
+	answer, err := proto.Marshal(&wire.DirectReply{Serial: push.GetSerial(), Sequence: push.GetBatch().GetSequence()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return sealer.Seal(key, sealer.Took, s.pass.GetSession(), answer)
+}
+
+func TestPush(t *testing.T) {
+	large := &wire.Batch{Sequence: 8, Changes: []*wire.Change{{Key: string(make([]byte, 2*sealer.Largest))}}}
+	small := &wire.Batch{Sequence: 8}
+	for name, test := range map[string]struct {
+		batch  *wire.Batch
+		boot   uint64
+		answer func(whole []byte) [][]byte // from the sidecar's whole answer
+		forge  bool
+		taken  bool
+	}{
+		"taken":                    {batch: small, boot: 1, answer: func(a []byte) [][]byte { return [][]byte{a} }, taken: true},
+		"the answer comes twice":   {batch: small, boot: 1, answer: func(a []byte) [][]byte { return [][]byte{a, a} }, taken: true},
+		"the answer is lost":       {batch: small, boot: 1, answer: func([]byte) [][]byte { return nil }},
+		"the answer is forged":     {batch: small, boot: 1, answer: func(a []byte) [][]byte { return [][]byte{a} }, forge: true},
+		"another boot":             {batch: small, boot: 2, answer: func(a []byte) [][]byte { return [][]byte{a} }},
+		"too large for a datagram": {batch: large, boot: 1, answer: func(a []byte) [][]byte { return [][]byte{a} }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench()
+				s := b.call("s", 1)
+				key := s.pass.GetKey()
+				if test.forge {
+					key = sealer.NewKey()
+				}
+				p := &pipe{in: make(chan []byte, 8)}
+				p.answer = func(d []byte) [][]byte {
+					if a := take(t, s, key, d); a != nil {
+						return test.answer(a)
+					}
+					return nil // the answer to a heartbeat
+				}
+				go b.Serve(p)
+				_, taken := b.Push(context.Background(), "s", 1, small)
+				is.True(!taken) // no datagram came yet: its address is not known
+				p.in <- s.beat(2, nil)
+				synctest.Wait()
+				sequence, taken := b.Push(context.Background(), "s", test.boot, test.batch)
+				is.Equal(taken, test.taken)
+				if taken {
+					is.Equal(sequence, uint64(8))
+				}
+				close(p.in)
+			})
+		})
+	}
+}
+
+// TestDeafSidecarIsCalled has a sidecar that answers no push: after a few, none
+// is tried until it calls again.
+func TestDeafSidecarIsCalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench()
+		s := b.call("s", 1)
+		p := &pipe{in: make(chan []byte, 8)}
+		p.answer = func([]byte) [][]byte { return nil }
+		go b.Serve(p)
+		p.in <- s.beat(2, nil)
+		synctest.Wait()
+		start := time.Now()
+		for range 10 {
+			b.Push(context.Background(), "s", 1, &wire.Batch{Sequence: 8})
+		}
+		is.Equal(time.Since(start), deafMost*pushLimit)
+		is.Equal(b.Counts().Unheard.Load(), int64(deafMost))
+		close(p.in)
+	})
+}
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -182,7 +182,7 @@
 		Borrow: func(ctx context.Context, q *wire.BorrowRequest) (*wire.BorrowReply, error) {
 			return s.borrower.Lend(ctx, q)
 		},
-		Budget: int(greetShare * float64(set.Control)), Entries: entries, Sidecars: certifier.NewPeer(s.certs, certifier.Sidecar),
+		Direct: s.listener.Push, Budget: int(greetShare * float64(set.Control)), Entries: entries, Sidecars: certifier.NewPeer(s.certs, certifier.Sidecar),
 	}
 	if set.Platform.List != "" {
 		members.List = storer.NewVMs(storer.Config{Address: set.Platform.List})
--- a/entry/internal/server/vars.go
+++ b/entry/internal/server/vars.go
@@ -40,6 +40,8 @@
 		"beats_forged":           func() any { return s.listener.Counts().Forged.Load() },
 		"beats_unknown":          func() any { return s.listener.Counts().Unknown.Load() },
 		"beats_late":             func() any { return s.listener.Counts().Late.Load() },
+		"pushes_datagrams":       func() any { return s.listener.Counts().Pushes.Load() },
+		"pushes_unheard":         func() any { return s.listener.Counts().Unheard.Load() },
 		"beats_bytes":            func() any { return s.listener.Counts().Bytes.Load() },
 		"beats_every_ms":         func() any { return s.pacer.Every(s.listener.Heard()).Milliseconds() },
 		"beats_heard":            func() any { return s.listener.Heard() },
--- a/sidecar/internal/reporter/datagram.go
+++ b/sidecar/internal/reporter/datagram.go
@@ -182,21 +182,9 @@
 	delete(a.open, waiting{p.session, serial})
 }
 
-// read takes answers until the connection is closed.
-func (a *acks) read(conn net.PacketConn) {
-	buffer := make([]byte, sealer.Largest+1)
-	for {
-		n, _, err := conn.ReadFrom(buffer)
-		if err != nil {
-			return
-		}
-		a.take(buffer[:n])
-	}
-}
-
-// take gives a datagram to who waits for it. One that is forged, late or comes
-// twice is dropped.
-func (a *acks) take(datagram []byte) {
+// take gives a datagram to who waits for it and reports whether it is an answer
+// to a heartbeat. One that is late or comes twice is dropped.
+func (a *acks) take(datagram []byte) bool {
 	session, _ := sealer.Session(datagram)
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -211,6 +199,7 @@
 		}
 		delete(a.open, at)
 		w.answer <- &answer{ack, len(datagram)}
-		return
+		return true
 	}
+	return false
 }
--- a/sidecar/internal/reporter/reporter.go
+++ b/sidecar/internal/reporter/reporter.go
@@ -17,7 +17,7 @@
 //
 // The first heartbeat to an entry is a call. Its reply may grant a pass, with
 // which those that follow are datagrams; one without an answer, or whose answer
-// asks for it, is followed by a call.
+// asks for it, is followed by a call. Entries push changes over the same passes.
 package reporter
 
 import (
@@ -66,6 +66,9 @@
 	Events func(*wire.Report)
 	// Heard is called with the address of an entry and its reply to a call.
 	Heard func(string, *wire.BeatReply)
+	// Push takes changes that an entry pushes by datagram and returns the
+	// sequence number in force then; nil takes none.
+	Push func(*wire.Batch) uint64
 	// Behind is called with the address of an entry and the sequence number that
 	// its answer to a datagram says.
 	Behind func(string, uint64)
@@ -90,7 +93,7 @@
 		r.known[a] = &entry{fixed: true}
 	}
 	if config.Conn != nil {
-		go r.acks.read(config.Conn)
+		go r.read(config.Conn)
 	}
 	return r
 }
@@ -159,16 +162,7 @@
 	now := time.Now()
 	r.mu.Lock()
 	every := r.every()
-	var told, failing []string
-	for _, a := range picked {
-		e := r.known[a]
-		if now.Sub(e.told) < every && !e.told.IsZero() {
-			told = append(told, a)
-		}
-		if !e.answered && e.failed < restAfter {
-			failing = append(failing, a)
-		}
-	}
+	told, failing := r.sort(picked, now, every)
 	r.sent = picked
 	todo := r.plan.next(look{now: now, every: every, picked: picked, told: told, failing: failing, essence: essenceOf(report), jitter: rand.Float64()})
 	r.mu.Unlock()
@@ -181,6 +175,29 @@
 	r.counts.Saved.Add(int64(todo.saved))
 }
 
+// sort returns which of the picked entries an answer told lately, and which are
+// to be asked again soon: those that did not answer and are not replaced yet, and
+// replaced ones too while fewer answer than should; the lock is held.
+func (r *Reporter) sort(picked []string, now time.Time, every time.Duration) (told, failing []string) {
+	answering := 0
+	for _, a := range picked {
+		if r.known[a].answered {
+			answering++
+		}
+	}
+	short := answering < min(Width, len(r.known))
+	for _, a := range picked {
+		e := r.known[a]
+		if now.Sub(e.told) < every && !e.told.IsZero() {
+			told = append(told, a)
+		}
+		if !e.answered && (short || e.failed < restAfter) {
+			failing = append(failing, a)
+		}
+	}
+	return told, failing
+}
+
 // Answered returns how many of the entries that hear this server replied to the
 // last heartbeat that it sent them.
 func (r *Reporter) Answered() int {
--- a/sidecar/internal/server/report.go
+++ b/sidecar/internal/server/report.go
@@ -86,6 +86,17 @@
 	}
 }
 
+// push takes changes that an entry pushes by datagram.
+func (s *Server) push(batch *wire.Batch) uint64 {
+	ctx, cancel := context.WithTimeout(context.Background(), statusLimit)
+	defer cancel()
+	reply, err := gate{s}.Push(ctx, batch)
+	if err != nil {
+		return 0
+	}
+	return reply.GetSequence()
+}
+
 // reporterVars shows how heartbeats go out.
 func (s *Server) reporterVars(m *expvar.Map) {
 	counts := s.reporter.Counts()
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -136,7 +136,7 @@
 	}
 	s.reporter = reporter.New(reporter.Config{
 		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Report: s.Report, Events: s.noter.Fill,
-		Heard: s.heard, Behind: s.behind, Peer: s.peer, Conn: s.datagrams,
+		Heard: s.heard, Behind: s.behind, Push: s.push, Peer: s.peer, Conn: s.datagrams,
 	})
 	s.keeper = keeper.New(s.configuration())
 	return s, nil
