--- a/entry/internal/listener/bench_test.go
+++ b/entry/internal/listener/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -81,3 +82,66 @@
 	beats := float64(l.counts.Datagrams.Load())
 	fmt.Printf("bench=datagram beats=%d wire_bytes=%.1f cpu_us=%.1f\n", b.N, float64(l.counts.Bytes.Load())/beats, float64((spent()-busy).Microseconds())/beats)
 }
+
+// BenchmarkDirectPush measures a push of one change and its answer over the
+// loopback, both ends in this process.
+func BenchmarkDirectPush(b *testing.B) {
+	l := New(Config{Hear: func(*wire.Report) {}, Reply: func(*wire.Report) *wire.BeatReply { return &wire.BeatReply{} }})
+	conn, err := (&net.ListenConfig{}).ListenPacket(b.Context(), "udp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	go l.Serve(conn)
+	client, err := (&net.Dialer{}).DialContext(b.Context(), "udp", conn.LocalAddr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer client.Close()
+	first := busyReport()
+	pass := l.Grant(first, &wire.BeatReply{})
+	beat, err := proto.Marshal(&wire.Beat{Changed: &wire.Report{Serial: first.GetSerial() + 1}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	buffer := make([]byte, sealer.Largest)
+	if _, err := client.Write(sealer.Seal(pass.GetKey(), sealer.Beat, pass.GetSession(), beat)); err != nil {
+		b.Fatal(err)
+	}
+	if _, err := client.Read(buffer); err != nil {
+		b.Fatal(err)
+	}
+	var bytes atomic.Int64
+	go func() {
+		for {
+			n, err := client.Read(buffer)
+			if err != nil {
+				return
+			}
+			body, _ := sealer.Open(pass.GetKey(), sealer.Push, buffer[:n])
+			push := &wire.DirectPush{}
+			if proto.Unmarshal(body, push) != nil {
+				return
+			}
+			answer, _ := proto.Marshal(&wire.DirectReply{Serial: push.GetSerial(), Sequence: push.GetBatch().GetSequence()})
+			sent, _ := client.Write(sealer.Seal(pass.GetKey(), sealer.Took, pass.GetSession(), answer))
+			bytes.Store(int64(n + sent + 2*headerBytes))
+		}
+	}()
+	batch := &wire.Batch{Sequence: 1 << 22, Changes: []*wire.Change{{
+		Sequence: 1 << 22, Id: "82e281a2a5e9ff1283b00b34e83c6d72", Author: "ana", Key: "domain/ikeja", Version: 40,
+		Record: &wire.Record{Value: &wire.Record_Domain{Domain: &wire.Placement{Name: "ikeja", Out: true, Reason: "power work"}}},
+	}}}
+	busy := spent()
+	b.ResetTimer()
+	for range b.N {
+		if _, taken := l.Push(b.Context(), first.GetServer(), first.GetBoot(), batch); !taken {
+			b.Fatal("not taken")
+		}
+	}
+	b.StopTimer()
+	if b.N < 2 {
+		return
+	}
+	fmt.Printf("bench=direct pushes=%d wire_bytes=%d cpu_us=%.1f\n", b.N, bytes.Load(), float64((spent()-busy).Microseconds())/float64(b.N))
+}
--- a/load/internal/estimator/estimator.go
+++ b/load/internal/estimator/estimator.go
@@ -107,7 +107,7 @@
 	t := traffic{
 		heard:  z.Sidecars * z.Copies / z.Entries,
 		greets: 2 * s["greet_bytes"] / z.Greet, // its own round and, on average, another one
-		pushes: pushed(z) * z.Sidecars / z.Entries * s["push_bytes"],
+		pushes: pushed(z) * z.Sidecars / z.Entries * s["direct_bytes"],
 	}
 	t.calls = t.heard / z.Session * s["beat_bytes"]
 	left := max(budgetBytes-t.greets-t.pushes-t.calls-more, leastBeats*budgetBytes)
@@ -147,7 +147,7 @@
 func sidecar(s Slopes, z Size) []Line {
 	changes := z.Changes / day
 	beats := z.Copies / control(s, z, 0).period
-	bytes := beats*s["datagram_bytes"] + z.Copies/z.Session*s["beat_bytes"] + pushed(z)*s["push_bytes"]
+	bytes := beats*s["datagram_bytes"] + z.Copies/z.Session*s["beat_bytes"] + pushed(z)*s["direct_bytes"]
 	return []Line{
 		{Role: "sidecar", What: "control_bytes", Value: bytes, Unit: "B/s", Budget: budgetBytes},
 		{Role: "sidecar", What: "control_core", Value: s["sidecar_idle_core"] + changes*s["apply_cpu_us"]*micro, Unit: "core", Budget: budgetCore},
@@ -192,7 +192,7 @@
 	t := control(s, z, 0)
 	lost := t.heard * z.Domain / z.Sidecars
 	asks := min(lost, z.Asked)*(z.Silence+z.Ask)/z.Ask + min(lost, z.Asked)*minute/z.Greet
-	order := 2 * z.Sidecars / z.Entries * s["push_bytes"] / minute
+	order := 2 * z.Sidecars / z.Entries * s["direct_bytes"] / minute
 	more := asks*askBytes/minute + order
 	after := control(s, z, more)
 	moved := z.Requests * z.Domain / z.Sidecars
--- a/load/internal/estimator/slopes.go
+++ b/load/internal/estimator/slopes.go
@@ -21,9 +21,11 @@
 	"beat_bytes":        1.1, // one heartbeat as a call and its reply on the wire
 	"datagram_bytes":    1.1, // one heartbeat as a datagram and its answer, with headers
 	"datagram_cpu_us":   6,   // both ends of it
+	"direct_bytes":      1.1, // one push of one change as a datagram and its answer, with headers
+	"direct_cpu_us":     6,   // both ends of it, the change not applied
 	"change_bytes":      1.1, // of one change in a batch
 	"greet_bytes":       1.3, // one round of greetings on the wire
-	"push_bytes":        1.1, // one push of one change on the wire
+	"push_bytes":        1.1, // one push of one change on the wire, as a call
 	"beat_cpu_us":       6,   // both ends of one heartbeat
 	"greet_cpu_us":      6,   // both ends of one round
 	"push_cpu_us":       6,   // one process, one change
