--- a/sidecar/internal/reporter/reporter.go
+++ b/sidecar/internal/reporter/reporter.go
@@ -79,6 +79,7 @@
 	config Config
 	counts Counts
 	acks   *acks
+	soon   chan struct{} // holds one wish for a beat
 
 	mu    sync.Mutex
 	known map[string]*entry
@@ -88,7 +89,9 @@
 
 // New returns a reporter.
 func New(config Config) *Reporter {
-	r := &Reporter{config: config, known: map[string]*entry{}, acks: newAcks(), plan: plan{floor: config.Every}}
+	r := &Reporter{
+		config: config, soon: make(chan struct{}, 1), known: map[string]*entry{}, acks: newAcks(), plan: plan{floor: config.Every},
+	}
 	for _, a := range config.Entries {
 		r.known[a] = &entry{fixed: true}
 	}
@@ -145,16 +148,28 @@
 func (r *Reporter) Run(ctx context.Context) {
 	t := time.NewTicker(r.config.Every)
 	defer t.Stop()
+	r.Look(ctx)
 	for {
-		r.Look(ctx)
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
+			r.Look(ctx)
+		case <-r.soon:
+			r.Beat(ctx)
 		}
 	}
 }
 
+// Soon has the next heartbeat sent at once. Wishes that come while one is under
+// way are met by a single one after it.
+func (r *Reporter) Soon() {
+	select {
+	case r.soon <- struct{}{}:
+	default:
+	}
+}
+
 // Look sends what is due now, if anything.
 func (r *Reporter) Look(ctx context.Context) {
 	report := r.config.Report()
