--- a/entry/internal/listener/counts.go
+++ b/entry/internal/listener/counts.go
@@ -34,7 +34,7 @@
 // and besides times, which pass.
 func digest(reply *wire.BeatReply) uint64 {
 	news := proto.Clone(reply).(*wire.BeatReply)
-	news.Sequence, news.EveryMs, news.Pass = 0, 0, nil
+	news.Sequence, news.Wanted, news.EveryMs, news.Pass = 0, 0, 0, nil
 	for _, a := range news.GetSuspects() {
 		a.AgeMs = 0
 	}
--- a/entry/internal/listener/listener.go
+++ b/entry/internal/listener/listener.go
@@ -161,7 +161,7 @@
 	l.config.Hear(report)
 	reply := l.config.Reply(report)
 	ack := &wire.BeatAck{
-		Serial: report.GetSerial(), Sequence: reply.GetSequence(), EveryMs: reply.GetEveryMs(),
+		Serial: report.GetSerial(), Sequence: reply.GetSequence(), EveryMs: reply.GetEveryMs(), Wanted: reply.GetWanted(),
 		Call: s.told != digest(reply) || l.config.Now().Sub(s.since) > l.config.Life,
 	}
 	body, err := proto.Marshal(ack)
--- a/entry/internal/server/beat.go
+++ b/entry/internal/server/beat.go
@@ -39,6 +39,7 @@
 		Suspects: s.suspects.Suspects(), Entries: s.gossiper.Named(report.GetServer()),
 		EveryMs: s.pacer.Every(s.listener.Heard()).Milliseconds(),
 	}
+	reply.Wanted = s.placer.Revision(report.GetDomain(), report.GetServer())
 	if s.keeper.Ready() {
 		reply.Sequence = s.keeper.State().Sequence
 	}
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -32,6 +32,7 @@
 	"bamboohill/core/tracer"
 	"bamboohill/core/watcher"
 	"bamboohill/entry/internal/administrator"
+	"bamboohill/entry/internal/averager"
 	"bamboohill/entry/internal/borrower"
 	"bamboohill/entry/internal/dispatcher"
 	"bamboohill/entry/internal/ganger"
@@ -83,6 +84,7 @@
 	suspects *accuser.Accuser
 	gossiper *gossiper.Gossiper
 	placer   *placer.Placer
+	demand   *averager.Averager
 	borrower *borrower.Borrower
 	hints    *hinter.Hinter
 	listener *listener.Listener
@@ -113,6 +115,7 @@
 	s.hints = hinter.New(hinter.Config{})
 	s.listener = listener.New(listener.Config{Hear: s.hear, Reply: s.reply})
 	s.pacer = pacer.New(pacer.Config{Budget: set.Control})
+	s.demand = averager.New(averager.Config{})
 	s.join()
 	s.placer = s.newPlacer()
 	if s.tracer, err = tracer.New(tracer.Config{Program: "entry", Exporter: set.Trace.Exporter, Endpoint: set.Trace.Endpoint}); err != nil {
@@ -182,7 +185,8 @@
 		Borrow: func(ctx context.Context, q *wire.BorrowRequest) (*wire.BorrowReply, error) {
 			return s.borrower.Lend(ctx, q)
 		},
-		Direct: s.listener.Push, Budget: int(greetShare * float64(set.Control)), Entries: entries, Sidecars: certifier.NewPeer(s.certs, certifier.Sidecar),
+		Demand: s.demand, Direct: s.listener.Push, Budget: int(greetShare * float64(set.Control)), Entries: entries,
+		Sidecars: certifier.NewPeer(s.certs, certifier.Sidecar),
 	}
 	if set.Platform.List != "" {
 		members.List = storer.NewVMs(storer.Config{Address: set.Platform.List})
--- a/sidecar/internal/server/report.go
+++ b/sidecar/internal/server/report.go
@@ -29,7 +29,8 @@
 	if s.engine != nil {
 		alive = s.describe(r)
 	}
-	r.State = s.state(state.Out(set.Domain, set.VM), alive)
+	// Without a configuration the gate refuses everything.
+	r.State = s.state(state.Out(set.Domain, set.VM), alive && s.keeper.Ready())
 	return r
 }
 
@@ -79,10 +80,11 @@
 	return (&net.ListenConfig{}).ListenPacket(context.Background(), "udp", net.JoinHostPort(host, "0"))
 }
 
-// behind takes the sequence number that an entry's answer to a datagram says.
-func (s *Server) behind(address string, sequence uint64) {
-	if s.keeper.Heard(sequence) {
-		s.catchUp(sequence, address)
+// acked takes an entry's answer to a heartbeat as a datagram.
+func (s *Server) acked(address string, ack *wire.BeatAck) {
+	s.wanted.hear(ack.GetWanted())
+	if s.keeper.Heard(ack.GetSequence()) {
+		s.catchUp(ack.GetSequence(), address)
 	}
 }
 
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -69,6 +69,7 @@
 	attempts  *attempts
 	noter     *hinter.Noter // of the prefix cache
 	leaving   leaving
+	wanted    *wanted
 	suspects  *accuser.Accuser
 	telling   sync.Mutex // held while entries are told of a crash
 	runner    *runner.Runner
@@ -116,6 +117,7 @@
 		gate:     gatekeeper.New(gatekeeper.Config{Cold: set.Gate.Cold, Warm: set.Gate.Warm}),
 		attempts: newAttempts(),
 		noter:    hinter.NewNoter(),
+		wanted:   newWanted(),
 		suspects: accuser.New(accuser.Config{}),
 	}
 	if set.Platform.List != "" {
@@ -136,7 +138,7 @@
 	}
 	s.reporter = reporter.New(reporter.Config{
 		Entries: set.Entries, Every: time.Duration(set.Beat) * time.Millisecond, Report: s.Report, Events: s.noter.Fill,
-		Heard: s.heard, Behind: s.behind, Push: s.push, Peer: s.peer, Conn: s.datagrams,
+		Heard: s.heard, Acked: s.acked, Push: s.push, Peer: s.peer, Conn: s.datagrams,
 	})
 	s.keeper = keeper.New(s.configuration())
 	return s, nil
--- a/standin/answerer/engine.go
+++ b/standin/answerer/engine.go
@@ -59,6 +59,9 @@
 	crashes int
 	worst   float64 // most jobs offered against what it bore
 	orders  int
+	refused int // orders
+	delayed int // orders held back
+	swapped int64
 	stop    chan struct{}
 	stopped chan struct{}
 }
@@ -329,6 +332,9 @@
 	}
 	select {
 	case to.chunks <- c:
+		if to != j {
+			e.swapped++
+		}
 	default: // its reader is behind
 	}
 }
--- a/standin/transactor/transactor.go
+++ b/standin/transactor/transactor.go
@@ -6,17 +6,25 @@
 //	t := transactor.New()
 //	http.ListenAndServe(address, t.Faults.Wrap(t.Handler()))
 //
+// The fault late holds each commit of an order to an engine back until it is
+// off again; it then takes effect if its checks still hold, whatever became of
+// its sender.
+//
 // It serves the format that bamboohill/core/storer reads, counts its reads and
-// writes at /table/counts and keeps its rows in memory.
+// writes at /table/counts and keeps its rows in memory. One that is
+// opened on a journal appends each transaction to that file before it answers,
+// and when it is killed and opened again it has every row that it answered for.
 package transactor
 
 import (
 	"encoding/json"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"bamboohill/core/storer"
 	"bamboohill/standin/faulter"
@@ -26,8 +34,19 @@
 type Counts struct {
 	Reads  int64 `json:"reads"`
 	Writes int64 `json:"writes"`
+	Wanted int64 `json:"wanted"` // of the reads, those of one wanted state of an engine
+	Late   int64 `json:"late"`   // commits held back now
 }
 
+// Late is the fault that holds orders back.
+const Late = "late"
+
+// wantPrefix is of the wanted states of engines, which Late is about.
+const wantPrefix = "order/want/"
+
+// latePoll is how often a commit that is held back looks whether it may go on.
+const latePoll = 5 * time.Millisecond
+
 // Table is the service.
 type Table struct {
 	Faults *faulter.Faults
@@ -35,6 +54,8 @@
 	mu     sync.Mutex
 	rows   map[string]storer.Row
 	counts Counts
+
+	journal *os.File // nil if none is kept
 }
 
 // New returns an empty table.
@@ -57,6 +78,9 @@
 	defer t.mu.Unlock()
 	t.counts.Reads++
 	key := q.FormValue("key")
+	if strings.HasPrefix(key, wantPrefix) {
+		t.counts.Wanted++
+	}
 	row, found := t.rows[key]
 	if !found {
 		row.Key = key
@@ -93,18 +117,41 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	t.delay(txn)
 	if conflict := t.Commit(txn); conflict != nil {
 		w.WriteHeader(http.StatusConflict)
 		json.NewEncoder(w).Encode(conflict)
 	}
 }
 
+// delay holds a commit back while the fault late is on.
+func (t *Table) delay(txn storer.Txn) {
+	if t.Faults.Get(Late) == 0 || !slices.ContainsFunc(txn.Puts, func(p storer.Put) bool { return strings.HasPrefix(p.Key, wantPrefix) }) {
+		return
+	}
+	t.hold(1)
+	defer t.hold(-1)
+	for t.Faults.Get(Late) != 0 {
+		time.Sleep(latePoll)
+	}
+}
+
+func (t *Table) hold(n int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Late += n
+}
+
 // Commit applies a transaction, or returns a *storer.ConflictError.
 func (t *Table) Commit(txn storer.Txn) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.counts.Writes++
-	return txn.Apply(t.rows)
+	if err := txn.Apply(t.rows); err != nil {
+		return err
+	}
+	t.keep(txn)
+	return nil
 }
 
 func (t *Table) count(w http.ResponseWriter, _ *http.Request) {
