--- a/sidecar/internal/reporter/datagram.go
+++ b/sidecar/internal/reporter/datagram.go
@@ -130,8 +130,8 @@
 		return false
 	}
 	r.note(address, true)
-	if r.config.Behind != nil {
-		r.config.Behind(address, ack.GetSequence())
+	if r.config.Acked != nil {
+		r.config.Acked(address, ack.BeatAck)
 	}
 	return true
 }
--- a/sidecar/internal/reporter/reporter.go
+++ b/sidecar/internal/reporter/reporter.go
@@ -69,9 +69,8 @@
 	// Push takes changes that an entry pushes by datagram and returns the
 	// sequence number in force then; nil takes none.
 	Push func(*wire.Batch) uint64
-	// Behind is called with the address of an entry and the sequence number that
-	// its answer to a datagram says.
-	Behind func(string, uint64)
+	// Acked is called with the address of an entry and its answer to a datagram.
+	Acked func(string, *wire.BeatAck)
 }
 
 // Reporter sends heartbeats.
