Copies of one request at one moment crash two engines at most

Cause: nobody is suspected before the first crash, so copies of a crashing prompt that arrive together ran in as many engines as placement spread them over.

Change: before it hands work to its engine, a sidecar asks the request's home, the entry that rendezvous hashing of the fingerprint picks, whether one more backend server may run a copy (core/claimer, entry/internal/registrar). Two may, crashes under copies counted, until one copy has finished; a refused copy (REASON_COPIES, not run) is told where the others run and joins them. A home that does not answer is passed over. A pardon clears the home's count too.

Ruled out, see docs/design/crashes.md: placement by hash of the fingerprint or of the first blocks, keeping copies together in each entry alone, cancelling what runs at the first crash's word, claims asked by the entry.

Conclusion: bounded as long as one of two homes answers; not for members of a gang.

--- a/core/accuser/accuser.go
+++ b/core/accuser/accuser.go
@@ -103,11 +103,12 @@
 }
 
 // Pardon clears the fingerprints that the operators pardoned since it was last
-// called. A row acts once for each version: a pardoned request that crashes
-// backend servers again is suspected again.
-func (a *Accuser) Pardon(state *keeper.State) {
+// called, and returns them. A row acts once for each version: a pardoned request
+// that crashes backend servers again is suspected again.
+func (a *Accuser) Pardon(state *keeper.State) []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	var pardoned []string
 	for _, row := range state.Rows(keeper.KindPardon) {
 		f := row.GetRecord().GetPardon().GetFingerprint()
 		if a.pardoned[f] >= row.GetVersion() {
@@ -115,5 +116,7 @@
 		}
 		a.pardoned[f] = row.GetVersion()
 		a.suspects.Pardon(f, a.now())
+		pardoned = append(pardoned, f)
 	}
+	return pardoned
 }
--- a/entry/internal/dispatcher/attempt.go
+++ b/entry/internal/dispatcher/attempt.go
@@ -132,7 +132,7 @@
 }
 
 func refused(r *wire.Refused, position int64) step {
-	s := step{cache: cache{handle: r.GetExported(), tokens: r.GetTokens()}, sequence: r.GetReport().GetSequence()}
+	s := step{cache: cache{handle: r.GetExported(), tokens: r.GetTokens()}, sequence: r.GetReport().GetSequence(), copies: r.GetServers()}
 	s.Outcome = r.GetOutcome()
 	s.Reason = r.GetReason()
 	s.Retry = time.Duration(r.GetRetryMs()) * time.Millisecond
--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -61,6 +61,8 @@
 
 	fingerprint string           // of account and body, for crash suspects
 	alone       bool             // the next attempt has to run alone
+	copies      []string         // backend servers that run copies, of which the next attempt uses one
+	joining     bool             // the last placement was among those
 	members     []watcher.Server // of the next attempt's gang, none for a single server
 }
 
@@ -170,7 +172,8 @@
 	free      int  // retries left that cost no budget: the entry's own view was old
 	solo      int  // tries left to get a backend server alone
 	cache     cache
-	sequence  uint64 // configuration in force at the gate that refused last
+	sequence  uint64   // configuration in force at the gate that refused last
+	copies    []string // backend servers that run copies of the request
 }
 
 // cache is what a backend server that leaves has exported of a request.
@@ -232,6 +235,7 @@
 	left     bool // the caller has gone
 	cache    cache
 	sequence uint64 // configuration in force at the gate
+	copies   []string
 }
 
 // take adds an attempt's end to the course and reports whether that is final.
@@ -241,6 +245,7 @@
 	c.result = s.Result
 	c.cache = s.cache
 	c.sequence = s.sequence
+	c.copies = s.copies
 	c.ran = c.ran || s.Outcome != wire.Outcome_OUTCOME_NOT_RUN
 	return s.Outcome == wire.Outcome_OUTCOME_ANSWERED || s.left
 }
@@ -279,7 +284,8 @@
 	if final(reason) {
 		return false
 	}
-	if alone(reason) || q.alone && c.result.Outcome == wire.Outcome_OUTCOME_NOT_RUN {
+	if alone(reason) || (q.alone || q.joining) && c.result.Outcome == wire.Outcome_OUTCOME_NOT_RUN {
+		q.copies = c.copies
 		return d.waitAlone(ctx, c)
 	}
 	if c.free > 0 && (reason == wire.Reason_REASON_STALE || reason == wire.Reason_REASON_BOOT) {
@@ -312,8 +318,8 @@
 // tries all servers anew.
 func (d *Dispatcher) comeBack(ctx context.Context, q *Request, c *course, err error) bool {
 	c.refuse(err)
-	if c.ran && q.alone {
-		return d.waitAlone(ctx, c) // its place is not in service yet
+	if c.ran && q.alone || q.joining {
+		return d.waitAlone(ctx, c) // its place is not in service yet, or those of its copies are full
 	}
 	if !c.ran || len(q.Job.Excluded) == 0 {
 		return false
--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -256,6 +256,40 @@
 	})
 }
 
+func TestCopyJoinsThoseThatRun(t *testing.T) {
+	copies := func(servers ...string) answer {
+		return func(w *framer.Writer) {
+			w.Refuse(&wire.Refused{Reason: wire.Reason_REASON_COPIES, Outcome: wire.Outcome_OUTCOME_NOT_RUN, Servers: servers})
+		}
+	}
+	tests := map[string]struct {
+		answers []answer
+		outcome wire.Outcome
+		servers []string // of the attempts after the first, "" for any
+		within  time.Duration
+	}{
+		"joins":              {answers: []answer{copies("b"), rest(4)}, outcome: wire.Outcome_OUTCOME_ANSWERED, servers: []string{"b"}, within: 10 * time.Millisecond},
+		"full there":         {answers: []answer{copies("b"), refuse(wire.Reason_REASON_FULL), copies("a"), rest(4)}, outcome: wire.Outcome_OUTCOME_ANSWERED, servers: []string{"b", "", "a"}, within: time.Second},
+		"none can be joined": {answers: []answer{copies("gone"), rest(4)}, outcome: wire.Outcome_OUTCOME_ANSWERED, servers: []string{""}, within: time.Second},
+		"only crashes":       {answers: []answer{copies(), rest(4)}, outcome: wire.Outcome_OUTCOME_ANSWERED, servers: []string{""}, within: time.Second},
+		"never":              {answers: []answer{copies()}, outcome: wire.Outcome_OUTCOME_NOT_RUN, within: 10 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &scripted{answers: test.answers}
+				result, took := run(t, s, wire.Call_CALL_REPEATABLE, &sink{})
+				is.Equal(result.Outcome, test.outcome)
+				is.True(took <= test.within)
+				for i, want := range test.servers {
+					is.True(want == "" || s.servers[i+1] == want)
+				}
+			})
+		})
+	}
+}
+
 func TestConvictedAtTheGateIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/entry/internal/dispatcher/suspect.go
+++ b/entry/internal/dispatcher/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,6 +56,7 @@
 func (d *Dispatcher) judge(q *Request, servers []watcher.Server) ([]watcher.Server, error) {
 	v := d.config.Suspects.Judge(q.fingerprint)
 	q.alone = v.Ruling == convictor.Alone
+	q.joining = false
 	switch v.Ruling {
 	case convictor.Convicted:
 		return nil, &convictor.ConvictedError{Fingerprint: q.fingerprint, Retry: time.Until(v.Until)}
@@ -62,10 +64,29 @@
 		q.Job.Excluded = nil
 		return soloPlace(q, servers), nil
 	default:
-		return servers, nil
+		return q.beside(servers), nil
 	}
 }
 
+// beside returns the servers that run copies of the request, if the last
+// refusal named some: more may not run it before one of the copies has
+// finished. It holds for one placement; the next asks anew.
+func (q *Request) beside(servers []watcher.Server) []watcher.Server {
+	q.joining = len(q.copies) > 0
+	if !q.joining {
+		return servers
+	}
+	var near []watcher.Server
+	for _, s := range servers {
+		if slices.Contains(q.copies, s.GetServer()) {
+			near = append(near, s)
+		}
+	}
+	q.copies = nil
+	q.Job.Excluded = nil
+	return near
+}
+
 // soloPlace returns the server at which a suspect runs alone, none if no open
 // one offers what it asks for.
 func soloPlace(q *Request, servers []watcher.Server) []watcher.Server {
@@ -85,20 +106,27 @@
 }
 
 // alone reports whether a refusal means that a suspect has to wait for its
-// backend server to be empty, or that the entry has just learnt of it.
+// backend server to be empty, that the entry has just learnt of it, or that
+// copies of the request run elsewhere.
 func alone(reason wire.Reason) bool {
-	return reason == wire.Reason_REASON_ALONE || reason == wire.Reason_REASON_SUSPECT
+	switch reason {
+	case wire.Reason_REASON_ALONE, wire.Reason_REASON_SUSPECT, wire.Reason_REASON_COPIES:
+		return true
+	default:
+		return false
+	}
 }
 
-// waitAlone waits for the next try of a suspect. Such tries run nothing, so
-// they have a count of their own in place of the retry budget. An entry that
-// has just learnt of the suspect judges anew at once.
+// waitAlone waits for the next try of a suspect or of a copy. Such tries run
+// nothing, so they have a count of their own in place of the retry budget. An
+// entry that has just learnt of the suspect, or where the copies run, goes on
+// at once.
 func (d *Dispatcher) waitAlone(ctx context.Context, c *course) bool {
 	if c.solo == 0 {
 		return false
 	}
 	c.solo--
-	if c.result.Reason == wire.Reason_REASON_SUSPECT && c.solo == soloTries-1 {
+	if c.solo == soloTries-1 && learnt(c.result.Reason) {
 		return ctx.Err() == nil
 	}
 	t := time.NewTimer(min(max(soloPause, c.result.Retry), soloMost))
@@ -110,3 +138,8 @@
 		return false
 	}
 }
+
+// learnt reports whether a refusal has told the entry where to go next.
+func learnt(reason wire.Reason) bool {
+	return reason == wire.Reason_REASON_SUSPECT || reason == wire.Reason_REASON_COPIES
+}
--- /dev/null
+++ b/entry/internal/registrar/registrar.go
@@ -0,0 +1,100 @@
+// Package registrar serves the claims of requests whose home this entry is:
+// sidecars ask it before they run a copy of a request and tell it how that
+// ended. The judgement is core/claimer's.
+//
+// # Usage
+//
+//	r := registrar.New(registrar.Config{})
+//	mux.Handle(wire.ClaimsPathPrefix, r.Handler())
+package registrar
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"bamboohill/core/claimer"
+	"bamboohill/core/ider"
+	"bamboohill/wire"
+
+	"github.com/twitchtv/twirp"
+)
+
+// maxLease bounds how long one claim is held.
+const maxLease = time.Hour
+
+// Config describes a Registrar. Now is the clock, time.Now if nil.
+type Config struct {
+	Claimer claimer.Config
+	Now     func() time.Time
+}
+
+// Registrar owns the claims of one entry. It is safe for concurrent use.
+type Registrar struct {
+	now func() time.Time
+
+	mu     sync.Mutex
+	claims *claimer.Claimer
+}
+
+// New returns a registrar that holds nothing.
+func New(config Config) *Registrar {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	return &Registrar{now: config.Now, claims: claimer.New(config.Claimer)}
+}
+
+// Handler returns the HTTP interface to sidecars.
+func (r *Registrar) Handler() http.Handler { return wire.NewClaimsServer(r) }
+
+// Claim implements wire.Claims.
+func (r *Registrar) Claim(_ context.Context, q *wire.ClaimRequest) (*wire.ClaimReply, error) {
+	if q.GetFingerprint() == "" || q.GetServer() == "" || q.GetAttempt() == "" || q.GetLeaseMs() <= 0 {
+		return nil, twirp.NewError(twirp.InvalidArgument, "a claim needs fingerprint, server, attempt and lease_ms")
+	}
+	lease := time.Duration(min(q.GetLeaseMs(), maxLease.Milliseconds())) * time.Millisecond
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	servers, held := r.claims.Claim(claimer.Claim{
+		Fingerprint: q.GetFingerprint(), Server: ider.Server(q.GetServer()), Attempt: ider.Attempt(q.GetAttempt()), Lease: lease,
+	}, r.now())
+	reply := &wire.ClaimReply{Held: held}
+	for _, s := range servers {
+		reply.Servers = append(reply.Servers, string(s))
+	}
+	return reply, nil
+}
+
+// Settle implements wire.Claims.
+func (r *Registrar) Settle(_ context.Context, q *wire.SettleRequest) (*wire.SettleReply, error) {
+	how := claimer.Ended
+	switch q.GetSettlement() {
+	case wire.Settlement_SETTLEMENT_FINISHED:
+		how = claimer.Finished
+	case wire.Settlement_SETTLEMENT_CRASHED:
+		how = claimer.Crashed
+	default:
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.claims.Settle(q.GetFingerprint(), ider.Attempt(q.GetAttempt()), how, r.now())
+	return &wire.SettleReply{}, nil
+}
+
+// Pardon forgets the crashes under copies of the given requests.
+func (r *Registrar) Pardon(fingerprints []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range fingerprints {
+		r.claims.Pardon(f)
+	}
+}
+
+// Len returns the number of requests held.
+func (r *Registrar) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.claims.Len()
+}
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -37,6 +37,7 @@
 	"bamboohill/entry/internal/placer"
 	"bamboohill/entry/internal/proposer"
 	"bamboohill/entry/internal/receiver"
+	"bamboohill/entry/internal/registrar"
 	"bamboohill/entry/internal/settings"
 	"bamboohill/wire"
 
@@ -75,6 +76,7 @@
 	keeper   *keeper.Keeper
 	watcher  *watcher.Watcher
 	suspects *accuser.Accuser
+	claims   *registrar.Registrar
 	gossiper *gossiper.Gossiper
 	placer   *placer.Placer
 	borrower *borrower.Borrower
@@ -101,6 +103,7 @@
 	s.table = storer.NewTable(storer.Config{Address: set.Platform.Table})
 	s.watcher = watcher.New(watcher.Config{})
 	s.suspects = accuser.New(accuser.Config{})
+	s.claims = registrar.New(registrar.Config{})
 	s.hints = hinter.New(hinter.Config{})
 	s.join()
 	s.placer = s.newPlacer()
@@ -156,7 +159,7 @@
 		Peers: puller.New(puller.Config{Addresses: func() []string { return s.gossiper.Known() }, Self: set.Inner, Peer: entries}),
 		Changed: func(state *keeper.State) {
 			s.config.Log.Info().Str("event", "configuration").Uint64("sequence", state.Sequence).Msg("")
-			s.suspects.Pardon(state)
+			s.claims.Pardon(s.suspects.Pardon(state))
 			s.gossiper.Wake()
 		},
 	}
@@ -213,6 +216,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(wire.HeartbeatsPathPrefix, wire.NewHeartbeatsServer(beats{s}))
 	mux.Handle(wire.PeersPathPrefix, s.gossiper.Handler())
+	mux.Handle(wire.ClaimsPathPrefix, s.claims.Handler())
 	mux.HandleFunc("GET /debug/vars", s.serveVars)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok\n") })
--- a/entry/internal/server/vars.go
+++ b/entry/internal/server/vars.go
@@ -32,6 +32,7 @@
 		"limits_refused":         func() any { return s.borrower.Counts().Refused },
 		"limits_shares":          func() any { return s.borrower.Counts().Shares },
 		"limits_sharing":         func() any { return s.borrower.Counts().Sharing },
+		"requests_claimed":       func() any { return s.claims.Len() },
 		"goroutines":             func() any { return runtime.NumGoroutine() },
 		"inner_bytes":            func() any { return certifier.InnerBytes() },
 	} {
--- a/prover/commands.go
+++ b/prover/commands.go
@@ -184,12 +184,14 @@
 		numbers[i] = n
 	}
 	u := stager.Question{Entry: numbers[0], Tokens: int64(numbers[2])}
-	as, start := "", ""
+	as, start, same := "", "", false
 	for _, word := range w[4:] {
 		key, value, _ := strings.Cut(word, "=")
 		switch key {
 		case "whole":
 			u.Whole = true
+		case "same":
+			same = true
 		case "timeout":
 			u.Timeout = value
 		case "model":
@@ -204,7 +206,10 @@
 			return "", fmt.Errorf("%w: %s", errUsage, word)
 		}
 	}
-	u.Prompt = Prompt(numbers[1], start+as)
+	if !same {
+		start += as
+	}
+	u.Prompt = Prompt(numbers[1], start)
 	return "", s.call(as, func() error { return expect(w[1], s.Stage.Ask(context.Background(), u)) })
 }
 
--- a/prover/doc.go
+++ b/prover/doc.go
@@ -21,9 +21,10 @@
 //	fault STANDIN NAME VALUE set a fault (see bamboohill/standin/faulter)
 //	put ENTRY KIND/NAME JSON write a configuration row through an entry
 //	admin ENTRY METHOD PATH  call the administration API; the answer is stdout
-//	ask ENTRY OUTCOME WORDS TOKENS [whole] [timeout=S] [model=M] [text=T] [key=K] [as=NAME]
+//	ask ENTRY OUTCOME WORDS TOKENS [whole] [timeout=S] [model=M] [text=T] [key=K] [as=NAME] [same]
 //	                         send a prompt of so many words; OUTCOME is answered,
-//	                         not-run, unknown, some of them as A|B, or any; the text is always checked
+//	                         not-run, unknown, some of them as A|B, or any; the text is always checked;
+//	                         prompts with other names differ, but for same
 //	book ENTRY OUTCOME KEY BODY [timeout=S] [as=NAME]
 //	                         make a booking; OUTCOME as above
 //	join NAME                wait for a call that was started with as=NAME
--- a/sidecar/internal/server/cold_bench_test.go
+++ b/sidecar/internal/server/cold_bench_test.go
@@ -90,7 +90,7 @@
 			all := r.load(ctx, others, 1_000_000)
 			r.until("others run", func() bool { return r.counts().Jobs == others })
 			for b.Loop() {
-				if r.ask(50, 1).end == nil {
+				if r.send(context.Background(), named(text(50), 1), text(50)).end == nil {
 					b.Fatal("refused")
 				}
 			}
--- a/sidecar/internal/server/propose.go
+++ b/sidecar/internal/server/propose.go
@@ -153,9 +153,34 @@
 
 // runModel hands an attempt to the engine and waits for its end.
 func (s *Server) runModel(ctx context.Context, cancel context.CancelFunc, p *wire.Proposal, body []byte, frames *framer.Writer) *wire.Refused {
-	if refused := s.hand(ctx, p); refused != nil {
+	claim, refused := s.claim(ctx, p)
+	if refused != nil {
+		s.gate.Leave(p.GetAttempt(), false)
+		return refused
+	}
+	if refused = s.hand(ctx, p); refused != nil {
+		go s.settle(claim, wire.Settlement_SETTLEMENT_ENDED)
+		return refused
+	}
+	refused = s.generate(ctx, cancel, p, body, frames)
+	how := settlement(ctx, refused)
+	if refused == nil || refused.GetOutcome() == wire.Outcome_OUTCOME_NOT_RUN {
+		go s.settle(claim, how)
 		return refused
 	}
+	go func() {
+		if how == wire.Settlement_SETTLEMENT_CRASHED {
+			s.settle(claim, how)
+		}
+		s.free(p.GetAttempt())
+		s.settle(claim, how)
+	}()
+	return refused
+}
+
+// generate has the engine run an attempt that was handed over. What did not
+// end by itself is left to free.
+func (s *Server) generate(ctx context.Context, cancel context.CancelFunc, p *wire.Proposal, body []byte, frames *framer.Writer) *wire.Refused {
 	own := s.attempts.begin(p, cancel)
 	s.noter.Expect(hinter.Read(body))
 	defer s.attempts.remove(p.GetAttempt())
@@ -164,16 +189,13 @@
 	switch {
 	case refused == nil:
 		s.finished(p)
-		return nil
 	case refused.GetOutcome() == wire.Outcome_OUTCOME_NOT_RUN:
 		s.gate.Leave(p.GetAttempt(), false)
-		return refused
 	case refused.GetReason() == wire.Reason_REASON_MOVED:
 		s.moved(own, refused)
 	case refused.GetReason() == wire.Reason_REASON_CRASH && ctx.Err() == nil:
 		s.broken(refused)
 	}
-	go s.free(p.GetAttempt())
 	return refused
 }
 
--- a/sidecar/internal/server/rig_test.go
+++ b/sidecar/internal/server/rig_test.go
@@ -42,9 +42,10 @@
 	stop    context.CancelFunc
 }
 
-// peer stands in for the entries: it takes heartbeats and accusations.
+// peer stands in for the entries: it takes heartbeats, accusations and claims.
 type peer struct {
 	wire.Peers
+	claims  *registry
 	mu      sync.Mutex
 	accused []*wire.Accusation
 	reports []*wire.Report
@@ -96,7 +97,7 @@
 // newNamed starts an engine with a name and its sidecar, before some entries.
 func newNamed(t testing.TB, name string, config answerer.Config, entries []*accuser.Accuser) *rig {
 	t.Helper()
-	r := &rig{t: t, name: name, engine: answerer.New(config), entry: &peer{entries: entries}}
+	r := &rig{t: t, name: name, engine: answerer.New(config), entry: &peer{entries: entries, claims: newRegistry()}}
 	r.backend = httptest.NewServer(r.engine.Faults.Wrap(r.engine.Handler()))
 	r.backend.Config.ErrorLog = quiet().Std("", 0)
 	table := transactor.New()
@@ -104,6 +105,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(wire.HeartbeatsPathPrefix, wire.NewHeartbeatsServer(r.entry))
 	mux.Handle(wire.PeersPathPrefix, wire.NewPeersServer(r.entry))
+	mux.HandleFunc(wire.ClaimsPathPrefix, func(w http.ResponseWriter, q *http.Request) { r.entry.claims.server.ServeHTTP(w, q) })
 	entry := httptest.NewServer(mux)
 	r.port = generator.New(generator.Config{Address: address(r.backend)})
 	r.begin(address(entry))
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -69,6 +69,7 @@
 	noter    *hinter.Noter // of the prefix cache
 	leaving  leaving
 	suspects *accuser.Accuser
+	homes    homes      // of requests
 	telling  sync.Mutex // held while entries are told of a crash
 	runner   *runner.Runner
 	recorder *recorder.Recorder
@@ -90,6 +91,7 @@
 	crashes   expvar.Int // deaths of the engine seen
 	moved     expvar.Int // streams handed over
 	slow      expvar.Int // first tokens taken for a sign of a cold start
+	unclaimed expvar.Int // attempts run though no home could be asked
 }
 
 // New returns a sidecar that does not run yet. The error is that of reading
@@ -142,7 +144,7 @@
 func (s *Server) configuration() keeper.Config {
 	set := s.config.Settings
 	config := keeper.Config{
-		Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Changed: s.suspects.Pardon,
+		Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Changed: func(state *keeper.State) { s.suspects.Pardon(state) },
 		Peers: puller.New(puller.Config{Addresses: s.reporter.Known, Peer: s.peer}),
 	}
 	if set.Platform.Objects != "" {
@@ -259,6 +261,7 @@
 	m.Set("engine_crashes", &s.counts.crashes)
 	m.Set("streams_moved", &s.counts.moved)
 	m.Set("cold_by_first_token", &s.counts.slow)
+	m.Set("unclaimed", &s.counts.unclaimed)
 	s.recorderVars(m)
 	w.Header().Set("Content-Type", "application/json")
 	io.WriteString(w, m.String()+"\n")
