--- a/core/router/estimate.go
+++ b/core/router/estimate.go
@@ -34,6 +34,7 @@
 	penaltyFailed = 5
 	penaltyMemory = 30
 	penaltyBound  = 60
+	penaltyRole   = 60
 )
 
 // chunk is the prefill work that an engine does between two looks at its
@@ -54,6 +55,11 @@
 
 const stretch = 10
 
+// yield is how much the delay of a longer prompt in work there counts against a
+// server, as a multiple of the job's own prefill. It counts where the job is
+// long enough to be felt and others can take it.
+var yield = [...]float64{brief: 0, middle: 1, long: 0}
+
 // estimate is what a job would meet on one server. Times are in seconds.
 type estimate struct {
 	cost   float64 // first with penalties
@@ -94,6 +100,9 @@
 	e.first = slow * prefill / speed
 	e.whole = e.first + float64(s.job.Answer)/max(1, server.GetDecode())
 	e.cost = e.first + s.penalty(server, &o, running, limit)
+	if behind > 0 && s.r.on(Yield) {
+		e.cost += yield[s.class] * e.alone
+	}
 	return e
 }
 
@@ -144,6 +153,9 @@
 	if server.GetFree()-o.memory < s.job.Prompt+s.job.Answer {
 		p += penaltyMemory
 	}
+	if !suits(server, s.class) {
+		p += penaltyRole
+	}
 	if s.class != long {
 		return p
 	}
--- a/entry/internal/server/vars.go
+++ b/entry/internal/server/vars.go
@@ -33,6 +33,8 @@
 		"limits_shares":          func() any { return s.borrower.Counts().Shares },
 		"limits_sharing":         func() any { return s.borrower.Counts().Sharing },
 		"requests_claimed":       func() any { return s.claims.Len() },
+		"demand_tokens":          func() any { return s.demand.Total() },
+		"leases_held":            func() any { return s.placer.Held() },
 		"goroutines":             func() any { return runtime.NumGoroutine() },
 		"inner_bytes":            func() any { return certifier.InnerBytes() },
 	} {
--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -68,6 +68,7 @@
 	attempts *attempts
 	noter    *hinter.Noter // of the prefix cache
 	leaving  leaving
+	wanted   *wanted
 	suspects *accuser.Accuser
 	homes    homes      // of requests
 	telling  sync.Mutex // held while entries are told of a crash
@@ -116,6 +117,7 @@
 		gate:     gatekeeper.New(gatekeeper.Config{Cold: set.Gate.Cold, Warm: set.Gate.Warm}),
 		attempts: newAttempts(),
 		noter:    hinter.NewNoter(),
+		wanted:   newWanted(),
 		suspects: accuser.New(accuser.Config{}),
 	}
 	if set.Platform.List != "" {
