--- a/prover/commands.go
+++ b/prover/commands.go
@@ -18,14 +18,18 @@
 type Script struct {
 	Stage *stager.Stage
 
-	engines int
-	mu      sync.Mutex
-	calls   map[string]chan error
+	services int
+	engines  int
+	entries  int
+	mu       sync.Mutex
+	calls    map[string]chan error
+	jobs     map[string]int // started by an engine, as last stored
+	loads    map[string]*load
 }
 
 // NewScript returns a scenario on a stage.
 func NewScript(stage *stager.Stage) *Script {
-	return &Script{Stage: stage, calls: map[string]chan error{}}
+	return &Script{Stage: stage, calls: map[string]chan error{}, jobs: map[string]int{}, loads: map[string]*load{}}
 }
 
 // errUsage is returned for a command with the wrong words.
@@ -54,6 +58,18 @@
 		"busy":     {2, s.busy},
 		"crashes":  {1, s.crashes},
 		"held":     {2, s.held},
+		"down":     {2, s.down},
+		"started":  {2, s.started},
+		"sequence": {2, s.sequence},
+		"halves":   {1, s.halves},
+		"changes":  {2, s.changes},
+		"listed":   {2, s.listed},
+		"borne":    {1, s.borne},
+		"balanced": {1, s.balanced},
+		"refused":  {1, s.refused},
+		"polite":   {1, s.polite},
+		"calls":    {2, s.callsUnderWay},
+		"cut":      {3, func(w []string) (string, error) { return "", s.Stage.Cut(w[0], w[1], w[2]) }},
 		"counted":  {3, s.counted},
 		"counts":   {2, func(w []string) (string, error) { return s.Stage.Counts(w[0], w[1]) }},
 	}
@@ -82,7 +98,8 @@
 	numbers := map[string]*int{
 		"entries": &h.Entries, "engines": &h.Engines, "services": &h.Services, "memory": &h.Memory, "warmup": &h.Warmup,
 		"work": &h.Work, "beat": &h.Beat, "poll": &h.Poll, "drain": &h.Drain, "grace": &h.Grace, "restart": &h.Restart,
-		"spares": &h.Spares,
+		"balancer": &h.Balancer,
+		"spares":   &h.Spares,
 	}
 	for _, word := range words {
 		key, value, _ := strings.Cut(word, "=")
@@ -108,12 +125,16 @@
 		case key == "front":
 			h.TLS = true
 			h.Front = true
+		case key == "relays":
+			h.Relays = true
 		case key == "alone":
 			h.Alone = true
 		default:
 			return "", fmt.Errorf("%w: %s", errUsage, word)
 		}
 	}
+	s.services = h.Services
+	s.entries = max(1, h.Entries)
 	s.engines = max(1, h.Engines)
 	return "", s.Stage.Up(h)
 }
@@ -179,7 +200,7 @@
 func (s *Script) ask(w []string) (string, error) {
 	var numbers [3]int
 	for i, text := range []string{w[0], w[2], w[3]} {
-		n, err := stager.Number(text)
+		n, err := entry(text)
 		if err != nil {
 			return "", err
 		}
@@ -215,8 +236,16 @@
 	return "", s.call(as, func() error { return expect(w[1], s.Stage.Ask(context.Background(), u)) })
 }
 
+// entry returns the number of an entry, or that of the balancer.
+func entry(word string) (int, error) {
+	if word == "balancer" {
+		return stager.Balancer, nil
+	}
+	return stager.Number(word)
+}
+
 func (s *Script) book(w []string) (string, error) {
-	n, err := stager.Number(w[0])
+	n, err := entry(w[0])
 	if err != nil {
 		return "", err
 	}
@@ -279,31 +308,41 @@
 var errOutcome = errors.New("prover: another outcome")
 
 // servers reads what an entry sees of the backend servers.
-func (s *Script) servers(entry string) (open, running int, err error) {
+func (s *Script) servers(entry string) (v view, err error) {
 	n, err := stager.Number(entry)
 	if err != nil {
-		return 0, 0, err
+		return v, err
 	}
 	text, err := s.Stage.Admin(n, "GET", "status", "")
 	if err != nil {
-		return 0, 0, err
+		return v, err
 	}
 	var status struct {
 		Servers []struct {
 			State   string `json:"state"`
+			Health  string `json:"health"`
 			Running int    `json:"running"`
 		} `json:"servers"`
 	}
 	if err := json.Unmarshal([]byte(text), &status); err != nil {
-		return 0, 0, err
+		return v, err
 	}
-	for _, v := range status.Servers {
-		running += v.Running
-		if v.State == "STATE_OPEN" {
-			open++
+	for _, r := range status.Servers {
+		v.running += r.Running
+		if r.State == "STATE_OPEN" {
+			v.open++
+		}
+		if r.Health != "alive" {
+			v.down++
 		}
 	}
-	return open, running, nil
+	return v, nil
+}
+
+// view is what an entry sees of the backend servers.
+type view struct {
+	open, running int
+	down          int // suspected or gone
 }
 
 // open checks that an entry sees so many backend servers open.
@@ -312,9 +351,9 @@
 	if err != nil {
 		return "", err
 	}
-	got, _, err := s.servers(w[0])
-	if err == nil && got != want {
-		err = fmt.Errorf("prover: entry sees %d open servers, want %d", got, want)
+	got, err := s.servers(w[0])
+	if err == nil && got.open != want {
+		err = fmt.Errorf("prover: entry sees %d open servers, want %d", got.open, want)
 	}
 	return "", err
 }
@@ -325,9 +364,9 @@
 	if err != nil {
 		return "", err
 	}
-	_, got, err := s.servers(w[0])
-	if err == nil && got < want {
-		err = fmt.Errorf("prover: entry sees %d requests running, want %d", got, want)
+	got, err := s.servers(w[0])
+	if err == nil && got.running < want {
+		err = fmt.Errorf("prover: entry sees %d requests running, want %d", got.running, want)
 	}
 	return "", err
 }
