--- a/sidecar/internal/server/server.go
+++ b/sidecar/internal/server/server.go
@@ -71,6 +71,7 @@
 	leaving   leaving
 	wanted    *wanted
 	suspects  *accuser.Accuser
+	homes     homes      // of requests
 	telling   sync.Mutex // held while entries are told of a crash
 	runner    *runner.Runner
 	recorder  *recorder.Recorder
@@ -93,6 +94,7 @@
 	crashes   expvar.Int // deaths of the engine seen
 	moved     expvar.Int // streams handed over
 	slow      expvar.Int // first tokens taken for a sign of a cold start
+	unclaimed expvar.Int // attempts run though no home could be asked
 }
 
 // New returns a sidecar that does not run yet. The error is that of reading
@@ -149,7 +151,7 @@
 func (s *Server) configuration() keeper.Config {
 	set := s.config.Settings
 	config := keeper.Config{
-		Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Changed: s.suspects.Pardon,
+		Table: storer.NewTable(storer.Config{Address: set.Platform.Table}), Changed: func(state *keeper.State) { s.suspects.Pardon(state) },
 		Peers: puller.New(puller.Config{Addresses: s.reporter.Known, Peer: s.peer}),
 	}
 	if set.Platform.Objects != "" {
@@ -272,6 +274,7 @@
 	m.Set("streams_moved", &s.counts.moved)
 	m.Set("cold_by_first_token", &s.counts.slow)
 	s.reporterVars(m)
+	m.Set("unclaimed", &s.counts.unclaimed)
 	s.recorderVars(m)
 	w.Header().Set("Content-Type", "application/json")
 	io.WriteString(w, m.String()+"\n")
