The bound on copies of one request is a setting, off by default

Each request asked its home entry before hand-over and told it the end. Change: gate.copies, false by default; the scenarios of copies set it. Asking only while some request is suspected: the first copies would not be bounded, and a suspect would slow all. Conclusion: off. Why the claims fail above about 1,700 a second at one entry and one sidecar was not looked into.

--- a/prover/commands.go
+++ b/prover/commands.go
@@ -118,6 +118,8 @@
 			h.Cold = true
 		case key == "fencing":
 			h.Fencing = true
+		case key == "copies":
+			h.Copies = true
 		case key == "weights":
 			h.Weights = true
 		case key == "tls":
--- a/prover/doc.go
+++ b/prover/doc.go
@@ -12,7 +12,7 @@
 //
 //	stack KEY=VALUE ...      start a stack; keys: entries engines services memory
 //	                         prefill decode cold warmup work beat poll drain restart fencing
-//	                         grace tls front alone weights spares relays balancer
+//	                         grace tls front alone weights spares copies relays balancer
 //	                         (milliseconds between its questions; then ENTRY may be the
 //	                         word balancer in calls)
 //	signal NAME SIGNAL       send KILL, TERM, STOP or CONT to a process
--- a/prover/internal/stager/shape.go
+++ b/prover/internal/stager/shape.go
@@ -38,6 +38,7 @@
 	Balancer int     // milliseconds between a balancer's questions, 0 for none
 	Relays   bool    // relays between the processes, for cuts
 	Weights  bool    // engines load from the weight store
+	Copies   bool    // sidecars bound the copies of one request
 	Spares   int     // first engines for which a second sidecar spareN may be started
 	Alone    bool    // a process starts knowing no other entry
 	TLS      bool    // between entries and sidecars
@@ -214,8 +215,8 @@
 }
 
 func (s *Stage) sidecar(h Shape, n int, server, kind, service, backend string) string {
-	return fmt.Sprintf("address = %q\nadvertise = %q\nserver = %q\nvm = \"vm%d\"\ndomain = %q\nkind = %q\nservice = %q\nbackend = %q\nbeat = %d\ndrain = %d\nentries = [%q]\n%s%s",
-		s.at(sidecarPort, n), s.reach(h, sidecarPort, n), server, n, domain(n), kind, service, backend, h.Beat, h.Drain, s.reach(h, innerPort, 0), s.platform(h), s.tlsTable(h, fmt.Sprintf("sidecar%d", n)))
+	return fmt.Sprintf("address = %q\nadvertise = %q\nserver = %q\nvm = \"vm%d\"\ndomain = %q\nkind = %q\nservice = %q\nbackend = %q\nbeat = %d\ndrain = %d\nentries = [%q]\n%s%s[gate]\ncopies = %t\n",
+		s.at(sidecarPort, n), s.reach(h, sidecarPort, n), server, n, domain(n), kind, service, backend, h.Beat, h.Drain, s.reach(h, innerPort, 0), s.platform(h), s.tlsTable(h, fmt.Sprintf("sidecar%d", n)), h.Copies)
 }
 
 func (s *Stage) entry(h Shape, n int) string {
--- a/sidecar/internal/server/claim.go
+++ b/sidecar/internal/server/claim.go
@@ -56,8 +56,9 @@
 // claim asks the request's home, the entry that all sidecars find by hashing,
 // whether one more copy of it may run here. A request that no home can be asked
 // about runs all the same: the bound is lost for as long as two entries are.
+// Nothing is asked unless the settings want the bound.
 func (s *Server) claim(ctx context.Context, p *wire.Proposal) (claimed, *wire.Refused) {
-	if s.engine == nil || p.GetFingerprint() == "" || p.GetGang() != "" {
+	if !s.config.Settings.Gate.Copies || s.engine == nil || p.GetFingerprint() == "" || p.GetGang() != "" {
 		return claimed{}, nil
 	}
 	for _, home := range s.homes.pick(p.GetFingerprint(), s.reporter.Known(), time.Now()) {
--- a/sidecar/internal/server/rig_test.go
+++ b/sidecar/internal/server/rig_test.go
@@ -146,7 +146,7 @@
 	set := settings.Settings{
 		Server: r.name, VM: "vm-" + r.name, Domain: "ikeja", Kind: settings.Model, Backend: address(r.backend), Entries: []string{entry},
 		Address: "127.0.0.1:25000", Platform: storer.Platform{Table: address(r.table), List: r.list}, Beat: cmp.Or(r.beat, 50), Drain: 2000,
-		Gate: settings.Gate{Cold: 2, Warm: 64},
+		Gate: settings.Gate{Cold: 2, Warm: 64, Copies: true},
 	}
 	var err error
 	if r.server, err = New(Config{Settings: set, Log: quiet()}); err != nil {
--- a/sidecar/internal/settings/settings.go
+++ b/sidecar/internal/settings/settings.go
@@ -45,8 +45,9 @@
 
 // Gate bounds what a backend server is given.
 type Gate struct {
-	Cold int `toml:"cold"` // requests at once in a cold start
-	Warm int `toml:"warm"` // requests at once when warm
+	Cold   int  `toml:"cold"`   // requests at once in a cold start
+	Warm   int  `toml:"warm"`   // requests at once when warm
+	Copies bool `toml:"copies"` // bound the backend servers that run copies of one request at once
 }
 
 // Defaults of Settings.
