Refusals by an operator's order cost no retry

An account's share of the retry budget, five after so few calls, went to backend servers that were out or leaving, which the entry's view shows a heartbeat later than the order is in force. Change: such a refusal is free for as often as one for a stale view is (twice a request); the server is left out as before. Test: case "orders cost no retry", which failed first. Left: the entry knows the order from its own configuration and could leave out those servers, and try those that are back, without asking.

--- a/entry/internal/dispatcher/dispatcher.go
+++ b/entry/internal/dispatcher/dispatcher.go
@@ -183,7 +183,8 @@
 }
 
 // freeRetries is how many tries a request gets that are owed to the entry's
-// own old view: a stale configuration or a restarted sidecar.
+// own old view: a stale configuration, a restarted sidecar, or one that an
+// order or its own word has just taken out of service.
 const freeRetries = 2
 
 // Do runs a request to its final word.
@@ -299,6 +300,10 @@
 	if reason == wire.Reason_REASON_MOVED {
 		return true // handed over: the budget is for failures
 	}
+	if c.free > 0 && (reason == wire.Reason_REASON_OUT || reason == wire.Reason_REASON_LEAVING) {
+		c.free--
+		return ctx.Err() == nil // an operator's order that the view has yet to show
+	}
 	return d.pause(ctx, q, c)
 }
 
--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -181,8 +181,12 @@
 		"once moves on if not run":    {answers: []answer{refuse(wire.Reason_REASON_FULL), rest(4)}, call: wire.Call_CALL_ONCE, outcome: answered, text: "abcd", attempts: 2, within: time.Second},
 		"caller has gone":             {answers: []answer{rest(4)}, gone: true, outcome: unknown, attempts: 1, within: time.Second},
 		"stale view costs no server":  {answers: []answer{refuse(wire.Reason_REASON_STALE), refuse(wire.Reason_REASON_BOOT), rest(4)}, outcome: answered, text: "abcd", attempts: 3, within: time.Second},
-		"stopped at the first token":  {answers: []answer{rest(0), rest(4)}, outcome: answered, text: "abcd", attempts: 2, within: 8 * time.Second},
-		"frames of another attempt":   {answers: []answer{rest(4)}, crossed: 1, outcome: answered, text: "abcd", attempts: 2, within: 8 * time.Second},
+		"orders cost no retry": {
+			answers: []answer{rest(2), refuse(wire.Reason_REASON_OUT), refuse(wire.Reason_REASON_LEAVING), rest(2), rest(2), rest(4)},
+			outcome: answered, text: "abcd", attempts: 6, within: time.Second,
+		},
+		"stopped at the first token": {answers: []answer{rest(0), rest(4)}, outcome: answered, text: "abcd", attempts: 2, within: 8 * time.Second},
+		"frames of another attempt":  {answers: []answer{rest(4)}, crossed: 1, outcome: answered, text: "abcd", attempts: 2, within: 8 * time.Second},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/prover/doc.go
+++ b/prover/doc.go
@@ -31,10 +31,11 @@
 //	listed VM leaving|stays  what the platform's list says of a VM
 //	put ENTRY KIND/NAME JSON write a configuration row through an entry
 //	admin ENTRY METHOD PATH  call the administration API; the answer is stdout
-//	ask ENTRY OUTCOME WORDS TOKENS [whole] [timeout=S] [model=M] [text=T] [key=K] [as=NAME] [same]
+//	ask ENTRY OUTCOME WORDS TOKENS [whole] [timeout=S] [model=M] [text=T] [key=K] [as=NAME] [same] [again]
 //	                         send a prompt of so many words; OUTCOME is answered,
 //	                         not-run, unknown, some of them as A|B, or any; the text is always checked;
-//	                         prompts with other names differ, but for same
+//	                         prompts with other names differ, but for same; with again, what was not
+//	                         run is sent again for 20 s
 //	book ENTRY OUTCOME KEY BODY [timeout=S] [as=NAME]
 //	                         make a booking; OUTCOME as above
 //	join NAME                wait for a call that was started with as=NAME
