Loads of one scenario use no booking key twice

The refusal was right. Change: names carry the number of the load. Ruled out: the claim; the three callers of one load have names of their own.

--- a/prover/balancer.go
+++ b/prover/balancer.go
@@ -70,9 +70,10 @@
 
 // load is callers that send prompts and bookings until they are told to stop.
 type load struct {
-	stop context.CancelFunc
-	all  sync.WaitGroup
-	sent atomic.Int64
+	number int // of the script's loads, for names that are not used twice
+	stop   context.CancelFunc
+	all    sync.WaitGroup
+	sent   atomic.Int64
 
 	mu     sync.Mutex
 	failed int
@@ -89,7 +90,8 @@
 	switch w[1] {
 	case "start":
 		ctx, stop := context.WithCancel(context.Background())
-		l := &load{stop: stop}
+		s.begun++
+		l := &load{number: s.begun, stop: stop}
 		s.loads[w[0]] = l
 		for i := range callers {
 			l.all.Go(func() { s.send(ctx, l, n, i) })
@@ -117,7 +119,7 @@
 // third time.
 func (s *Script) send(ctx context.Context, l *load, n, caller int) {
 	for i := 0; i == 0 || ctx.Err() == nil; i++ {
-		name := fmt.Sprintf("load-%d-%d", caller, i)
+		name := fmt.Sprintf("load-%d-%d-%d", l.number, caller, i)
 		var err error
 		if i%3 == 2 {
 			_, err = s.Stage.Book(n, name, "{}", "")
--- a/prover/commands.go
+++ b/prover/commands.go
@@ -25,6 +25,7 @@
 	calls    map[string]chan error
 	jobs     map[string]int // started by an engine, as last stored
 	loads    map[string]*load
+	begun    int // loads
 }
 
 // NewScript returns a scenario on a stage.
