--- a/core/watcher/watcher_test.go
+++ b/core/watcher/watcher_test.go
@@ -55,6 +55,16 @@
 	synctest.Wait()
 }
 
+// benched runs a test under the fake clock on a view of so many servers.
+func benched(t *testing.T, servers int, run func(is *is.I, b *bench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(servers)
+		defer b.Stop()
+		run(is.New(t), b)
+	})
+}
+
 // second lets a second pass in which servers 0 to n-1 report and calls to the
 // others fail.
 func (b *bench) second(n, all int) {
@@ -66,10 +76,7 @@
 }
 
 func TestGoneServerIsNotOffered(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench(4)
-		defer b.Stop()
+	benched(t, 4, func(is *is.I, b *bench) {
 		for range 5 {
 			b.second(3, 4)
 		}
@@ -83,10 +90,7 @@
 }
 
 func TestSilenceWithoutProofKeepsAServer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench(4)
-		defer b.Stop()
+	benched(t, 4, func(is *is.I, b *bench) {
 		for range 100 {
 			time.Sleep(time.Second)
 			b.beat(3)
@@ -97,10 +101,7 @@
 }
 
 func TestCutEntryForgetsNobody(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench(4)
-		defer b.Stop()
+	benched(t, 4, func(is *is.I, b *bench) {
 		for range 100 {
 			b.second(0, 4)
 		}
@@ -112,10 +113,7 @@
 }
 
 func TestFlappingServerIsHeld(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench(4)
-		defer b.Stop()
+	benched(t, 4, func(is *is.I, b *bench) {
 		offered := 0
 		for range 10 {
 			for range 5 {
@@ -205,10 +203,7 @@
 
 // An entry that is cut off from a server hears of it from others all the time.
 func TestPassedOnReportsProveNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench(4)
-		defer b.Stop()
+	benched(t, 4, func(is *is.I, b *bench) {
 		for range 5 {
 			b.second(3, 4)
 			b.HearOf(&wire.Report{Server: "s3", Domain: "ikeja", Boot: 1, Serial: b.serial, Running: 9})
@@ -301,10 +296,7 @@
 }
 
 func TestSuspectsAreThoseThatFail(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench(4)
-		defer b.Stop()
+	benched(t, 4, func(is *is.I, b *bench) {
 		b.Fail("s1")
 		b.Fail("s2")
 		synctest.Wait()
--- a/entry/internal/gossiper/gossiper_test.go
+++ b/entry/internal/gossiper/gossiper_test.go
@@ -152,6 +152,19 @@
 	}
 }
 
+// running starts a fleet. The function returned ends it, and waits on the fake
+// clock until what was under way is over.
+func (f *fleet) running(t *testing.T) (context.Context, func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	f.start(ctx)
+	return ctx, func() {
+		cancel()
+		f.stop()
+		time.Sleep(time.Minute)
+	}
+}
+
 // behind returns how many processes do not have a sequence number in force.
 func (f *fleet) behind(sequence uint64) int {
 	n := 0
@@ -191,8 +204,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(gapEntries+2, 8, 0)
-		ctx, cancel := context.WithCancel(t.Context())
-		f.start(ctx)
+		ctx, end := f.running(t)
+		defer end()
 		synctest.Wait()
 		plan := &wire.Record{Value: &wire.Record_Plan{Plan: &wire.Plan{Name: "crew"}}}
 		sequence := f.commit(ctx, 1, f.entries[0], "plan/crew", plan)
@@ -208,9 +221,6 @@
 		sequence = f.change(ctx, 4, f.entries[0])
 		synctest.Wait()
 		is.Equal(f.behind(sequence), 0) // a gate needs this one
-		cancel()
-		f.stop()
-		time.Sleep(time.Minute)
 	})
 }
 
@@ -220,8 +230,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				f := newFleet(6, 17, copies)
-				ctx, cancel := context.WithCancel(t.Context())
-				f.start(ctx)
+				ctx, end := f.running(t)
+				defer end()
 				synctest.Wait()
 				for n := range 3 {
 					sequence := f.change(ctx, n, f.entries[n])
@@ -234,9 +244,6 @@
 				for _, s := range slices.Concat(entries, sidecars) {
 					is.Equal(s.Sequence, uint64(3))
 				}
-				cancel()
-				f.stop()
-				time.Sleep(time.Minute)
 			})
 		})
 	}
@@ -248,8 +255,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(2, 3, 0)
-		ctx, cancel := context.WithCancel(t.Context())
-		f.start(ctx)
+		ctx, end := f.running(t)
+		defer end()
 		synctest.Wait()
 		left := f.sidecars[0]
 		report, err := left.Inspect(ctx, nil)
@@ -267,9 +274,6 @@
 			is.True(s.Name != left.name)
 			is.Equal(s.Sequence, uint64(1))
 		}
-		cancel()
-		f.stop()
-		time.Sleep(time.Minute)
 	})
 }
 
@@ -277,8 +281,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(4, 6, 0)
-		ctx, cancel := context.WithCancel(t.Context())
-		f.start(ctx)
+		ctx, end := f.running(t)
+		defer end()
 		synctest.Wait()
 		lost := f.entries[3]
 		f.net.setCut(lost.address, true)
@@ -307,9 +311,6 @@
 		}
 		synctest.Wait()
 		is.Equal(lost.keeper.State().Sequence, uint64(2)) // from its peers, the store is down
-		cancel()
-		f.stop()
-		time.Sleep(time.Minute)
 	})
 }
 
@@ -319,8 +320,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(spreadWidth+36, 0, 0)
-		ctx, cancel := context.WithCancel(t.Context())
-		f.start(ctx)
+		ctx, end := f.running(t)
+		defer end()
 		synctest.Wait()
 		dead := f.entries[1 : spreadWidth+21]
 		for _, e := range dead {
@@ -330,9 +331,6 @@
 		sequence := f.change(ctx, 1, f.entries[0])
 		is.Equal(f.behind(sequence), len(dead))
 		is.True(time.Since(start) <= 2*f.entries[0].gossip.config.Limit)
-		cancel()
-		f.stop()
-		time.Sleep(time.Minute)
 	})
 }
 
@@ -399,8 +397,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(4, 0, 0)
-		ctx, cancel := context.WithCancel(t.Context())
-		f.start(ctx)
+		ctx, end := f.running(t)
+		defer end()
 		is.Equal(len(f.entries[0].gossip.Live()), 3)
 		f.entries[3].gossip.Leave(ctx)
 		synctest.Wait()
@@ -408,9 +406,6 @@
 			is.Equal(len(e.gossip.Live()), 2)
 			is.True(!slices.Contains(e.gossip.Named("s"), f.entries[3].address))
 		}
-		cancel()
-		f.stop()
-		time.Sleep(time.Minute)
 	})
 }
 
--- a/entry/internal/gossiper/want_test.go
+++ b/entry/internal/gossiper/want_test.go
@@ -1,12 +1,10 @@
 package gossiper
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"bamboohill/wire"
 
@@ -47,8 +45,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(20, 40, 1)
-		ctx, cancel := context.WithCancel(t.Context())
-		f.start(ctx)
+		ctx, end := f.running(t)
+		defer end()
 		plan := &wire.Plan{Name: "crew", Offers: []*wire.Offer{{Model: "rare"}, {Model: "common"}, {Model: anyModelName}}}
 		f.commit(ctx, 1, f.entries[0], "plan/crew", &wire.Record{Value: &wire.Record_Plan{Plan: plan}})
 		synctest.Wait()
@@ -74,8 +72,5 @@
 		for _, e := range f.entries {
 			is.True(!slices.Contains(e.gossip.wants(), "rare")) // and asks no more
 		}
-		cancel()
-		f.stop()
-		time.Sleep(time.Minute)
 	})
 }
