Placement obeys the configuration that the entry itself has

Cause: an entry that has an operator's order in force still placed on what the order took out, until the sidecars had reported it, and was refused at the gate. Change: a server that the entry's own configuration has out is left out of the choice. Ruled out: a filter over the whole view, which costs every request; this is two lookups for the chosen server. A server that is back in is still taken from its report, up to a heartbeat late. Test: TestOwnConfigurationIsObeyed, which failed first (placed on b, which is out).

--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -36,7 +36,8 @@
 	accuse   func(*wire.Accusation)
 	heard    bool // this entry hears of a crash before the refusal
 	suspects *accuser.Accuser
-	crossed  int // the first so many answers carry another attempt's id
+	out      []string // keys of configuration rows that take VMs or failure domains out
+	crossed  int      // the first so many answers carry another attempt's id
 }
 
 type attempt struct {
@@ -129,6 +130,33 @@
 
 const servers = 3
 
+// An operator's order holds for placement as soon as this entry has it, and not
+// only once the sidecars have reported it.
+func TestOwnConfigurationIsObeyed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &scripted{answers: []answer{rest(4)}, out: []string{"vm/a", "domain/b"}}
+		result, _ := run(t, s, wire.Call_CALL_REPEATABLE, &sink{})
+		is.Equal(result.Outcome, wire.Outcome_OUTCOME_ANSWERED)
+		is.Equal(s.servers, []string{"c"})
+	})
+}
+
+// orders returns configuration rows that take VMs and failure domains out.
+func orders(keys []string) *wire.Batch {
+	rows := &wire.Snapshot{Sequence: 1}
+	for _, key := range keys {
+		kind, name, _ := strings.Cut(key, "/")
+		place := &wire.Placement{Name: name, Out: true}
+		record := &wire.Record{Value: &wire.Record_Vm{Vm: place}}
+		if kind == keeper.KindDomain {
+			record = &wire.Record{Value: &wire.Record_Domain{Domain: place}}
+		}
+		rows.Rows = append(rows.Rows, &wire.Row{Key: key, Version: 1, Record: record})
+	}
+	return &wire.Batch{Snapshot: rows}
+}
+
 func run(t *testing.T, s *scripted, call wire.Call, out *sink) (dispatcher.Result, time.Duration) {
 	t.Helper()
 	s.suspects = accuser.New(accuser.Config{})
@@ -136,10 +164,13 @@
 	defer w.Stop()
 	k := keeper.New(keeper.Config{Table: storer.NewTable(storer.Config{Address: "127.0.0.1:1"})})
 	defer k.Stop()
+	if len(s.out) > 0 {
+		is.New(t).NoErr(k.Offer(t.Context(), orders(s.out)))
+	}
 	for i := range servers {
 		name := string(rune('a' + i))
 		w.Hear(&wire.Report{
-			Server: name, Address: name, Boot: 1, Serial: 1, State: wire.State_STATE_OPEN, Kind: wire.Kind_KIND_MODEL,
+			Server: name, Vm: name, Domain: name, Address: name, Boot: 1, Serial: 1, State: wire.State_STATE_OPEN, Kind: wire.Kind_KIND_MODEL,
 			Offers: []*wire.Offer{{Model: "base"}}, Memory: 1000, Free: 1000, Limit: 8, Prefill: 1000, Decode: 100, Bound: 1 << 40,
 		})
 	}
--- a/entry/internal/dispatcher/place.go
+++ b/entry/internal/dispatcher/place.go
@@ -15,7 +15,8 @@
 
 // place chooses the server of the next attempt. Before the first attempt it
 // also asks whether the request can finish in time; what has begun is never
-// given up for that.
+// given up for that. What an operator's order has out here is left out, though
+// its sidecar may not have reported it yet.
 func (d *Dispatcher) place(q *Request, c *course) (router.Choice, error) {
 	now := time.Now()
 	servers := d.config.Watcher.View().Servers
@@ -30,11 +31,16 @@
 	if c.result.Attempts > 0 {
 		choose = d.config.Chooser.Pick
 	}
-	choice, err := choose(q.Job, servers, now)
-	if err != nil {
-		return d.placeGang(q, servers, err)
+	for {
+		choice, err := choose(q.Job, servers, now)
+		if err != nil {
+			return d.placeGang(q, servers, err)
+		}
+		if !d.config.Keeper.State().Out(choice.Server.GetDomain(), choice.Server.GetVm()) {
+			return choice, nil
+		}
+		q.Job.Excluded = append(q.Job.Excluded, ider.Server(choice.Server.GetServer()))
 	}
-	return choice, nil
 }
 
 // Limits are the limits of client accounts.
