The test of an entry's own configuration can always fail

Cause: with two of three servers out the router's random draw took the third by itself in about one run of three, and the test passed without what it tests. Change: all three are out; nothing may be sent. Ruled out: a seed, which the rig does not pass to the router.

--- a/entry/internal/dispatcher/dispatcher_test.go
+++ b/entry/internal/dispatcher/dispatcher_test.go
@@ -135,10 +135,10 @@
 func TestOwnConfigurationIsObeyed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := &scripted{answers: []answer{rest(4)}, out: []string{"vm/a", "domain/b"}}
+		s := &scripted{answers: []answer{rest(4)}, out: []string{"vm/a", "domain/b", "vm/c"}}
 		result, _ := run(t, s, wire.Call_CALL_REPEATABLE, &sink{})
-		is.Equal(result.Outcome, wire.Outcome_OUTCOME_ANSWERED)
-		is.Equal(s.servers, []string{"c"})
+		is.Equal(result.Outcome, wire.Outcome_OUTCOME_NOT_RUN)
+		is.Equal(len(s.servers), 0) // nothing was sent
 	})
 }
 
