--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # make demo and make test do all set-up on a fresh machine.
-MODULES := wire core entry sidecar operator load standin prover
+MODULES := wire core platform entry sidecar operator load standin prover
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 PROGRAMS := entry sidecar standin load
 GOBIN := $(shell go env GOPATH)/bin
@@ -59,6 +59,7 @@
 
 generate:
 	cd wire && protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. wire.proto
+	cd wire && protoc --go_out=paths=source_relative:. outstanding.proto
 
 clean:
 	rm -rf bin out
--- /dev/null
+++ b/core/assigner/assigner.go
@@ -0,0 +1,223 @@
+// Package assigner decides which model engines serve a prompt. It answers two
+// load patterns that alternate within seconds: floods of short prompts, whose
+// writers bear only short pauses, and waves of long ones, whose reading fills
+// engines for seconds and makes everyone beside them pause.
+//
+// Each way of serving a prompt, on one engine or read by several, is priced in
+// the value of the answers that it probably makes late: its own, and those of
+// the writers at each engine that would read. So short prompts pack onto few
+// engines, long ones are read by many at once, away from them, and how far one
+// gives way to the other follows from what is under way.
+//
+// The package is pure.
+//
+// # Usage
+//
+//	plan, found := assigner.Choose(prompt, candidates)
+package assigner
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"bamboohill/core/bookkeeper"
+	"bamboohill/core/predictor"
+	"bamboohill/core/viewer"
+)
+
+// Prompt is what is to be placed.
+type Prompt struct {
+	Tokens int           // to read
+	Answer int           // most tokens to write
+	Target time.Duration // until the first event
+	Gap    time.Duration // longest pause between events
+}
+
+// Candidate is one engine that could serve.
+type Candidate struct {
+	ID     viewer.ServerID
+	Engine *predictor.Engine
+	Load   bookkeeper.Load
+	Pace   float64 // how many times slower than normal; 0 means 1
+}
+
+// Plan is a way to serve a prompt.
+type Plan struct {
+	Server   viewer.ServerID
+	Helpers  []viewer.ServerID // that read parts of the prompt
+	Reading  time.Duration     // that each of them does
+	Expected time.Duration     // until the first event
+	Cost     float64           // value of the answers that it probably makes late
+}
+
+// MostHelpers is the largest number of helpers of one prompt.
+const MostHelpers = 16
+
+// Constants of the prices.
+const (
+	// tokensPerValue: an answer is worth one more for each of these tokens.
+	// Callers pay by the token, beside a floor for the request.
+	tokensPerValue = 10_000.0
+	// leastPart is the smallest part of a prompt worth sending to a helper, in
+	// tokens: below it a pass costs more than reading.
+	leastPart = 8_192
+	// riskCenter and riskWidth shape how likely a time is missed: half of the
+	// predictions at 0.85 of a limit are late, few at 0.6 of it.
+	riskCenter, riskWidth = 0.85, 0.09
+	// openCost is what it costs to bring tight writers to an engine that has
+	// none: it is lost to long prompts until they end.
+	openCost = 0.35
+	// haste prices the wait itself, so that of two ways in time the faster is
+	// taken.
+	haste = 0.08
+	// slotWait is how long a slot of a full engine takes to come free: answers
+	// last some two seconds on sixteen slots.
+	slotWait = 150 * time.Millisecond
+	// memoryWait is how long memory takes to come free at an engine that has
+	// too little: about the length of an answer.
+	memoryWait = 2 * time.Second
+)
+
+// bounds of the pauses that writers bear, by bookkeeper.Pause.
+var bounds = [...]time.Duration{200 * time.Millisecond, 500 * time.Millisecond, 800 * time.Millisecond}
+
+// values of the answers of writers, by bookkeeper.Pause: of the sizes that
+// routes with such pauses usually have.
+var values = [...]float64{1.5, 4, 18}
+
+// Value is what an answer in time is worth, against that of the smallest.
+func Value(tokens int) float64 { return 1 + float64(tokens)/tokensPerValue }
+
+// Choose returns the cheapest plan. It reports false if there is no candidate.
+func Choose(p Prompt, all []Candidate) (Plan, bool) {
+	var best Plan
+	found := false
+	most := min(len(all), MostHelpers+1, max(1, p.Tokens/leastPart))
+	for parts := 1; parts <= most; parts++ {
+		plan := cheapest(p, all, parts)
+		if !found || plan.Cost < best.Cost {
+			best, found = plan, true
+		}
+	}
+	return best, found
+}
+
+// member is a candidate with the price of its share.
+type member struct {
+	Candidate
+	expected time.Duration
+	harm     float64
+	rank     float64
+}
+
+// cheapest returns a plan with the given number of parts.
+func cheapest(p Prompt, all []Candidate, parts int) Plan {
+	value := Value(p.Tokens)
+	members := make([]member, 0, len(all))
+	for _, c := range all {
+		share := pace(c, c.Engine.ReadTime(p.Tokens)/time.Duration(parts))
+		m := member{Candidate: c, expected: expect(c, share), harm: harm(c, share)}
+		m.rank = m.harm + value*(risk(m.expected, p.Target)+haste*ratio(m.expected, p.Target))
+		if parts == 1 {
+			m.rank += ownCost(p, c, value)
+		}
+		members = append(members, m)
+	}
+	slices.SortFunc(members, func(a, b member) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.ID, b.ID)) })
+	members = members[:parts]
+	first := lead(p, members, value)
+	plan := Plan{Server: members[first].ID, Reading: members[first].Engine.ReadTime(p.Tokens) / time.Duration(parts)}
+	for i, m := range members {
+		plan.Cost += m.harm
+		wait := m.expected
+		if i == first {
+			wait += room(p, m.Candidate)
+		} else {
+			plan.Helpers = append(plan.Helpers, m.ID)
+		}
+		plan.Expected = max(plan.Expected, wait)
+	}
+	plan.Cost += value * (risk(plan.Expected, p.Target) + haste*ratio(plan.Expected, p.Target))
+	plan.Cost += ownCost(p, members[first].Candidate, value)
+	return plan
+}
+
+// lead picks the member that writes: the one where writing costs least.
+func lead(p Prompt, members []member, value float64) int {
+	best, least := 0, math.Inf(1)
+	for i, m := range members {
+		cost := ownCost(p, m.Candidate, value) + value*ratio(room(p, m.Candidate), p.Target)
+		cost += float64(m.Load.Context) / float64(max(1, m.Engine.Capacity))
+		if cost < least {
+			best, least = i, cost
+		}
+	}
+	return best
+}
+
+// ownCost prices what the prompt suffers and changes as a writer: pauses beside
+// readers, and an engine opened to tight writers.
+func ownCost(p Prompt, c Candidate, value float64) float64 {
+	pass := c.Engine.PassTime(predictor.Batch{Writers: c.Load.Writing() + 1, Context: c.Load.Context, Reading: c.Load.Reading})
+	cost := value * risk(pace(c, pass), p.Gap)
+	if bookkeeper.PauseOf(p.Gap) == bookkeeper.Tight && c.Load.Writers[bookkeeper.Tight] == 0 {
+		cost += openCost
+	}
+	return cost
+}
+
+// room returns how long a prompt waits for a slot and memory.
+func room(p Prompt, c Candidate) time.Duration {
+	var wait time.Duration
+	if over := c.Load.Running + 1 - c.Engine.Slots; over > 0 {
+		wait = time.Duration(over) * slotWait
+	}
+	if c.Load.Context+p.Tokens+p.Answer > c.Engine.Capacity {
+		wait += memoryWait
+	}
+	return wait
+}
+
+// expect returns the time until an engine has read a share and written.
+func expect(c Candidate, share time.Duration) time.Duration {
+	b := predictor.Batch{Writers: c.Load.Writing(), Context: c.Load.Context, Reading: c.Load.Reading}
+	return pace(c, c.Engine.FirstToken(b, share))
+}
+
+// harm prices what a share of reading does to those at the engine.
+func harm(c Candidate, share time.Duration) float64 {
+	b := predictor.Batch{Writers: c.Load.Writing(), Context: c.Load.Context, Reading: c.Load.Reading}
+	before := pace(c, c.Engine.PassTime(b))
+	b.Reading += share
+	after := pace(c, c.Engine.PassTime(b))
+	sum := 0.0
+	for i, n := range c.Load.Writers {
+		sum += float64(n) * values[i] * (risk(after, bounds[i]) - risk(before, bounds[i]))
+	}
+	waiting := max(0, c.Load.Running-c.Load.Writing())
+	return sum + float64(waiting)*min(1, ratio(share, time.Second))
+}
+
+func pace(c Candidate, d time.Duration) time.Duration {
+	if c.Pace <= 1 {
+		return d
+	}
+	return time.Duration(c.Pace * float64(d))
+}
+
+func ratio(d, limit time.Duration) float64 {
+	if limit <= 0 {
+		return 0
+	}
+	return float64(d) / float64(limit)
+}
+
+// risk returns how likely a predicted time turns out over its limit.
+func risk(d, limit time.Duration) float64 {
+	if limit <= 0 {
+		return 0
+	}
+	return 1 / (1 + math.Exp(-(ratio(d, limit)-riskCenter)/riskWidth))
+}
--- /dev/null
+++ b/core/bookkeeper/bookkeeper.go
@@ -0,0 +1,319 @@
+// Package bookkeeper keeps what is under way at each backend server: what this
+// entry has sent, exactly, and what other entries say they have sent. Reports
+// of backend servers come too late to place by: a burst would find the same
+// server idle many times over.
+//
+// Reading is assumed to go on between two facts: it shrinks with time, at the
+// share of the engine that readers get beside writers, and ends with the first
+// event of its request.
+//
+// # Usage
+//
+//	b := bookkeeper.New()
+//	b.Place("attempt", bookkeeper.Work{...}, now)
+//	b.First("attempt", now)
+//	b.End("attempt")
+//	load := b.Load("server", now)
+//
+// A Bookkeeper is pure but for its own books and safe for concurrent use.
+package bookkeeper
+
+import (
+	"sync"
+	"time"
+
+	"bamboohill/core/viewer"
+)
+
+// Pause says how long a writer bears to wait for its next event.
+type Pause int
+
+// Pauses, from the most to the least sensitive.
+const (
+	Tight Pause = iota
+	Middle
+	Wide
+	pauses
+)
+
+// Upper ends of Tight and Middle. Between the pauses that operators allow for
+// chats, for long prompts and for archives: 200, 500 and 800 ms.
+const (
+	tightMost  = 250 * time.Millisecond
+	middleMost = 600 * time.Millisecond
+)
+
+// PauseOf sorts the longest pause that a route allows.
+func PauseOf(gap time.Duration) Pause {
+	switch {
+	case gap > 0 && gap <= tightMost:
+		return Tight
+	case gap > 0 && gap <= middleMost:
+		return Middle
+	}
+	return Wide
+}
+
+// Load is what is under way at one backend server.
+type Load struct {
+	Reading time.Duration // of prompts, not yet done
+	Writers [pauses]int   // requests that have their first event
+	Context int           // tokens held by requests that run
+	Running int           // requests sent and not ended
+	Parts   int           // parts of others' prompts being read
+}
+
+// Add returns the sum of two loads.
+func (l Load) Add(other Load) Load {
+	l.Reading += other.Reading
+	for i := range l.Writers {
+		l.Writers[i] += other.Writers[i]
+	}
+	l.Context += other.Context
+	l.Running += other.Running
+	l.Parts += other.Parts
+	return l
+}
+
+// Writing returns the number of writers.
+func (l Load) Writing() int {
+	n := 0
+	for _, w := range l.Writers {
+		n += w
+	}
+	return n
+}
+
+// Work is one request at one backend server and its helpers.
+type Work struct {
+	Server  viewer.ServerID
+	Helpers []viewer.ServerID
+	Reading time.Duration // that each of them does
+	Context int           // tokens that the server holds
+	Pause   Pause
+}
+
+// peerLife is how long an entry's word counts after its last datagram: three
+// of its slowest heartbeats, and it may have been killed.
+const peerLife = 1500 * time.Millisecond
+
+// writerShare is the share of an engine that readers get while others write: a
+// pass with much to read spends most of its time on it.
+const writerShare = 0.75
+
+type item struct {
+	work    Work
+	left    map[viewer.ServerID]time.Duration
+	writing bool
+}
+
+type account struct {
+	items   []string // attempts that still read here, oldest first
+	load    Load     // all but Reading
+	drained time.Time
+}
+
+type peer struct {
+	loads map[uint32]Load
+	heard time.Time
+}
+
+// Bookkeeper holds the books of one entry.
+type Bookkeeper struct {
+	mu       sync.Mutex
+	items    map[string]*item
+	accounts map[viewer.ServerID]*account
+	peers    map[string]peer
+	changed  chan struct{}
+}
+
+// New returns empty books.
+func New() *Bookkeeper {
+	return &Bookkeeper{
+		items: map[string]*item{}, accounts: map[viewer.ServerID]*account{}, peers: map[string]peer{},
+		changed: make(chan struct{}, 1),
+	}
+}
+
+func (b *Bookkeeper) account(id viewer.ServerID, now time.Time) *account {
+	a, found := b.accounts[id]
+	if !found {
+		a = &account{drained: now}
+		b.accounts[id] = a
+	}
+	return a
+}
+
+// Place enters an attempt.
+func (b *Bookkeeper) Place(attempt string, w Work, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	it := &item{work: w, left: map[viewer.ServerID]time.Duration{}}
+	b.items[attempt] = it
+	b.note()
+	for i, id := range append([]viewer.ServerID{w.Server}, w.Helpers...) {
+		a := b.account(id, now)
+		b.drain(id, a, now)
+		a.items = append(a.items, attempt)
+		it.left[id] = w.Reading
+		if i == 0 {
+			a.load.Running++
+			a.load.Context += w.Context
+		} else {
+			a.load.Parts++
+		}
+	}
+}
+
+// First notes the first event of an attempt: its prompt is read.
+func (b *Bookkeeper) First(attempt string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	it, found := b.items[attempt]
+	if !found || it.writing {
+		return
+	}
+	b.note()
+	b.stopReading(attempt, it, now)
+	it.writing = true
+	b.account(it.work.Server, now).load.Writers[it.work.Pause]++
+}
+
+func (b *Bookkeeper) stopReading(attempt string, it *item, now time.Time) {
+	for id := range it.left {
+		a := b.account(id, now)
+		b.drain(id, a, now)
+		for i, other := range a.items {
+			if other == attempt {
+				a.items = append(a.items[:i], a.items[i+1:]...)
+				break
+			}
+		}
+		if id != it.work.Server {
+			a.load.Parts--
+		}
+	}
+	it.left = nil
+}
+
+// End strikes an attempt off.
+func (b *Bookkeeper) End(attempt string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	it, found := b.items[attempt]
+	if !found {
+		return
+	}
+	b.note()
+	b.stopReading(attempt, it, now)
+	a := b.account(it.work.Server, now)
+	a.load.Running--
+	a.load.Context -= it.work.Context
+	if it.writing {
+		a.load.Writers[it.work.Pause]--
+	}
+	delete(b.items, attempt)
+}
+
+// drain takes off what was read since the last look, oldest first. The engine
+// is shared with what peers are having read.
+func (b *Bookkeeper) drain(id viewer.ServerID, a *account, now time.Time) {
+	passed := now.Sub(a.drained)
+	a.drained = now
+	if passed <= 0 || len(a.items) == 0 {
+		return
+	}
+	own := b.reading(id, a)
+	others := b.heard(id, now)
+	rate := 1.0
+	if a.load.Writing()+others.Writing() > 0 {
+		rate = writerShare
+	}
+	if sum := own + others.Reading; sum > 0 {
+		rate *= float64(own) / float64(sum)
+	}
+	done := time.Duration(rate * float64(passed))
+	for _, attempt := range a.items {
+		it := b.items[attempt]
+		taken := min(done, it.left[id])
+		it.left[id] -= taken
+		done -= taken
+	}
+}
+
+func (b *Bookkeeper) reading(id viewer.ServerID, a *account) time.Duration {
+	var sum time.Duration
+	for _, attempt := range a.items {
+		sum += b.items[attempt].left[id]
+	}
+	return sum
+}
+
+// Hear takes another entry's word of its own loads, by Hash of the backend
+// server.
+func (b *Bookkeeper) Hear(entry string, loads map[uint32]Load, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers[entry] = peer{loads: loads, heard: now}
+}
+
+func (b *Bookkeeper) heard(id viewer.ServerID, now time.Time) Load {
+	var sum Load
+	hash := Hash(id)
+	for name, p := range b.peers {
+		age := now.Sub(p.heard)
+		if age > peerLife {
+			delete(b.peers, name)
+			continue
+		}
+		if l, found := p.loads[hash]; found {
+			l.Reading = max(0, l.Reading-time.Duration(writerShare*float64(age)))
+			sum = sum.Add(l)
+		}
+	}
+	return sum
+}
+
+// Load returns all that is under way at a backend server.
+func (b *Bookkeeper) Load(id viewer.ServerID, now time.Time) Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.own(id, now).Add(b.heard(id, now))
+}
+
+func (b *Bookkeeper) own(id viewer.ServerID, now time.Time) Load {
+	a, found := b.accounts[id]
+	if !found {
+		return Load{}
+	}
+	b.drain(id, a, now)
+	l := a.load
+	l.Reading = b.reading(id, a)
+	return l
+}
+
+// Changed receives after changes to this entry's own loads.
+func (b *Bookkeeper) Changed() <-chan struct{} { return b.changed }
+
+func (b *Bookkeeper) note() {
+	select {
+	case b.changed <- struct{}{}:
+	default: // whoever listens has yet to look
+	}
+}
+
+// Own returns this entry's loads, without backend servers at which it has
+// nothing under way.
+func (b *Bookkeeper) Own(now time.Time) map[viewer.ServerID]Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := map[viewer.ServerID]Load{}
+	for id, a := range b.accounts {
+		if a.load.Running == 0 && a.load.Parts == 0 {
+			delete(b.accounts, id)
+			continue
+		}
+		all[id] = b.own(id, now)
+	}
+	return all
+}
--- a/core/commander/commander.go
+++ b/core/commander/commander.go
@@ -32,6 +32,7 @@
 	Usage string
 	Level func(*S) string
 	Run   func(context.Context, *S, *log.Logger) error
+	More  []*cli.Command // further commands, beside run and check
 }
 
 // Limits of garbage. These programs keep a few megabytes and make many times
@@ -48,7 +49,7 @@
 
 // Main runs the program and exits.
 func Main[S any](config Config[S]) {
-	if err := command(config).Run(context.Background(), os.Args); err != nil {
+	if err := Command(config).Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(status(err))
 	}
@@ -62,6 +63,13 @@
 	return 1
 }
 
+// Command returns the command that Main runs, to stand among More of another.
+func Command[S any](config Config[S]) *cli.Command {
+	c := command(config)
+	c.Commands = append(c.Commands, config.More...)
+	return c
+}
+
 func command[S any](config Config[S]) *cli.Command {
 	return &cli.Command{
 		Name:                  config.Name,
--- /dev/null
+++ b/core/doubter/doubter.go
@@ -0,0 +1,84 @@
+// Package doubter remembers which backend servers failed the requests of this
+// entry lately. A failure is evidence about one path and keeps an entry from
+// trying it for a while that doubles with each failure in a row; one success
+// ends it. Nobody else is told, and no server is declared dead: that is for
+// the list of backend servers to say.
+//
+// # Usage
+//
+//	d := doubter.New()
+//	d.Fail(id, now)
+//	if d.Doubted(id, now) { ... }
+package doubter
+
+import (
+	"sync"
+	"time"
+
+	"bamboohill/core/viewer"
+)
+
+// Bounds of a doubt: a crashed server is back after some seconds, one reset
+// connection says little.
+const (
+	shortest = 300 * time.Millisecond
+	longest  = 3 * time.Second
+)
+
+// memory is how long failures in a row are remembered after the last.
+const memory = 15 * time.Second
+
+type doubt struct {
+	failures int
+	last     time.Time
+	until    time.Time
+}
+
+// Doubter holds the doubts of one entry. It is safe for concurrent use.
+type Doubter struct {
+	mu     sync.Mutex
+	doubts map[viewer.ServerID]doubt
+}
+
+// New returns a doubter that trusts every server.
+func New() *Doubter { return &Doubter{doubts: map[viewer.ServerID]doubt{}} }
+
+// Fail notes a failure and returns for how long the server is doubted.
+// Failures within one doubt are one failure: they have one cause.
+func (d *Doubter) Fail(id viewer.ServerID, now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := d.doubts[id]
+	if now.Sub(b.last) > memory {
+		b.failures = 0
+	}
+	b.last = now
+	if now.Before(b.until) {
+		d.doubts[id] = b
+		return b.until.Sub(now)
+	}
+	span := min(longest, shortest<<min(b.failures, 8))
+	b.failures++
+	b.until = now.Add(span)
+	d.doubts[id] = b
+	for other, o := range d.doubts {
+		if now.Sub(o.last) > memory {
+			delete(d.doubts, other)
+		}
+	}
+	return span
+}
+
+// Succeed ends the doubts about a server.
+func (d *Doubter) Succeed(id viewer.ServerID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.doubts, id)
+}
+
+// Doubted reports whether a server should be passed over now.
+func (d *Doubter) Doubted(id viewer.ServerID, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Before(d.doubts[id].until)
+}
--- /dev/null
+++ b/core/viewer/configuration.go
@@ -0,0 +1,135 @@
+package viewer
+
+import (
+	"strings"
+	"time"
+
+	"bamboohill/core/predictor"
+)
+
+// ServerID names one run of a backend server.
+type ServerID string
+
+// ServiceName names a service.
+type ServiceName string
+
+// Domain names a failure domain.
+type Domain string
+
+// Region names a region.
+type Region string
+
+// Kind says what of a route's requests may be repeated.
+type Kind int
+
+// Kinds of routes.
+const (
+	Once      Kind = iota // runs once at the most for each attempt of a caller
+	Repeat                // may run any number of times
+	Streaming             // answered by a series of events
+)
+
+// Route says how the requests of one host and path prefix are handled.
+type Route struct {
+	Name          string
+	Host          string
+	Prefix        string // begins and ends with a slash
+	Kind          Kind
+	Timeout       time.Duration // longest time that a request may take
+	TargetLatency time.Duration // until the answer, or the first event of a stream
+	TargetGap     time.Duration // between two events of a stream
+	Priority      int           // 0 is the most urgent
+	Targets       []Target
+	MaxAttempts   int // backend servers that one request may be sent to
+	Public        bool
+	Resumable     bool // a stream may go on at another backend server
+	Regions       []Region
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Repeat || r.Kind == Streaming && r.Resumable
+}
+
+// Target is a service and its share of a route's requests.
+type Target struct {
+	Service ServiceName
+	Weight  float64
+}
+
+// Service is a set of alike backend servers.
+type Service struct {
+	Name           ServiceName
+	HealthPath     string
+	MaxConnections int // that one backend server accepts from all callers
+	ColdStart      time.Duration
+	ColdRate       float64           // requests per second that a cold backend server bears
+	Engine         *predictor.Engine // nil for a plain service
+}
+
+// Account is a client account.
+type Account struct {
+	Name     string
+	Priority int
+	Regions  []Region
+}
+
+// Limits bound what callers may send. Zero means no bound.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Configuration is one version of what operators want. It is immutable.
+type Configuration struct {
+	Revision int64 // of the row in the store; rises with every change
+	Version  int64 // the operators' own number
+	Services map[ServiceName]*Service
+	Limits   Limits
+
+	routes   map[string]map[string]*Route // by host, then by prefix
+	accounts map[string]*Account          // by key
+	named    bool                         // requests need a key
+}
+
+// NewConfiguration returns a configuration with the routes. Accounts are by
+// key; nil means that requests need none.
+func NewConfiguration(routes []*Route, accounts map[string]*Account) *Configuration {
+	c := &Configuration{
+		Services: map[ServiceName]*Service{}, routes: map[string]map[string]*Route{},
+		accounts: accounts, named: accounts != nil,
+	}
+	for _, r := range routes {
+		if c.routes[r.Host] == nil {
+			c.routes[r.Host] = map[string]*Route{}
+		}
+		c.routes[r.Host][r.Prefix] = r
+	}
+	return c
+}
+
+// Route returns the route with the longest prefix that begins path, among
+// those of the host.
+func (c *Configuration) Route(host, path string) (*Route, bool) {
+	if h, _, found := strings.Cut(host, ":"); found {
+		host = h
+	}
+	prefixes := c.routes[strings.ToLower(host)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r, found := prefixes[path[:end+1]]; found {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Account returns the account that holds the key.
+func (c *Configuration) Account(key string) (*Account, bool) {
+	a, found := c.accounts[key]
+	return a, found
+}
+
+// NeedsKey reports whether requests of the route need a key.
+func (c *Configuration) NeedsKey(r *Route) bool { return c.named && !r.Public }
--- /dev/null
+++ b/entry/internal/director/director.go
@@ -0,0 +1,200 @@
+package director
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"bamboohill/core/bookkeeper"
+	"bamboohill/core/budgeter"
+	"bamboohill/core/connector"
+	"bamboohill/core/doubter"
+	"bamboohill/core/viewer"
+	"bamboohill/entry/internal/exchanger"
+	"bamboohill/entry/internal/forwarder"
+	"bamboohill/platform"
+
+	"github.com/phuslu/log"
+)
+
+// Config describes a Director. All fields are needed.
+type Config struct {
+	Settings Settings
+	Log      *log.Logger
+}
+
+// Pace of what is done now and then, and of a stop.
+const (
+	expireEvery = time.Second
+	// noticeTime is how long the balancer takes to send no new connections: it
+	// asks once a second and believes the second no.
+	noticeTime = 2600 * time.Millisecond
+	// killMargin is left of the grace for closing connections.
+	killMargin = 400 * time.Millisecond
+	// withdrawMost bounds the last call to the directory.
+	withdrawMost = 300 * time.Millisecond
+)
+
+// memoryShare is the part of the VM's memory at which garbage is collected
+// whatever it costs: the rest is for stacks, buffers of the kernel and bursts.
+const memoryShare = 0.7
+
+// Director runs the parts of one entry.
+type Director struct {
+	config    Config
+	viewer    *viewer.Viewer
+	platform  *platform.Platform
+	exchanger *exchanger.Exchanger
+	forwarder *forwarder.Forwarder
+	connector *connector.Connector
+	meter     *forwarder.Meter
+	closing   atomic.Bool
+}
+
+// New joins the parts and opens the socket for datagrams.
+func New(config Config) (*Director, error) {
+	s := config.Settings
+	d := &Director{
+		config: config, viewer: viewer.New(), meter: forwarder.NewMeter(),
+		connector: connector.New(connector.Config{}),
+	}
+	d.platform = platform.New(platform.Config{Settings: s.Platform, Viewer: d.viewer, Log: config.Log})
+	books := bookkeeper.New()
+	calls, err := netip.ParseAddrPort(s.Listen.Calls)
+	if err != nil {
+		return nil, err
+	}
+	datagrams, err := netip.ParseAddrPort(s.Listen.Datagrams)
+	if err != nil {
+		return nil, err
+	}
+	d.exchanger, err = exchanger.New(exchanger.Config{
+		Log: config.Log, Books: books, State: d.platform, Directory: d.platform,
+		Name: s.VM, Calls: calls, Datagrams: datagrams, Seeds: s.Entries,
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.forwarder = forwarder.New(forwarder.Config{
+		Log: config.Log, Dialect: platform.Dialect{}, Viewer: d.viewer, Books: books,
+		Budget: budgeter.New(s.Retry.budget()), Connector: d.connector, Doubts: doubter.New(),
+		Meter: d.meter, Region: s.Region, Entries: d.exchanger.Entries, Closing: d.closing.Load,
+	})
+	return d, nil
+}
+
+// Run serves until ctx ends, then stops within the grace.
+func (d *Director) Run(ctx context.Context) error {
+	s := d.config.Settings
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory<<20)))
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	callers := &http.Server{Handler: d.forwarder, MaxHeaderBytes: headerMost, ReadHeaderTimeout: headerTimeout}
+	servers := map[string]*http.Server{
+		s.Listen.Callers: callers,
+		s.Listen.Ready:   {Handler: http.HandlerFunc(d.ready), ReadHeaderTimeout: headerTimeout},
+		s.Listen.Calls:   {Handler: d.calls(), ReadHeaderTimeout: headerTimeout},
+		s.Listen.Metrics: {Handler: http.HandlerFunc(d.metrics), ReadHeaderTimeout: headerTimeout},
+	}
+	failed := make(chan error, len(servers))
+	var listen net.ListenConfig
+	for address, server := range servers {
+		listener, err := listen.Listen(ctx, "tcp4", address)
+		if err != nil {
+			return err
+		}
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		}()
+	}
+	go d.platform.Run(work)
+	go d.exchanger.Run(work)
+	go d.tidy(work)
+	d.config.Log.Info().Str("event", "started").Str("vm", s.VM).Str("domain", string(s.Domain)).
+		Str("callers", s.Listen.Callers).Str("store", s.Platform.Store).Msg("")
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	return d.stop(work, callers)
+}
+
+// Bounds of what is read before the configuration says more.
+const (
+	headerMost    = 64 << 10
+	headerTimeout = 5 * time.Second
+)
+
+// ready answers the balancer.
+func (d *Director) ready(w http.ResponseWriter, _ *http.Request) {
+	if d.closing.Load() || !d.viewer.Load().Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (d *Director) calls() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(exchanger.Path, d.exchanger)
+	return mux
+}
+
+func (d *Director) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	d.meter.Set("connections_opened", d.connector.Opened())
+	d.meter.Set("store_calls", d.platform.Calls())
+	d.meter.Set("entries", int64(d.exchanger.Entries()))
+	d.meter.Write(w)
+}
+
+// tidy drops what has grown old, and notes orders to read the settings anew.
+func (d *Director) tidy(ctx context.Context) {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	tick := time.NewTicker(expireEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+			d.config.Log.Info().Str("event", "reload").Str("outcome", "settings take effect at the next start").Msg("")
+		case now := <-tick.C:
+			d.connector.Expire(now)
+		}
+	}
+}
+
+// stop lets callers leave, ends what runs and returns. New connections are
+// taken until the balancer has noticed that the entry is not ready.
+func (d *Director) stop(ctx context.Context, callers *http.Server) error {
+	started := time.Now()
+	grace := seconds(d.config.Settings.Grace) - killMargin
+	d.closing.Store(true)
+	d.config.Log.Info().Str("event", "stopping").Dur("grace", grace).Msg("")
+	withdraw, cancel := context.WithTimeout(ctx, withdrawMost)
+	defer cancel()
+	if err := d.platform.Withdraw(withdraw, d.config.Settings.VM); err != nil {
+		d.config.Log.Info().Str("event", "not-withdrawn").Str("cause", err.Error()).Msg("")
+	}
+	time.Sleep(noticeTime - time.Since(started))
+	rest, cancel := context.WithTimeout(ctx, grace-time.Since(started))
+	defer cancel()
+	err := callers.Shutdown(rest)
+	d.config.Log.Info().Str("event", "stopped").Dur("took", time.Since(started)).Bool("whole", err == nil).Msg("")
+	if errors.Is(err, context.DeadlineExceeded) {
+		return callers.Close()
+	}
+	return err
+}
--- /dev/null
+++ b/entry/internal/director/settings.go
@@ -0,0 +1,86 @@
+package director
+
+import (
+	"slices"
+	"time"
+
+	"bamboohill/core/budgeter"
+	"bamboohill/core/checker"
+	"bamboohill/core/logger"
+	"bamboohill/core/viewer"
+	"bamboohill/platform"
+)
+
+// Settings are those of an entry that calls backend servers itself.
+// docs/SETTINGS.md explains each key.
+type Settings struct {
+	Level    string            `toml:"level"`     // of the log
+	VM       string            `toml:"vm"`        // name of this VM
+	Domain   viewer.Domain     `toml:"domain"`    // failure domain
+	Region   viewer.Region     `toml:"region"`    // of the failure domain
+	Memory   int64             `toml:"memory_mb"` // that the process may use
+	Grace    float64           `toml:"grace_s"`   // from the order to stop until the process is killed
+	Entries  []string          `toml:"entries"`   // listen.calls of some other entries, perhaps stale
+	Listen   Listen            `toml:"listen"`
+	Retry    Retry             `toml:"retry"`
+	Platform platform.Settings `toml:"platform"`
+}
+
+// Listen are the addresses that the entry serves, each IP:PORT.
+type Listen struct {
+	Callers   string `toml:"callers"`
+	Ready     string `toml:"ready"`     // the balancer's question
+	Calls     string `toml:"calls"`     // other entries' calls
+	Datagrams string `toml:"datagrams"` // other entries' datagrams, on one port everywhere
+	Metrics   string `toml:"metrics"`
+}
+
+// Retry bounds what is sent once more, of all entries together.
+type Retry struct {
+	Ratio  float64 `toml:"ratio"`    // for each request
+	Slack  float64 `toml:"slack"`    // besides
+	Window float64 `toml:"window_s"` // in which both count
+}
+
+func (r Retry) budget() budgeter.Config {
+	return budgeter.Config{Ratio: r.Ratio, Slack: r.Slack, Window: seconds(r.Window)}
+}
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+
+// Defaults of Settings: a small VM, and a stop that gives the longest prompts
+// time to end.
+const (
+	defaultMemory = 256
+	defaultGrace  = 8
+	defaultRatio  = 0.2
+	defaultSlack  = 10
+	defaultWindow = 10
+)
+
+// Check implements checker.Checked; it fills in the defaults first.
+func (s *Settings) Check() []checker.Problem {
+	checker.Default(&s.Level, "info")
+	checker.Default(&s.Memory, defaultMemory)
+	checker.Default(&s.Grace, defaultGrace)
+	checker.Default(&s.Retry.Ratio, defaultRatio)
+	checker.Default(&s.Retry.Slack, defaultSlack)
+	checker.Default(&s.Retry.Window, defaultWindow)
+	var bad checker.Problems
+	bad.Require(slices.Contains(logger.Levels, s.Level), "level", "must be debug, info, warn or error")
+	bad.Require(s.VM != "", "vm", "must name this VM")
+	bad.Require(s.Domain != "", "domain", "must name the failure domain")
+	bad.Require(s.Memory >= 32, "memory_mb", "must be at least 32 megabytes")
+	bad.Require(s.Grace > 0, "grace_s", "must be above 0 seconds")
+	bad.Require(checker.AreAddresses(s.Entries), "entries", "must hold IP:PORT")
+	bad.Require(checker.IsAddress(s.Listen.Callers), "listen.callers", "must be IP:PORT")
+	bad.Require(checker.IsAddress(s.Listen.Ready), "listen.ready", "must be IP:PORT")
+	bad.Require(checker.IsAddress(s.Listen.Calls), "listen.calls", "must be IP:PORT")
+	bad.Require(checker.IsAddress(s.Listen.Datagrams), "listen.datagrams", "must be IP:PORT")
+	bad.Require(checker.IsAddress(s.Listen.Metrics), "listen.metrics", "must be IP:PORT")
+	bad.Require(s.Retry.Ratio > 0, "retry.ratio", "must be above 0")
+	bad.Require(s.Retry.Slack > 0, "retry.slack", "must be above 0")
+	bad.Require(s.Retry.Window > 0, "retry.window_s", "must be above 0 seconds")
+	bad.Require(checker.IsAddress(s.Platform.Store), "platform.store", "must be IP:PORT")
+	return bad
+}
--- /dev/null
+++ b/entry/internal/exchanger/exchanger.go
@@ -0,0 +1,356 @@
+// Package exchanger keeps entries that call backend servers themselves in
+// touch: what each has under way goes to the others in datagrams, at once when
+// it changes, and one that has an older configuration than another fetches the
+// newer from it. So no shared service is asked on the path of a request, and an
+// entry that the store turns away stays current.
+//
+// # Usage
+//
+//	e, err := exchanger.New(exchanger.Config{...})
+//	go e.Run(ctx)
+//	entries := e.Entries()
+//	http.Handle(exchanger.Path, e)
+package exchanger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"bamboohill/core/bookkeeper"
+	"bamboohill/wire"
+
+	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
+)
+
+// Path is where an entry serves what it knows.
+const Path = "/state"
+
+// State is what entries have in common, as one of them knows it.
+type State interface {
+	Revision() int64 // rises with what operators change
+	Snapshot() ([]byte, error)
+	Restore(snapshot []byte) error
+}
+
+// Directory is where entries find each other.
+type Directory interface {
+	Announce(ctx context.Context, name, address string) error
+	Withdraw(ctx context.Context, name string) error
+	Announced(ctx context.Context) ([]string, error)
+}
+
+// Config describes an Exchanger. All fields but Seeds are needed.
+type Config struct {
+	Log       *log.Logger
+	Books     *bookkeeper.Bookkeeper
+	State     State
+	Directory Directory
+	Name      string         // of this entry
+	Calls     netip.AddrPort // where this entry serves Path
+	Datagrams netip.AddrPort // the port is the same at all entries
+	Seeds     []string       // addresses of some entries, perhaps stale
+}
+
+// Pace of the exchange.
+const (
+	heartbeat    = 250 * time.Millisecond // a lost datagram is mended by the next
+	gapLeast     = 8 * time.Millisecond   // between two datagrams, which bounds what a burst costs
+	peerLive     = 2 * time.Second        // some heartbeats
+	peerKept     = time.Minute            // a silent entry is still told for as long
+	lookEvery    = 8 * time.Second        // at the directory
+	pullPatience = 150 * time.Millisecond // for the store to bring the same change
+	pullMost     = time.Second
+	snapshotMost = 32 << 20
+	datagramMost = 32 << 10
+)
+
+type peer struct {
+	heard       time.Time // zero if never
+	known       time.Time // when it was last named
+	incarnation uint64
+	sequence    uint64
+	name        string
+}
+
+// Exchanger holds what one entry knows of the others.
+type Exchanger struct {
+	config      Config
+	incarnation uint64
+	socket      *net.UDPConn
+	client      *http.Client
+
+	mu      sync.Mutex
+	peers   map[string]*peer // by the address where it serves Path
+	pulling bool
+}
+
+// New opens the socket.
+func New(config Config) (*Exchanger, error) {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(config.Datagrams))
+	if err != nil {
+		return nil, err
+	}
+	e := &Exchanger{
+		config: config, socket: socket, incarnation: uint64(time.Now().UnixMilli()),
+		client: &http.Client{Timeout: pullMost}, peers: map[string]*peer{},
+	}
+	for _, s := range config.Seeds {
+		e.meet(s, time.Now())
+	}
+	return e, nil
+}
+
+// meet remembers an entry's address.
+func (e *Exchanger) meet(address string, now time.Time) *peer {
+	if _, err := netip.ParseAddrPort(address); err != nil || address == e.config.Calls.String() {
+		return nil
+	}
+	p, found := e.peers[address]
+	if !found {
+		p = &peer{}
+		e.peers[address] = p
+	}
+	p.known = now
+	return p
+}
+
+// Run exchanges until ctx ends.
+func (e *Exchanger) Run(ctx context.Context) {
+	var wait sync.WaitGroup
+	wait.Go(func() { e.tell(ctx) })
+	wait.Go(func() { e.listen(ctx) })
+	wait.Go(func() { e.look(ctx) })
+	<-ctx.Done()
+	_ = e.socket.Close() // wakes listen
+	wait.Wait()
+}
+
+// Entries returns the number of entries that share limits now.
+func (e *Exchanger) Entries() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 1
+	for _, p := range e.peers {
+		if !p.heard.IsZero() && time.Since(p.heard) < peerKept {
+			n++
+		}
+	}
+	return n
+}
+
+// tell sends what this entry has under way.
+func (e *Exchanger) tell(ctx context.Context) {
+	beat := time.NewTicker(heartbeat)
+	defer beat.Stop()
+	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
+		e.send(e.encode(sequence, time.Now()))
+		gap := time.NewTimer(gapLeast)
+		select {
+		case <-ctx.Done():
+		case <-gap.C:
+		}
+		select {
+		case <-ctx.Done():
+		case <-beat.C:
+		case <-e.config.Books.Changed():
+		}
+	}
+}
+
+func (e *Exchanger) encode(sequence uint64, now time.Time) *wire.Outstanding {
+	o := &wire.Outstanding{
+		Entry: e.config.Name, Incarnation: e.incarnation, Sequence: sequence,
+		Address: e.config.Calls.String(), Configuration: e.config.State.Revision(),
+	}
+	for id, l := range e.config.Books.Own(now) {
+		o.Work = append(o.Work, &wire.ServerWork{
+			Server: bookkeeper.Hash(id), ReadingMs: uint32(l.Reading.Milliseconds()),
+			Tight: uint32(l.Writers[bookkeeper.Tight]), Middle: uint32(l.Writers[bookkeeper.Middle]),
+			Wide: uint32(l.Writers[bookkeeper.Wide]), ContextK: uint32(l.Context / 1000),
+			Running: uint32(l.Running), Parts: uint32(l.Parts),
+		})
+	}
+	return o
+}
+
+func (e *Exchanger) send(o *wire.Outstanding) {
+	e.mu.Lock()
+	var to []netip.AddrPort
+	for address, p := range e.peers {
+		if time.Since(p.known) > peerKept {
+			delete(e.peers, address)
+			e.config.Log.Info().Str("event", "peer-forgotten").Str("peer", address).Msg("")
+			continue
+		}
+		if p.heard.IsZero() || time.Since(p.heard) < peerKept {
+			o.Peers = append(o.Peers, address)
+		}
+		to = append(to, netip.AddrPortFrom(netip.MustParseAddrPort(address).Addr(), e.config.Datagrams.Port()))
+	}
+	e.mu.Unlock()
+	text, err := proto.Marshal(o)
+	if err != nil {
+		e.config.Log.Error().Str("event", "datagram").Str("cause", err.Error()).Msg("")
+		return
+	}
+	for _, address := range to {
+		// An entry that can't be reached hears the next one.
+		if _, err := e.socket.WriteToUDPAddrPort(text, address); err != nil {
+			e.config.Log.Debug().Str("event", "datagram").Str("peer", address.String()).Str("cause", err.Error()).Msg("")
+		}
+	}
+}
+
+// listen takes the others' datagrams.
+func (e *Exchanger) listen(ctx context.Context) {
+	buffer := make([]byte, datagramMost)
+	for ctx.Err() == nil {
+		n, _, err := e.socket.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // an unreachable peer's port, told by the network
+		}
+		o := &wire.Outstanding{}
+		if err := proto.Unmarshal(buffer[:n], o); err != nil {
+			e.config.Log.Warn().Str("event", "datagram-not-understood").Str("cause", err.Error()).Msg("")
+			continue
+		}
+		e.hear(ctx, o, time.Now())
+	}
+}
+
+func (e *Exchanger) hear(ctx context.Context, o *wire.Outstanding, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.meet(o.GetAddress(), now)
+	if p == nil {
+		return
+	}
+	if p.incarnation > o.GetIncarnation() || p.incarnation == o.GetIncarnation() && p.sequence >= o.GetSequence() {
+		return // overtaken
+	}
+	if p.heard.IsZero() || now.Sub(p.heard) > peerLive {
+		e.config.Log.Info().Str("event", "peer-heard").Str("peer", o.GetEntry()).Str("address", o.GetAddress()).Msg("")
+	}
+	p.heard, p.incarnation, p.sequence, p.name = now, o.GetIncarnation(), o.GetSequence(), o.GetEntry()
+	for _, other := range o.GetPeers() {
+		if _, found := e.peers[other]; !found {
+			e.meet(other, now)
+		}
+	}
+	loads := make(map[uint32]bookkeeper.Load, len(o.GetWork()))
+	for _, w := range o.GetWork() {
+		l := bookkeeper.Load{
+			Reading: time.Duration(w.GetReadingMs()) * time.Millisecond, Context: 1000 * int(w.GetContextK()),
+			Running: int(w.GetRunning()), Parts: int(w.GetParts()),
+		}
+		l.Writers[bookkeeper.Tight] = int(w.GetTight())
+		l.Writers[bookkeeper.Middle] = int(w.GetMiddle())
+		l.Writers[bookkeeper.Wide] = int(w.GetWide())
+		loads[w.GetServer()] = l
+	}
+	e.config.Books.Hear(o.GetEntry(), loads, now)
+	if o.GetConfiguration() > e.config.State.Revision() && !e.pulling {
+		e.pulling = true
+		go e.pull(ctx, o.GetAddress(), o.GetConfiguration())
+	}
+}
+
+// pull fetches what a peer knows, unless the store brings it meanwhile.
+func (e *Exchanger) pull(ctx context.Context, address string, revision int64) {
+	defer func() {
+		e.mu.Lock()
+		e.pulling = false
+		e.mu.Unlock()
+	}()
+	if e.config.State.Revision() > 0 {
+		t := time.NewTimer(pullPatience)
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+	before := e.config.State.Revision()
+	if before >= revision {
+		return
+	}
+	err := e.fetch(ctx, address)
+	l := e.config.Log.Info().Str("event", "pulled").Str("peer", address).Int64("before", before).Int64("now", e.config.State.Revision())
+	if err != nil {
+		l = l.Str("cause", err.Error())
+	}
+	l.Msg("")
+}
+
+func (e *Exchanger) fetch(ctx context.Context, address string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+Path, nil)
+	if err != nil {
+		return err
+	}
+	answer, err := e.client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return fmt.Errorf("exchanger: %s answered %d", address, answer.StatusCode)
+	}
+	text, err := io.ReadAll(io.LimitReader(answer.Body, snapshotMost))
+	if err != nil {
+		return err
+	}
+	return e.config.State.Restore(text)
+}
+
+// ServeHTTP serves Path.
+func (e *Exchanger) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	text, err := e.config.State.Snapshot()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if _, err := w.Write(text); err != nil {
+		e.config.Log.Info().Str("event", "state-not-sent").Str("cause", err.Error()).Msg("")
+	}
+}
+
+// look announces this entry and learns of others.
+func (e *Exchanger) look(ctx context.Context) {
+	announced := false
+	for {
+		if !announced {
+			if err := e.config.Directory.Announce(ctx, e.config.Name, e.config.Calls.String()); err == nil {
+				announced = true
+			}
+		}
+		addresses, err := e.config.Directory.Announced(ctx)
+		wait := lookEvery
+		if err != nil || !announced {
+			wait = time.Second
+		}
+		e.mu.Lock()
+		for _, a := range addresses {
+			e.meet(a, time.Now())
+		}
+		e.mu.Unlock()
+		t := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		}
+	}
+}
--- /dev/null
+++ b/entry/internal/forwarder/place.go
@@ -0,0 +1,109 @@
+package forwarder
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bamboohill/core/assigner"
+	"bamboohill/core/bookkeeper"
+	"bamboohill/core/viewer"
+)
+
+// placement is where a request is sent.
+type placement struct {
+	server    *viewer.Server
+	helpers   []*viewer.Server
+	work      bookkeeper.Work
+	expected  time.Duration // until the first event; 0 if unknown
+	cost      float64
+	choices   int
+	load      bookkeeper.Load // at the server, before this request
+	attempted time.Time
+}
+
+// choices returns the backend servers that may get the request: of those that
+// may work, the ones that this entry has no reason to pass over.
+func (x *exchange) choices(now time.Time) []*viewer.Server {
+	all := x.view.Of(x.service.Name)
+	trusted := slices.DeleteFunc(slices.Clone(all), func(s *viewer.Server) bool {
+		return x.tried[s.ID] || x.forwarder.Doubts.Doubted(s.ID, now)
+	})
+	if len(trusted) > 0 {
+		return trusted
+	}
+	// Everything is doubted, which says more about the path than about the
+	// servers: one that was not tried yet is better than none.
+	return slices.DeleteFunc(all, func(s *viewer.Server) bool { return x.tried[s.ID] })
+}
+
+// place picks the backend servers for the next send.
+func (x *exchange) place(now time.Time) (placement, bool) {
+	x.view = x.current()
+	servers := x.choices(now)
+	if len(servers) == 0 {
+		return placement{}, false
+	}
+	p := placement{choices: len(servers), attempted: now}
+	if x.service.Engine != nil && x.route.Kind == viewer.Streaming {
+		x.placePrompt(&p, servers, now)
+	} else {
+		x.placeCall(&p, servers, now)
+	}
+	x.forwarder.Books.Place(x.call.Attempt, p.work, now)
+	return p, true
+}
+
+// current returns the newest view if it still sends the route to the service:
+// a request that is tried again obeys what is in force by then.
+func (x *exchange) current() *viewer.View {
+	v := x.forwarder.Viewer.Load()
+	r, found := v.Configuration.Route(x.r.Host, x.r.URL.EscapedPath())
+	if !found || !slices.ContainsFunc(r.Targets, func(t viewer.Target) bool { return t.Service == x.service.Name }) {
+		return x.view
+	}
+	return v
+}
+
+// placePrompt places a prompt on model engines.
+func (x *exchange) placePrompt(p *placement, servers []*viewer.Server, now time.Time) {
+	candidates := make([]assigner.Candidate, len(servers))
+	byID := make(map[viewer.ServerID]*viewer.Server, len(servers))
+	for i, s := range servers {
+		candidates[i] = assigner.Candidate{ID: s.ID, Engine: x.service.Engine, Load: x.forwarder.Books.Load(s.ID, now)}
+		byID[s.ID] = s
+	}
+	plan, _ := assigner.Choose(assigner.Prompt{
+		Tokens: x.call.Prompt, Answer: x.call.Answer,
+		Target: x.route.TargetLatency, Gap: x.route.TargetGap,
+	}, candidates)
+	p.server = byID[plan.Server]
+	for _, id := range plan.Helpers {
+		p.helpers = append(p.helpers, byID[id])
+	}
+	p.expected, p.cost = plan.Expected, plan.Cost
+	for _, c := range candidates {
+		if c.ID == plan.Server {
+			p.load = c.Load
+		}
+	}
+	p.work = bookkeeper.Work{
+		Server: plan.Server, Helpers: plan.Helpers, Reading: plan.Reading,
+		Context: x.call.Prompt + x.call.Answer/2, Pause: bookkeeper.PauseOf(x.route.TargetGap),
+	}
+}
+
+// placeCall places a request of a plain service: where the fewest run.
+func (x *exchange) placeCall(p *placement, servers []*viewer.Server, now time.Time) {
+	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+	loads := make(map[viewer.ServerID]bookkeeper.Load, len(servers))
+	for _, s := range servers {
+		loads[s.ID] = x.forwarder.Books.Load(s.ID, now)
+	}
+	p.server = slices.MinFunc(servers, func(a, b *viewer.Server) int {
+		return cmp.Compare(loads[a.ID].Running*max(1, b.Slots), loads[b.ID].Running*max(1, a.Slots))
+	})
+	p.load = loads[p.server.ID]
+	p.work = bookkeeper.Work{Server: p.server.ID}
+}
--- /dev/null
+++ b/entry/internal/forwarder/send.go
@@ -0,0 +1,200 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"bamboohill/core/connector"
+	"bamboohill/core/eventer"
+	"bamboohill/core/translator"
+	"bamboohill/core/viewer"
+)
+
+// Bounds of the wait for a silent backend server. A model engine that lost a
+// helper stalls for 1.5 s; callers leave a silent stream after 2 s or more.
+const (
+	silenceLeast = 1200 * time.Millisecond
+	silenceGaps  = 3 // pauses that the route allows
+	firstSlack   = time.Second
+	callLeast    = 150 * time.Millisecond
+)
+
+// wholeMost is the size of an answer, in bytes, up to which it is read whole
+// before any of it is passed on, so that a cut one can be replaced.
+const wholeMost = 256 << 10
+
+// errCut is returned for an answer that ended too early.
+var errCut = errors.New("answer ended inside an event")
+
+// relay is what the caller has of the answer.
+type relay struct {
+	begun  bool
+	cutter eventer.Cutter
+	first  time.Duration // from the request until its first event
+}
+
+// send sends the request to one backend server and passes the answer on.
+func (x *exchange) send(ctx context.Context, p placement) fate {
+	f := x.forwarder
+	attempt := x.call.Attempt
+	defer func() { f.Books.End(attempt, time.Now()) }()
+	x.tried[p.server.ID] = true
+	s := translator.Sending{
+		Server: p.server.ID, Account: x.account, Left: time.Until(x.deadline), Behind: x.call.Behind,
+	}
+	if last := x.relay.cutter.Last(); last != "" {
+		s.Behind = last
+	}
+	for _, h := range p.helpers {
+		s.Helpers = append(s.Helpers, h.Address)
+	}
+	waiting, cancel := x.patience(ctx, p)
+	defer cancel()
+	answer, err := f.Connector.Send(waiting, p.server.Address, connector.Request{
+		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
+		Header: f.Dialect.Encode(x.r.Header, s), Body: x.body,
+		Fresh: !x.history.repeatable,
+		Mine:  func(h http.Header) bool { return f.Dialect.Mine(h, attempt) },
+	})
+	if err != nil {
+		return x.unanswered(p, err)
+	}
+	defer answer.Close()
+	v := f.Dialect.Judge(answer.Status, answer.Header)
+	x.history.sends++
+	if v.NotRun {
+		return x.turnedDown(p, v, answer)
+	}
+	x.history.runs++
+	if answer.Status/100 == 2 && x.route.Kind == viewer.Streaming {
+		return x.stream(p, answer)
+	}
+	return x.whole(p, answer)
+}
+
+// patience bounds the whole of one send of a plain call: one that may be
+// repeated is given to another backend server while there is time.
+func (x *exchange) patience(ctx context.Context, p placement) (context.Context, context.CancelFunc) {
+	if x.route.Kind != viewer.Repeat || x.history.runs+1 >= x.history.most || p.choices < 2 {
+		return context.WithCancel(ctx)
+	}
+	wait := max(callLeast, 2*x.route.TargetLatency, time.Until(x.deadline)/2)
+	return context.WithTimeout(ctx, min(wait, time.Until(x.deadline)))
+}
+
+// unanswered handles a send without an answer.
+func (x *exchange) unanswered(p placement, err error) fate {
+	result := x.classify(err)
+	if result == fateLeft {
+		return result
+	}
+	if result == fateBroken {
+		x.history.sends++
+		x.history.runs++
+	}
+	x.doubt(p, err.Error())
+	return result
+}
+
+func (x *exchange) doubt(p placement, cause string) {
+	span := x.forwarder.Doubts.Fail(p.server.ID, time.Now())
+	x.forwarder.Meter.Add("doubts", 1)
+	x.forwarder.Log.Info().Str("event", "doubted").Str("id", x.call.Attempt).Str("server", string(p.server.ID)).
+		Str("address", p.server.Address).Dur("for", span).Str("cause", cause).Msg("")
+}
+
+// turnedDown handles a backend server's word that it did not run the request.
+func (x *exchange) turnedDown(p placement, v translator.Verdict, answer *connector.Answer) fate {
+	x.cause = "turned down with " + http.StatusText(answer.Status)
+	if _, err := io.Copy(io.Discard, io.LimitReader(answer, wholeMost)); err != nil {
+		x.cause += "; " + err.Error()
+	}
+	for _, h := range p.helpers {
+		if h.Address == v.Culprit {
+			x.forwarder.Doubts.Fail(h.ID, time.Now())
+			delete(x.tried, p.server.ID) // it is not at fault
+			x.tried[h.ID] = true
+			x.cause += "; helper " + string(h.ID) + " is at fault"
+			return fateNotRun
+		}
+	}
+	x.doubt(p, x.cause)
+	return fateNotRun
+}
+
+// whole passes on an answer that is no stream, or a failure.
+func (x *exchange) whole(p placement, answer *connector.Answer) fate {
+	f := x.forwarder
+	header := f.Dialect.Reply(answer.Header)
+	body, err := io.ReadAll(io.LimitReader(answer, wholeMost+1))
+	switch {
+	case err != nil:
+		x.cause = "answer: " + err.Error()
+		if x.r.Context().Err() != nil {
+			return fateLeft
+		}
+		x.doubt(p, x.cause)
+		return fateBroken
+	case answer.Header.Get("Content-Encoding") != "":
+		x.cause = "answer with a content encoding"
+		return fateBroken
+	case answer.Status/100 == 2:
+		f.Doubts.Succeed(p.server.ID)
+		if len(body) > wholeMost {
+			return x.long(answer, header, body)
+		}
+		x.write(answer.Status, header, body)
+		return fateDone
+	}
+	x.cause = "answered " + http.StatusText(answer.Status)
+	if len(body) <= wholeMost && !promises(answer.Status) && !x.relay.begun {
+		x.failure = &failure{status: answer.Status, header: header, body: body}
+	}
+	if answer.Status/100 == 4 {
+		return fateDone4(x)
+	}
+	return fateFailed
+}
+
+// fateDone4 passes on an answer that would be the same elsewhere.
+func fateDone4(x *exchange) fate {
+	if x.failure == nil {
+		return fateFailed
+	}
+	x.write(x.failure.status, x.failure.header, x.failure.body)
+	return fateDone
+}
+
+// promises reports whether callers take a status as a promise that the request
+// has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// long passes on the rest of a long answer as it comes.
+func (x *exchange) long(answer *connector.Answer, header http.Header, body []byte) fate {
+	h := x.w.Header()
+	for name, values := range header {
+		h[name] = values
+	}
+	x.close()
+	x.history.resumable = false
+	x.relay.begun = true
+	x.w.WriteHeader(answer.Status)
+	if _, err := x.w.Write(body); err != nil {
+		x.cause = "caller: " + err.Error()
+		return fateLeft
+	}
+	if _, err := io.Copy(x.w, answer); err != nil {
+		x.cause = "answer: " + err.Error()
+		return fateBroken
+	}
+	return fateDone
+}
--- /dev/null
+++ b/entry/internal/forwarder/stream.go
@@ -0,0 +1,116 @@
+package forwarder
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"bamboohill/core/connector"
+)
+
+// streamBuffer is the size of one read of a stream, in bytes: some events.
+const streamBuffer = 4 << 10
+
+// stream passes on the events of a stream as they come, whole ones only.
+func (x *exchange) stream(p placement, answer *connector.Answer) fate {
+	f := x.forwarder
+	if answer.Header.Get("Content-Encoding") != "" {
+		x.cause = "stream with a content encoding"
+		return fateBroken
+	}
+	flusher := http.NewResponseController(x.w)
+	buffer := make([]byte, streamBuffer)
+	heard := false
+	answer.Wait(max(silenceLeast, 2*p.expected+firstSlack))
+	for {
+		n, err := answer.Read(buffer)
+		whole, long := x.relay.cutter.Take(buffer[:n])
+		if long != nil {
+			err = long
+		}
+		if len(whole) > 0 {
+			if !heard {
+				heard = true
+				x.first(p)
+				answer.Wait(max(silenceLeast, silenceGaps*x.route.TargetGap))
+			}
+			x.begin(answer)
+			if failed := pass(x.w, flusher, whole); failed != nil {
+				x.cause = "caller: " + failed.Error()
+				return fateLeft
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, io.EOF) {
+			if x.relay.cutter.Pending() == 0 {
+				x.begin(answer)
+				f.Doubts.Succeed(p.server.ID)
+				return fateDone
+			}
+			err = errCut
+		}
+		return x.broken(p, err)
+	}
+}
+
+// begin sends the head of the answer, once.
+func (x *exchange) begin(answer *connector.Answer) {
+	if x.relay.begun {
+		return
+	}
+	x.relay.begun = true
+	h := x.w.Header()
+	for name, values := range x.forwarder.Dialect.Reply(answer.Header) {
+		h[name] = values
+	}
+	x.close()
+	x.w.WriteHeader(answer.Status)
+}
+
+func pass(w io.Writer, flusher *http.ResponseController, events []byte) error {
+	if _, err := w.Write(events); err != nil {
+		return err
+	}
+	return flusher.Flush()
+}
+
+// first notes the first event of a send.
+func (x *exchange) first(p placement) {
+	now := time.Now()
+	x.forwarder.Books.First(x.call.Attempt, now)
+	x.forwarder.Doubts.Succeed(p.server.ID)
+	if x.relay.first == 0 {
+		x.relay.first = now.Sub(x.received)
+		x.forwarder.Meter.Observe("first_event", x.relay.first)
+	}
+}
+
+// broken handles a stream that ended too early.
+func (x *exchange) broken(p placement, err error) fate {
+	x.cause = "stream: " + err.Error()
+	x.relay.cutter.Drop()
+	if x.r.Context().Err() != nil {
+		return fateLeft
+	}
+	if x.relay.cutter.Events() > 0 && x.relay.cutter.Last() == "" {
+		x.history.resumable = false
+	}
+	x.doubt(p, x.cause)
+	return fateBroken
+}
+
+// note logs how one send ended.
+func (x *exchange) note(p placement, result fate) {
+	age := time.Since(p.server.Seen)
+	x.forwarder.Meter.Add("sends_"+result.String(), 1)
+	x.forwarder.Log.Info().Str("event", "sent").Str("id", x.call.Attempt).Str("route", x.route.Name).
+		Str("server", string(p.server.ID)).Str("address", p.server.Address).
+		Int("helpers", len(p.helpers)).Int("choices", p.choices).
+		Int("tokens", x.call.Prompt).Dur("reading", p.work.Reading).Dur("expected", p.expected).
+		Float64("cost", float64(int(p.cost*100))/100).Int("writers", p.load.Writing()).Dur("backlog", p.load.Reading).
+		Dur("server_age", age).Dur("first", x.relay.first).Dur("took", time.Since(p.attempted)).
+		Str("outcome", result.String()).Str("cause", x.cause).Msg("")
+}
