A silent server is left only where the request may go elsewhere; cold shares

Change: a guard watches each send, asks whether the request may be sent once more (bound of the route, budget) before it leaves a silent server, and waits on otherwise. core/warmer gives each entry its share of a cold server's rate, and takes a server that failed for cold until its registration says better.

Ruled out: no watchdog at all (a hung engine then holds a stream to the end).

--- a/core/connector/send.go
+++ b/core/connector/send.go
@@ -45,10 +45,8 @@
 	}
 	a := &Answer{connector: c, conn: k, written: make(chan error, 1)}
 	a.stop = context.AfterFunc(ctx, func() { _ = k.Close() }) // wakes whoever reads or writes
-	if deadline, set := ctx.Deadline(); set {
-		a.deadline = deadline
-	}
-	if err := k.SetDeadline(a.deadline); err != nil {
+	deadline, _ := ctx.Deadline()
+	if err := k.SetDeadline(deadline); err != nil {
 		a.Close()
 		return nil, &Error{Address: address, Phase: "write", Err: err}
 	}
@@ -133,8 +131,6 @@
 	body      io.ReadCloser
 	close     bool
 	idle      time.Duration
-	deadline  time.Time
-	patience  time.Duration
 	whole     bool
 	written   chan error
 	stop      func() bool
@@ -159,21 +155,8 @@
 	return time.Hour
 }
 
-// Wait bounds how long each of the following reads waits for bytes, within the
-// deadline of the request.
-func (a *Answer) Wait(patience time.Duration) { a.patience = patience }
-
 // Read reads the body. It returns io.EOF only behind a whole one.
 func (a *Answer) Read(p []byte) (int, error) {
-	if a.patience > 0 && a.conn.reader.Buffered() == 0 {
-		until := time.Now().Add(a.patience)
-		if !a.deadline.IsZero() && a.deadline.Before(until) {
-			until = a.deadline
-		}
-		if err := a.conn.SetReadDeadline(until); err != nil {
-			return 0, err
-		}
-	}
 	n, err := a.body.Read(p)
 	if err == io.EOF {
 		a.whole = true
--- a/entry/internal/director/director.go
+++ b/entry/internal/director/director.go
@@ -18,6 +18,7 @@
 	"bamboohill/core/connector"
 	"bamboohill/core/doubter"
 	"bamboohill/core/viewer"
+	"bamboohill/core/warmer"
 	"bamboohill/entry/internal/exchanger"
 	"bamboohill/entry/internal/forwarder"
 	"bamboohill/platform"
@@ -55,6 +56,7 @@
 	exchanger *exchanger.Exchanger
 	forwarder *forwarder.Forwarder
 	connector *connector.Connector
+	warm      *warmer.Warmer
 	meter     *forwarder.Meter
 	closing   atomic.Bool
 }
@@ -64,7 +66,7 @@
 	s := config.Settings
 	d := &Director{
 		config: config, viewer: viewer.New(), meter: forwarder.NewMeter(),
-		connector: connector.New(connector.Config{}),
+		connector: connector.New(connector.Config{}), warm: warmer.New(),
 	}
 	d.platform = platform.New(platform.Config{Settings: s.Platform, Viewer: d.viewer, Log: config.Log})
 	books := bookkeeper.New()
@@ -85,7 +87,7 @@
 	}
 	d.forwarder = forwarder.New(forwarder.Config{
 		Log: config.Log, Dialect: platform.Dialect{}, Viewer: d.viewer, Books: books,
-		Budget: budgeter.New(s.Retry.budget()), Connector: d.connector, Doubts: doubter.New(),
+		Budget: budgeter.New(s.Retry.budget()), Connector: d.connector, Doubts: doubter.New(), Warm: d.warm,
 		Meter: d.meter, Region: s.Region, Entries: d.exchanger.Entries, Closing: d.closing.Load,
 	})
 	return d, nil
@@ -172,6 +174,7 @@
 			d.config.Log.Info().Str("event", "reload").Str("outcome", "settings take effect at the next start").Msg("")
 		case now := <-tick.C:
 			d.connector.Expire(now)
+			d.warm.Expire(now)
 		}
 	}
 }
--- a/entry/internal/exchanger/exchanger.go
+++ b/entry/internal/exchanger/exchanger.go
@@ -68,11 +68,17 @@
 	lookEvery    = 8 * time.Second        // at the directory
 	pullPatience = 150 * time.Millisecond // for the store to bring the same change
 	pullMost     = time.Second
+	peerSpeaks   = 5 * time.Second // from an entry's name to its first datagram
 	snapshotMost = 32 << 20
 	datagramMost = 32 << 10
 )
 
+// entriesUnknown is the number of entries that limits are shared between while
+// nobody has said how many there are.
+const entriesUnknown = 8
+
 type peer struct {
+	met         time.Time // when it was first named
 	heard       time.Time // zero if never
 	known       time.Time // when it was last named
 	incarnation uint64
@@ -90,6 +96,7 @@
 	mu      sync.Mutex
 	peers   map[string]*peer // by the address where it serves Path
 	pulling bool
+	looked  bool // the directory was read
 }
 
 // New opens the socket.
@@ -115,7 +122,7 @@
 	}
 	p, found := e.peers[address]
 	if !found {
-		p = &peer{}
+		p = &peer{met: now}
 		e.peers[address] = p
 	}
 	p.known = now
@@ -133,16 +140,21 @@
 	wait.Wait()
 }
 
-// Entries returns the number of entries that share limits now.
+// Entries returns the number of entries that share limits now: those heard
+// lately, and those just named that may be about to speak. Before the directory
+// was read there may be others, so that the share stays a safe one.
 func (e *Exchanger) Entries() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	n := 1
 	for _, p := range e.peers {
-		if !p.heard.IsZero() && time.Since(p.heard) < peerKept {
+		if time.Since(p.heard) < peerKept || p.heard.IsZero() && time.Since(p.met) < peerSpeaks {
 			n++
 		}
 	}
+	if !e.looked {
+		n = max(n, entriesUnknown)
+	}
 	return n
 }
 
@@ -341,6 +353,7 @@
 			wait = time.Second
 		}
 		e.mu.Lock()
+		e.looked = e.looked || err == nil
 		for _, a := range addresses {
 			e.meet(a, time.Now())
 		}
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"bamboohill/core/bookkeeper"
@@ -16,6 +17,7 @@
 	"bamboohill/core/doubter"
 	"bamboohill/core/translator"
 	"bamboohill/core/viewer"
+	"bamboohill/core/warmer"
 
 	"github.com/phuslu/log"
 )
@@ -29,6 +31,7 @@
 	Budget    *budgeter.Budgeter
 	Connector *connector.Connector
 	Doubts    *doubter.Doubter
+	Warm      *warmer.Warmer
 	Meter     *Meter
 	Region    viewer.Region
 	Entries   func() int  // that share limits, this one included
@@ -67,7 +70,8 @@
 	tried     map[viewer.ServerID]bool
 	failure   *failure // the newest failure answer of a backend server
 	relay     relay
-	cause     string // of the last failed send
+	cause     string      // of the last failed send
+	paid      atomic.Bool // the next send was taken from the retry budget
 }
 
 // failure is a whole answer that is a failure.
@@ -220,7 +224,7 @@
 			x.fail(x.cause)
 			return
 		}
-		if !f.Budget.Again(x.service.Name, f.Entries(), time.Now()) {
+		if !x.paid.Swap(false) && !f.Budget.Again(x.service.Name, f.Entries(), time.Now()) {
 			f.Meter.Add("budget_spent", 1)
 			x.fail("retry budget spent: " + x.cause)
 			return
--- a/entry/internal/forwarder/place.go
+++ b/entry/internal/forwarder/place.go
@@ -26,9 +26,13 @@
 // choices returns the backend servers that may get the request: of those that
 // may work, the ones that this entry has no reason to pass over.
 func (x *exchange) choices(now time.Time) []*viewer.Server {
-	all := x.view.Of(x.service.Name)
+	f := x.forwarder
+	entries := f.Entries()
+	all := slices.DeleteFunc(x.view.Of(x.service.Name), func(s *viewer.Server) bool {
+		return !f.Warm.Room(s, x.service, entries, now)
+	})
 	trusted := slices.DeleteFunc(slices.Clone(all), func(s *viewer.Server) bool {
-		return x.tried[s.ID] || x.forwarder.Doubts.Doubted(s.ID, now)
+		return x.tried[s.ID] || f.Doubts.Doubted(s.ID, now)
 	})
 	if len(trusted) > 0 {
 		return trusted
--- a/entry/internal/forwarder/send.go
+++ b/entry/internal/forwarder/send.go
@@ -13,15 +13,6 @@
 	"bamboohill/core/viewer"
 )
 
-// Bounds of the wait for a silent backend server. A model engine that lost a
-// helper stalls for 1.5 s; callers leave a silent stream after 2 s or more.
-const (
-	silenceLeast = 1200 * time.Millisecond
-	silenceGaps  = 3 // pauses that the route allows
-	firstSlack   = time.Second
-	callLeast    = 150 * time.Millisecond
-)
-
 // wholeMost is the size of an answer, in bytes, up to which it is read whole
 // before any of it is passed on, so that a cut one can be replaced.
 const wholeMost = 256 << 10
@@ -42,6 +33,7 @@
 	attempt := x.call.Attempt
 	defer func() { f.Books.End(attempt, time.Now()) }()
 	x.tried[p.server.ID] = true
+	f.Warm.Count(p.server.ID, p.attempted)
 	s := translator.Sending{
 		Server: p.server.ID, Account: x.account, Left: time.Until(x.deadline), Behind: x.call.Behind,
 	}
@@ -50,10 +42,11 @@
 	}
 	for _, h := range p.helpers {
 		s.Helpers = append(s.Helpers, h.Address)
+		f.Warm.Count(h.ID, p.attempted)
 	}
-	waiting, cancel := x.patience(ctx, p)
-	defer cancel()
-	answer, err := f.Connector.Send(waiting, p.server.Address, connector.Request{
+	guard := x.watch(ctx, p)
+	defer guard.stop()
+	answer, err := f.Connector.Send(guard.ctx, p.server.Address, connector.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: f.Dialect.Encode(x.r.Header, s), Body: x.body,
 		Fresh: !x.history.repeatable,
@@ -70,23 +63,14 @@
 	}
 	x.history.runs++
 	if answer.Status/100 == 2 && x.route.Kind == viewer.Streaming {
-		return x.stream(p, answer)
+		return x.stream(p, answer, guard)
 	}
 	return x.whole(p, answer)
 }
 
-// patience bounds the whole of one send of a plain call: one that may be
-// repeated is given to another backend server while there is time.
-func (x *exchange) patience(ctx context.Context, p placement) (context.Context, context.CancelFunc) {
-	if x.route.Kind != viewer.Repeat || x.history.runs+1 >= x.history.most || p.choices < 2 {
-		return context.WithCancel(ctx)
-	}
-	wait := max(callLeast, 2*x.route.TargetLatency, time.Until(x.deadline)/2)
-	return context.WithTimeout(ctx, min(wait, time.Until(x.deadline)))
-}
-
 // unanswered handles a send without an answer.
 func (x *exchange) unanswered(p placement, err error) fate {
+	f := x.forwarder
 	result := x.classify(err)
 	if result == fateLeft {
 		return result
@@ -94,6 +78,7 @@
 	if result == fateBroken {
 		x.history.sends++
 		x.history.runs++
+		f.Warm.Fail(p.server.ID, time.Now())
 	}
 	x.doubt(p, err.Error())
 	return result
--- a/entry/internal/forwarder/stream.go
+++ b/entry/internal/forwarder/stream.go
@@ -13,7 +13,7 @@
 const streamBuffer = 4 << 10
 
 // stream passes on the events of a stream as they come, whole ones only.
-func (x *exchange) stream(p placement, answer *connector.Answer) fate {
+func (x *exchange) stream(p placement, answer *connector.Answer, guard *guard) fate {
 	f := x.forwarder
 	if answer.Header.Get("Content-Encoding") != "" {
 		x.cause = "stream with a content encoding"
@@ -22,7 +22,6 @@
 	flusher := http.NewResponseController(x.w)
 	buffer := make([]byte, streamBuffer)
 	heard := false
-	answer.Wait(max(silenceLeast, 2*p.expected+firstSlack))
 	for {
 		n, err := answer.Read(buffer)
 		whole, long := x.relay.cutter.Take(buffer[:n])
@@ -33,8 +32,8 @@
 			if !heard {
 				heard = true
 				x.first(p)
-				answer.Wait(max(silenceLeast, silenceGaps*x.route.TargetGap))
 			}
+			guard.reset(max(silenceLeast, silenceGaps*x.route.TargetGap))
 			x.begin(answer)
 			if failed := pass(x.w, flusher, whole); failed != nil {
 				x.cause = "caller: " + failed.Error()
@@ -98,6 +97,7 @@
 	if x.relay.cutter.Events() > 0 && x.relay.cutter.Last() == "" {
 		x.history.resumable = false
 	}
+	x.forwarder.Warm.Fail(p.server.ID, time.Now())
 	x.doubt(p, x.cause)
 	return fateBroken
 }
