A server that still writes to others is slow, not dead

Cause: the guard of the last change left engines that were only slow; their prompts were read twice, which made them slower.

Change: doubter remembers when each server last sent anything to this entry. A server heard within the wait is left only after three waits in silence.

Ruled out: no guard before the first event (hung engines keep streams until their callers leave).

--- a/core/doubter/doubter.go
+++ b/core/doubter/doubter.go
@@ -38,10 +38,13 @@
 type Doubter struct {
 	mu     sync.Mutex
 	doubts map[viewer.ServerID]doubt
+	heard  map[viewer.ServerID]time.Time
 }
 
 // New returns a doubter that trusts every server.
-func New() *Doubter { return &Doubter{doubts: map[viewer.ServerID]doubt{}} }
+func New() *Doubter {
+	return &Doubter{doubts: map[viewer.ServerID]doubt{}, heard: map[viewer.ServerID]time.Time{}}
+}
 
 // Fail notes a failure and returns for how long the server is doubted.
 // Failures within one doubt are one failure: they have one cause.
@@ -61,19 +64,40 @@
 	b.failures++
 	b.until = now.Add(span)
 	d.doubts[id] = b
-	for other, o := range d.doubts {
-		if now.Sub(o.last) > memory {
-			delete(d.doubts, other)
-		}
-	}
 	return span
 }
 
-// Succeed ends the doubts about a server.
-func (d *Doubter) Succeed(id viewer.ServerID) {
+// Hear notes that a server sent part of an answer, which ends the doubts about
+// it.
+func (d *Doubter) Hear(id viewer.ServerID, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.doubts, id)
+	d.heard[id] = now
+}
+
+// HeardSince reports whether a server has sent anything to this entry after a
+// time: a server that writes to others is slow, not dead.
+func (d *Doubter) HeardSince(id viewer.ServerID, at time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.heard[id].After(at)
+}
+
+// Expire forgets servers that were not heard of for long.
+func (d *Doubter) Expire(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, at := range d.heard {
+		if now.Sub(at) > memory {
+			delete(d.heard, id)
+		}
+	}
+	for id, b := range d.doubts {
+		if now.Sub(b.last) > memory {
+			delete(d.doubts, id)
+		}
+	}
 }
 
 // Doubted reports whether a server should be passed over now.
--- a/entry/internal/director/director.go
+++ b/entry/internal/director/director.go
@@ -57,6 +57,7 @@
 	forwarder *forwarder.Forwarder
 	connector *connector.Connector
 	warm      *warmer.Warmer
+	doubts    *doubter.Doubter
 	meter     *forwarder.Meter
 	closing   atomic.Bool
 }
@@ -66,7 +67,7 @@
 	s := config.Settings
 	d := &Director{
 		config: config, viewer: viewer.New(), meter: forwarder.NewMeter(),
-		connector: connector.New(connector.Config{}), warm: warmer.New(),
+		connector: connector.New(connector.Config{}), warm: warmer.New(), doubts: doubter.New(),
 	}
 	d.platform = platform.New(platform.Config{Settings: s.Platform, Viewer: d.viewer, Log: config.Log})
 	books := bookkeeper.New()
@@ -87,7 +88,7 @@
 	}
 	d.forwarder = forwarder.New(forwarder.Config{
 		Log: config.Log, Dialect: platform.Dialect{}, Viewer: d.viewer, Books: books,
-		Budget: budgeter.New(s.Retry.budget()), Connector: d.connector, Doubts: doubter.New(), Warm: d.warm,
+		Budget: budgeter.New(s.Retry.budget()), Connector: d.connector, Doubts: d.doubts, Warm: d.warm,
 		Meter: d.meter, Region: s.Region, Entries: d.exchanger.Entries, Closing: d.closing.Load,
 	})
 	return d, nil
@@ -175,6 +176,7 @@
 		case now := <-tick.C:
 			d.connector.Expire(now)
 			d.warm.Expire(now)
+			d.doubts.Expire(now)
 		}
 	}
 }
--- a/entry/internal/forwarder/guard.go
+++ b/entry/internal/forwarder/guard.go
@@ -23,16 +23,17 @@
 type guard struct {
 	ctx    context.Context
 	cancel context.CancelFunc
-	may    func() bool
+	may    func(wait time.Duration, waits int) bool
 
 	mu    sync.Mutex
 	timer *time.Timer
 	wait  time.Duration
+	waits int // that have passed in silence
 }
 
 // watch starts a guard for a send.
 func (x *exchange) watch(ctx context.Context, p placement) *guard {
-	g := &guard{may: func() bool { return x.mayLeave(p) }}
+	g := &guard{may: func(wait time.Duration, waits int) bool { return x.mayLeave(p, wait, waits) }}
 	g.ctx, g.cancel = context.WithCancel(ctx)
 	switch x.route.Kind {
 	case viewer.Streaming:
@@ -45,9 +46,16 @@
 	return g
 }
 
-// mayLeave reports whether a silent backend server may be left for another,
-// and takes the repeat from the budget if so.
-func (x *exchange) mayLeave(p placement) bool {
+// patientWaits is how many waits a server that still writes to others is given:
+// it is slow rather than dead, and its reading would be done twice.
+const patientWaits = 3
+
+// mayLeave reports whether a backend server that was silent for a number of
+// waits may be left for another, and takes the repeat from the budget if so.
+func (x *exchange) mayLeave(p placement, wait time.Duration, waits int) bool {
+	if waits < patientWaits && x.forwarder.Doubts.HeardSince(p.server.ID, time.Now().Add(-wait)) {
+		return false
+	}
 	h := x.history
 	h.sends++
 	h.runs++
@@ -68,7 +76,7 @@
 func (g *guard) reset(wait time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.wait = wait
+	g.wait, g.waits = wait, 0
 	if g.timer == nil {
 		g.timer = time.AfterFunc(wait, g.expire)
 		return
@@ -82,7 +90,11 @@
 	if g.ctx.Err() != nil {
 		return
 	}
-	if g.may() {
+	g.mu.Lock()
+	g.waits++
+	wait, waits := g.wait, g.waits
+	g.mu.Unlock()
+	if g.may(wait, waits) {
 		g.cancel()
 		return
 	}
--- a/entry/internal/forwarder/send.go
+++ b/entry/internal/forwarder/send.go
@@ -127,7 +127,7 @@
 		x.cause = "answer with a content encoding"
 		return fateBroken
 	case answer.Status/100 == 2:
-		f.Doubts.Succeed(p.server.ID)
+		f.Doubts.Hear(p.server.ID, time.Now())
 		if len(body) > wholeMost {
 			return x.long(answer, header, body)
 		}
--- a/entry/internal/forwarder/stream.go
+++ b/entry/internal/forwarder/stream.go
@@ -29,6 +29,7 @@
 			err = long
 		}
 		if len(whole) > 0 {
+			f.Doubts.Hear(p.server.ID, time.Now())
 			if !heard {
 				heard = true
 				x.first(p)
@@ -46,7 +47,6 @@
 		if errors.Is(err, io.EOF) {
 			if x.relay.cutter.Pending() == 0 {
 				x.begin(answer)
-				f.Doubts.Succeed(p.server.ID)
 				return fateDone
 			}
 			err = errCut
@@ -80,7 +80,6 @@
 func (x *exchange) first(p placement) {
 	now := time.Now()
 	x.forwarder.Books.First(x.call.Attempt, now)
-	x.forwarder.Doubts.Succeed(p.server.ID)
 	if x.relay.first == 0 {
 		x.relay.first = now.Sub(x.received)
 		x.forwarder.Meter.Observe("first_event", x.relay.first)
