A prompt that can't be in time because of others is turned down at once

Change: assigner.Admit refuses, before the first send, what is expected after 1.2 times its target and 1.5 times what an idle engine would take; the caller is told to come back after 2 to 4 s.

--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -104,6 +104,27 @@
 	return best, found
 }
 
+// Admit reports whether a prompt should be served as planned. It answers the
+// load pattern of a flood beyond what the engines hold: whoever then waits is
+// late, and so is everyone behind. A prompt that can't be in time because of
+// others is turned down at once, so that those that are taken are in time. One
+// that would be late at an idle engine too is taken if it waits little.
+func Admit(p Prompt, plan Plan, all []Candidate) bool {
+	bound := time.Duration(lateMost * float64(p.Target))
+	for _, c := range all {
+		alone := expect(Candidate{Engine: c.Engine}, c.Engine.ReadTime(p.Tokens))
+		return plan.Expected <= max(bound, time.Duration(aloneMost*float64(alone)))
+	}
+	return false
+}
+
+// Bounds of the wait that Admit accepts, against the target and against an idle
+// engine. Predictions err by about a fifth.
+const (
+	lateMost  = 1.2
+	aloneMost = 1.5
+)
+
 // member is a candidate with the price of its share.
 type member struct {
 	Candidate
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -51,6 +51,9 @@
 const (
 	retryBase   = 400 * time.Millisecond
 	retrySpread = 600 * time.Millisecond
+	// A flood lasts some seconds, and a caller's wait is not stretched further.
+	fullBase   = 2 * time.Second
+	fullSpread = 2 * time.Second
 )
 
 // exchange is one request of a caller.
@@ -71,6 +74,7 @@
 	failure   *failure // the newest failure answer of a backend server
 	relay     relay
 	cause     string      // of the last failed send
+	full      bool        // it was not sent for want of room
 	paid      atomic.Bool // the next send was taken from the retry budget
 }
 
@@ -203,9 +207,10 @@
 	f := x.forwarder
 	f.Budget.First(x.service.Name, time.Now())
 	for {
-		p, found := x.place(time.Now())
-		if !found {
-			x.fail("no backend server")
+		p, err := x.place(time.Now())
+		if err != nil {
+			x.full = errors.Is(err, errFull)
+			x.fail(err.Error())
 			return
 		}
 		result := x.send(ctx, p)
@@ -255,6 +260,9 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if status == http.StatusServiceUnavailable {
 		wait := retryBase + time.Duration(rand.Float64()*float64(retrySpread))
+		if x.full {
+			wait = fullBase + time.Duration(rand.Float64()*float64(fullSpread))
+		}
 		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
 	}
 	x.close()
--- a/entry/internal/forwarder/place.go
+++ b/entry/internal/forwarder/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -11,6 +12,12 @@
 	"bamboohill/core/viewer"
 )
 
+// Reasons for not sending a request.
+var (
+	errNoServer = errors.New("no backend server")
+	errFull     = errors.New("all backend servers are full")
+)
+
 // placement is where a request is sent.
 type placement struct {
 	server    *viewer.Server
@@ -43,20 +50,22 @@
 }
 
 // place picks the backend servers for the next send.
-func (x *exchange) place(now time.Time) (placement, bool) {
+func (x *exchange) place(now time.Time) (placement, error) {
 	x.view = x.current()
 	servers := x.choices(now)
 	if len(servers) == 0 {
-		return placement{}, false
+		return placement{}, errNoServer
 	}
 	p := placement{choices: len(servers), attempted: now}
 	if x.service.Engine != nil && x.route.Kind == viewer.Streaming {
-		x.placePrompt(&p, servers, now)
+		if !x.placePrompt(&p, servers, now) {
+			return placement{}, errFull
+		}
 	} else {
 		x.placeCall(&p, servers, now)
 	}
 	x.forwarder.Books.Place(x.call.Attempt, p.work, now)
-	return p, true
+	return p, nil
 }
 
 // current returns the newest view if it still sends the route to the service:
@@ -71,17 +80,21 @@
 }
 
 // placePrompt places a prompt on model engines.
-func (x *exchange) placePrompt(p *placement, servers []*viewer.Server, now time.Time) {
+func (x *exchange) placePrompt(p *placement, servers []*viewer.Server, now time.Time) bool {
 	candidates := make([]assigner.Candidate, len(servers))
 	byID := make(map[viewer.ServerID]*viewer.Server, len(servers))
 	for i, s := range servers {
 		candidates[i] = assigner.Candidate{ID: s.ID, Engine: x.service.Engine, Load: x.forwarder.Books.Load(s.ID, now)}
 		byID[s.ID] = s
 	}
-	plan, _ := assigner.Choose(assigner.Prompt{
+	prompt := assigner.Prompt{
 		Tokens: x.call.Prompt, Answer: x.call.Answer,
 		Target: x.route.TargetLatency, Gap: x.route.TargetGap,
-	}, candidates)
+	}
+	plan, _ := assigner.Choose(prompt, candidates)
+	if x.history.sends == 0 && !assigner.Admit(prompt, plan, candidates) {
+		return false
+	}
 	p.server = byID[plan.Server]
 	for _, id := range plan.Helpers {
 		p.helpers = append(p.helpers, byID[id])
@@ -96,6 +109,7 @@
 		Server: plan.Server, Helpers: plan.Helpers, Reading: plan.Reading,
 		Context: x.call.Prompt + x.call.Answer/2, Pause: bookkeeper.PauseOf(x.route.TargetGap),
 	}
+	return true
 }
 
 // placeCall places a request of a plain service: where the fewest run.
