Parts of long prompts avoid engines at which others wait to be read

An engine reads parts of others' prompts before what its own callers sent, so a request whose engine gets part after part starves.

Change: loads say how many requests wait for their first event, by the pause that they bear; a part is priced with the delay that it gives them. Silence before the first event is borne for the target and twice the expected time. A server that turns a request down is not doubted, unless it is another one.

--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -72,6 +72,9 @@
 	// haste prices the wait itself, so that of two ways in time the faster is
 	// taken.
 	haste = 0.08
+	// aheadCost weighs the delay of a request whose reading others overtake: it
+	// is overtaken more than once.
+	aheadCost = 2
 	// slotWait is how long a slot of a full engine takes to come free: answers
 	// last some two seconds on sixteen slots.
 	slotWait = 150 * time.Millisecond
@@ -83,6 +86,10 @@
 // bounds of the pauses that writers bear, by bookkeeper.Pause.
 var bounds = [...]time.Duration{200 * time.Millisecond, 500 * time.Millisecond, 800 * time.Millisecond}
 
+// targets until the first event, by bookkeeper.Pause: of the routes that have
+// such pauses.
+var targets = [...]time.Duration{300 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second}
+
 // values of the answers of writers, by bookkeeper.Pause: of the sizes that
 // routes with such pauses usually have.
 var values = [...]float64{1.5, 4, 18}
@@ -217,8 +224,11 @@
 	for i, n := range c.Load.Writers {
 		sum += float64(n) * values[i] * (risk(after, bounds[i]) - risk(before, bounds[i]))
 	}
-	waiting := max(0, c.Load.Running-c.Load.Writing())
-	return sum + float64(waiting)*min(1, ratio(share, time.Second))
+	// A part goes ahead of what those that wait here have still to read.
+	for i, n := range c.Load.Waiting {
+		sum += float64(n) * values[i] * min(1, aheadCost*ratio(share, targets[i]))
+	}
+	return sum
 }
 
 func pace(c Candidate, d time.Duration) time.Duration {
--- a/core/bookkeeper/bookkeeper.go
+++ b/core/bookkeeper/bookkeeper.go
@@ -58,6 +58,7 @@
 type Load struct {
 	Reading time.Duration // of prompts, not yet done
 	Writers [pauses]int   // requests that have their first event
+	Waiting [pauses]int   // requests that have not
 	Context int           // tokens held by requests that run
 	Running int           // requests sent and not ended
 	Parts   int           // parts of others' prompts being read
@@ -68,6 +69,7 @@
 	l.Reading += other.Reading
 	for i := range l.Writers {
 		l.Writers[i] += other.Writers[i]
+		l.Waiting[i] += other.Waiting[i]
 	}
 	l.Context += other.Context
 	l.Running += other.Running
@@ -158,6 +160,7 @@
 		it.left[id] = w.Reading
 		if i == 0 {
 			a.load.Running++
+			a.load.Waiting[w.Pause]++
 			a.load.Context += w.Context
 		} else {
 			a.load.Parts++
@@ -176,7 +179,9 @@
 	b.note()
 	b.stopReading(attempt, it, now)
 	it.writing = true
-	b.account(it.work.Server, now).load.Writers[it.work.Pause]++
+	a := b.account(it.work.Server, now)
+	a.load.Writers[it.work.Pause]++
+	a.load.Waiting[it.work.Pause]--
 }
 
 func (b *Bookkeeper) stopReading(attempt string, it *item, now time.Time) {
@@ -211,6 +216,8 @@
 	a.load.Context -= it.work.Context
 	if it.writing {
 		a.load.Writers[it.work.Pause]--
+	} else {
+		a.load.Waiting[it.work.Pause]--
 	}
 	delete(b.items, attempt)
 }
--- a/entry/internal/exchanger/exchanger.go
+++ b/entry/internal/exchanger/exchanger.go
@@ -188,6 +188,8 @@
 			Tight: uint32(l.Writers[bookkeeper.Tight]), Middle: uint32(l.Writers[bookkeeper.Middle]),
 			Wide: uint32(l.Writers[bookkeeper.Wide]), ContextK: uint32(l.Context / 1000),
 			Running: uint32(l.Running), Parts: uint32(l.Parts),
+			WaitingTight: uint32(l.Waiting[bookkeeper.Tight]), WaitingMiddle: uint32(l.Waiting[bookkeeper.Middle]),
+			WaitingWide: uint32(l.Waiting[bookkeeper.Wide]),
 		})
 	}
 	return o
@@ -266,9 +268,8 @@
 			Reading: time.Duration(w.GetReadingMs()) * time.Millisecond, Context: 1000 * int(w.GetContextK()),
 			Running: int(w.GetRunning()), Parts: int(w.GetParts()),
 		}
-		l.Writers[bookkeeper.Tight] = int(w.GetTight())
-		l.Writers[bookkeeper.Middle] = int(w.GetMiddle())
-		l.Writers[bookkeeper.Wide] = int(w.GetWide())
+		l.Writers = [...]int{int(w.GetTight()), int(w.GetMiddle()), int(w.GetWide())}
+		l.Waiting = [...]int{int(w.GetWaitingTight()), int(w.GetWaitingMiddle()), int(w.GetWaitingWide())}
 		loads[w.GetServer()] = l
 	}
 	e.config.Books.Hear(o.GetEntry(), loads, now)
--- a/entry/internal/forwarder/guard.go
+++ b/entry/internal/forwarder/guard.go
@@ -13,7 +13,6 @@
 const (
 	silenceLeast = 1200 * time.Millisecond
 	silenceGaps  = 3 // pauses that the route allows
-	firstSlack   = time.Second
 	callLeast    = 150 * time.Millisecond
 )
 
@@ -37,7 +36,7 @@
 	g.ctx, g.cancel = context.WithCancel(ctx)
 	switch x.route.Kind {
 	case viewer.Streaming:
-		g.reset(max(silenceLeast, 2*p.expected+firstSlack))
+		g.reset(max(silenceLeast, x.route.TargetLatency+2*p.expected))
 	case viewer.Repeat:
 		g.reset(max(callLeast, 2*x.route.TargetLatency))
 	case viewer.Once:
--- a/entry/internal/forwarder/send.go
+++ b/entry/internal/forwarder/send.go
@@ -106,7 +106,9 @@
 			return fateNotRun
 		}
 	}
-	x.doubt(p, x.cause)
+	if v.Another {
+		x.doubt(p, x.cause)
+	}
 	return fateNotRun
 }
 
