Prompts larger than an engine are spread over reservations, at a price

A prompt of 750,000 tokens takes 29 s of one engine's reading.

Reading has a price that rises with the share of engines that reading lately kept busy (each entry's pace goes with its datagrams), and Admit refuses what costs more than it is worth.

--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -33,6 +33,7 @@
 	Answer int           // most tokens to write
 	Target time.Duration // until the first event
 	Gap    time.Duration // longest pause between events
+	Busy   float64       // share of all engines that reading lately asked for keeps busy
 }
 
 // Candidate is one engine that could serve.
@@ -47,9 +48,12 @@
 type Plan struct {
 	Server   viewer.ServerID
 	Helpers  []viewer.ServerID // that read parts of the prompt
+	Held     []int             // tokens to reserve at each helper; nil if the server holds all
+	Context  int               // tokens that the server holds
 	Reading  time.Duration     // that each of them does
 	Expected time.Duration     // until the first event
 	Cost     float64           // value of the answers that it probably makes late
+	Price    float64           // value of the answers that its reading displaces
 }
 
 // MostHelpers is the largest number of helpers of one prompt.
@@ -78,6 +82,14 @@
 	// slotWait is how long a slot of a full engine takes to come free: answers
 	// last some two seconds on sixteen slots.
 	slotWait = 150 * time.Millisecond
+	// readingValue is what a second of an engine earns with the usual mix of
+	// prompts, and busyFrom to busyTo the share of busy engines over which it
+	// becomes scarce.
+	readingValue     = 4.0
+	busyFrom, busyTo = 0.3, 0.8
+	// memoryShare is the part of an engine's memory that is planned with, and
+	// ownShare the part of that which a spread prompt takes where it writes.
+	memoryShare, ownShare = 0.95, 0.8
 	// memoryWait is how long memory takes to come free at an engine that has
 	// too little: about the length of an answer.
 	memoryWait = 2 * time.Second
@@ -108,15 +120,29 @@
 			best, found = plan, true
 		}
 	}
+	best.Price = price(p, best)
 	return best, found
 }
 
+// price returns what reading costs those that come after: nothing while engines
+// are idle, and what it earns elsewhere once all are busy.
+func price(p Prompt, plan Plan) float64 {
+	scarce := min(1, max(0, (p.Busy-busyFrom)/(busyTo-busyFrom)))
+	work := plan.Reading.Seconds() * float64(1+len(plan.Helpers))
+	return readingValue * scarce * work
+}
+
 // Admit reports whether a prompt should be served as planned. It answers the
 // load pattern of a flood beyond what the engines hold: whoever then waits is
 // late, and so is everyone behind. A prompt that can't be in time because of
 // others is turned down at once, so that those that are taken are in time. One
-// that would be late at an idle engine too is taken if it waits little.
+// that would be late at an idle engine too is taken if it waits little. The
+// largest prompts, whose reading grows with the square of their size, are turned
+// down when it would cost others more than they are worth.
 func Admit(p Prompt, plan Plan, all []Candidate) bool {
+	if plan.Cost+plan.Price > Value(p.Tokens) {
+		return false
+	}
 	bound := time.Duration(lateMost * float64(p.Target))
 	for _, c := range all {
 		alone := expect(Candidate{Engine: c.Engine}, c.Engine.ReadTime(p.Tokens))
@@ -161,12 +187,16 @@
 		plan.Cost += m.harm
 		wait := m.expected
 		if i == first {
-			wait += room(p, m.Candidate)
+			wait += slotFor(m.Candidate)
 		} else {
 			plan.Helpers = append(plan.Helpers, m.ID)
 		}
 		plan.Expected = max(plan.Expected, wait)
 	}
+	if !spread(p, members, first, &plan) {
+		plan.Expected += memoryWait
+		plan.Cost += value
+	}
 	plan.Cost += value * (risk(plan.Expected, p.Target) + haste*ratio(plan.Expected, p.Target))
 	plan.Cost += ownCost(p, members[first].Candidate, value)
 	return plan
@@ -176,7 +206,7 @@
 func lead(p Prompt, members []member, value float64) int {
 	best, least := 0, math.Inf(1)
 	for i, m := range members {
-		cost := ownCost(p, m.Candidate, value) + value*ratio(room(p, m.Candidate), p.Target)
+		cost := ownCost(p, m.Candidate, value) + value*ratio(slotFor(m.Candidate), p.Target)
 		cost += float64(m.Load.Context) / float64(max(1, m.Engine.Capacity))
 		if cost < least {
 			best, least = i, cost
@@ -196,16 +226,48 @@
 	return cost
 }
 
-// room returns how long a prompt waits for a slot and memory.
-func room(p Prompt, c Candidate) time.Duration {
-	var wait time.Duration
-	if over := c.Load.Running + 1 - c.Engine.Slots; over > 0 {
-		wait = time.Duration(over) * slotWait
+// slotFor returns how long a prompt waits for a slot.
+func slotFor(c Candidate) time.Duration {
+	return time.Duration(max(0, c.Load.Running+1-c.Engine.Slots)) * slotWait
+}
+
+// free returns the tokens that an engine can still hold, less a reserve for
+// answers that grow.
+func free(c Candidate) int {
+	return max(0, int(memoryShare*float64(c.Engine.Capacity))-c.Load.Context)
+}
+
+// spread decides where the memory of a prompt lies: at the engine that writes
+// if it fits there, else also in reservations at the helpers, in proportion to
+// what they have free. It reports false if there is too little.
+func spread(p Prompt, members []member, first int, plan *Plan) bool {
+	need := p.Tokens + p.Answer
+	own := free(members[first].Candidate)
+	plan.Context = need
+	if need <= own {
+		return true
 	}
-	if c.Load.Context+p.Tokens+p.Answer > c.Engine.Capacity {
-		wait += memoryWait
+	sum := 0
+	for i, m := range members {
+		if i != first {
+			sum += free(m.Candidate)
+		}
+	}
+	if need > own+sum {
+		return false
+	}
+	rest := need - int(ownShare*float64(own)*min(1, float64(need)/float64(own+sum)))
+	plan.Context = need
+	for i, m := range members {
+		if i == first {
+			continue
+		}
+		held := min(free(m.Candidate), 1+int(float64(rest)*float64(free(m.Candidate))/float64(sum)))
+		plan.Held = append(plan.Held, held)
+		plan.Context -= held
 	}
-	return wait
+	plan.Context = max(0, plan.Context)
+	return plan.Context <= own
 }
 
 // expect returns the time until an engine has read a share and written.
--- a/core/bookkeeper/bookkeeper.go
+++ b/core/bookkeeper/bookkeeper.go
@@ -19,6 +19,7 @@
 package bookkeeper
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -90,6 +91,7 @@
 type Work struct {
 	Server  viewer.ServerID
 	Helpers []viewer.ServerID
+	Held    []int         // tokens that each helper holds; nil if none
 	Reading time.Duration // that each of them does
 	Context int           // tokens that the server holds
 	Pause   Pause
@@ -118,8 +120,13 @@
 type peer struct {
 	loads map[uint32]Load
 	heard time.Time
+	pace  float64
 }
 
+// paceSpan is the time over which the pace of reading is averaged: a wave of
+// long prompts lasts several of it.
+const paceSpan = 3 * time.Second
+
 // Bookkeeper holds the books of one entry.
 type Bookkeeper struct {
 	mu       sync.Mutex
@@ -127,6 +134,8 @@
 	accounts map[viewer.ServerID]*account
 	peers    map[string]peer
 	changed  chan struct{}
+	pace     float64 // of reading that this entry asks for, in engines
+	paced    time.Time
 }
 
 // New returns empty books.
@@ -153,6 +162,9 @@
 	it := &item{work: w, left: map[viewer.ServerID]time.Duration{}}
 	b.items[attempt] = it
 	b.note()
+	b.pace *= math.Exp(-float64(now.Sub(b.paced)) / float64(paceSpan))
+	b.pace += float64(w.Reading) * float64(1+len(w.Helpers)) / float64(paceSpan)
+	b.paced = now
 	for i, id := range append([]viewer.ServerID{w.Server}, w.Helpers...) {
 		a := b.account(id, now)
 		b.drain(id, a, now)
@@ -164,10 +176,19 @@
 			a.load.Context += w.Context
 		} else {
 			a.load.Parts++
+			a.load.Context += w.held(i - 1)
 		}
 	}
 }
 
+// held returns the tokens that a helper holds.
+func (w Work) held(helper int) int {
+	if helper < len(w.Held) {
+		return w.Held[helper]
+	}
+	return 0
+}
+
 // First notes the first event of an attempt: its prompt is read.
 func (b *Bookkeeper) First(attempt string, now time.Time) {
 	b.mu.Lock()
@@ -214,6 +235,9 @@
 	a := b.account(it.work.Server, now)
 	a.load.Running--
 	a.load.Context -= it.work.Context
+	for i, id := range it.work.Helpers {
+		b.account(id, now).load.Context -= it.work.held(i)
+	}
 	if it.writing {
 		a.load.Writers[it.work.Pause]--
 	} else {
@@ -257,11 +281,26 @@
 }
 
 // Hear takes another entry's word of its own loads, by Hash of the backend
-// server.
-func (b *Bookkeeper) Hear(entry string, loads map[uint32]Load, now time.Time) {
+// server, and of its own pace.
+func (b *Bookkeeper) Hear(entry string, loads map[uint32]Load, pace float64, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers[entry] = peer{loads: loads, heard: now}
+	b.peers[entry] = peer{loads: loads, heard: now, pace: pace}
+}
+
+// Pace returns how many engines the reading that was lately asked for keeps
+// busy: of this entry, and of all.
+func (b *Bookkeeper) Pace(now time.Time) (own, all float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	own = b.pace * math.Exp(-float64(now.Sub(b.paced))/float64(paceSpan))
+	all = own
+	for _, p := range b.peers {
+		if age := now.Sub(p.heard); age <= peerLife {
+			all += p.pace * math.Exp(-float64(age)/float64(paceSpan))
+		}
+	}
+	return own, all
 }
 
 func (b *Bookkeeper) heard(id viewer.ServerID, now time.Time) Load {
@@ -316,7 +355,7 @@
 	defer b.mu.Unlock()
 	all := map[viewer.ServerID]Load{}
 	for id, a := range b.accounts {
-		if a.load.Running == 0 && a.load.Parts == 0 {
+		if a.load.Running == 0 && a.load.Parts == 0 && a.load.Context == 0 {
 			delete(b.accounts, id)
 			continue
 		}
--- a/core/translator/translator.go
+++ b/core/translator/translator.go
@@ -28,7 +28,20 @@
 	Account string          // empty if the request has none
 	Left    time.Duration   // until the answer is of no use; 0 if unknown
 	Behind  string          // stream: id of the last event not to be sent again
-	Helpers []string        // addresses of the backend servers that read parts of the prompt
+	Helpers []Helper        // backend servers that read parts of the prompt
+}
+
+// Helper is a backend server that reads a part of a prompt.
+type Helper struct {
+	Address string
+	Ticket  string // of the memory reserved there; empty if none
+}
+
+// Order is a call to a backend server that concerns its memory.
+type Order struct {
+	Method string
+	Path   string
+	Body   []byte
 }
 
 // Verdict is what the head of an answer says about its request.
@@ -50,6 +63,11 @@
 	Mine(answer http.Header, attempt string) bool
 	// Judge reads the head of an answer.
 	Judge(status int, answer http.Header) Verdict
+	// Reserve returns the order that reserves memory for a number of tokens
+	// under a ticket, or renews the reservation.
+	Reserve(ticket string, tokens int, hold time.Duration) (Order, error)
+	// Release returns the order that ends a reservation.
+	Release(ticket string) (Order, error)
 	// Reply returns the header of the answer to the caller.
 	Reply(answer http.Header) http.Header
 }
--- a/entry/internal/exchanger/exchanger.go
+++ b/entry/internal/exchanger/exchanger.go
@@ -182,6 +182,8 @@
 		Entry: e.config.Name, Incarnation: e.incarnation, Sequence: sequence,
 		Address: e.config.Calls.String(), Configuration: e.config.State.Revision(),
 	}
+	pace, _ := e.config.Books.Pace(now)
+	o.Pace = float32(pace)
 	for id, l := range e.config.Books.Own(now) {
 		o.Work = append(o.Work, &wire.ServerWork{
 			Server: bookkeeper.Hash(id), ReadingMs: uint32(l.Reading.Milliseconds()),
@@ -272,7 +274,7 @@
 		l.Waiting = [...]int{int(w.GetWaitingTight()), int(w.GetWaitingMiddle()), int(w.GetWaitingWide())}
 		loads[w.GetServer()] = l
 	}
-	e.config.Books.Hear(o.GetEntry(), loads, now)
+	e.config.Books.Hear(o.GetEntry(), loads, float64(o.GetPace()), now)
 	if o.GetConfiguration() > e.config.State.Revision() && !e.pulling {
 		e.pulling = true
 		go e.pull(ctx, o.GetAddress(), o.GetConfiguration())
--- a/entry/internal/forwarder/place.go
+++ b/entry/internal/forwarder/place.go
@@ -25,6 +25,7 @@
 	work      bookkeeper.Work
 	expected  time.Duration // until the first event; 0 if unknown
 	cost      float64
+	price     float64
 	choices   int
 	load      bookkeeper.Load // at the server, before this request
 	attempted time.Time
@@ -87,8 +88,9 @@
 		candidates[i] = assigner.Candidate{ID: s.ID, Engine: x.service.Engine, Load: x.forwarder.Books.Load(s.ID, now)}
 		byID[s.ID] = s
 	}
+	_, pace := x.forwarder.Books.Pace(now)
 	prompt := assigner.Prompt{
-		Tokens: x.call.Prompt, Answer: x.call.Answer,
+		Tokens: x.call.Prompt, Answer: x.call.Answer, Busy: pace / float64(len(servers)),
 		Target: x.route.TargetLatency, Gap: x.route.TargetGap,
 	}
 	plan, _ := assigner.Choose(prompt, candidates)
@@ -99,15 +101,15 @@
 	for _, id := range plan.Helpers {
 		p.helpers = append(p.helpers, byID[id])
 	}
-	p.expected, p.cost = plan.Expected, plan.Cost
+	p.expected, p.cost, p.price = plan.Expected, plan.Cost, plan.Price
 	for _, c := range candidates {
 		if c.ID == plan.Server {
 			p.load = c.Load
 		}
 	}
 	p.work = bookkeeper.Work{
-		Server: plan.Server, Helpers: plan.Helpers, Reading: plan.Reading,
-		Context: x.call.Prompt + x.call.Answer/2, Pause: bookkeeper.PauseOf(x.route.TargetGap),
+		Server: plan.Server, Helpers: plan.Helpers, Held: plan.Held, Reading: plan.Reading,
+		Context: plan.Context, Pause: bookkeeper.PauseOf(x.route.TargetGap),
 	}
 	return true
 }
--- a/entry/internal/forwarder/send.go
+++ b/entry/internal/forwarder/send.go
@@ -40,12 +40,15 @@
 	if last := x.relay.cutter.Last(); last != "" {
 		s.Behind = last
 	}
-	for _, h := range p.helpers {
-		s.Helpers = append(s.Helpers, h.Address)
-		f.Warm.Count(h.ID, p.attempted)
-	}
 	guard := x.watch(ctx, p)
 	defer guard.stop()
+	helpers, held, err := x.hold(guard.ctx, p)
+	defer held.release()
+	if err != nil {
+		x.cause = err.Error()
+		return fateNotRun
+	}
+	s.Helpers = helpers
 	answer, err := f.Connector.Send(guard.ctx, p.server.Address, connector.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: f.Dialect.Encode(x.r.Header, s), Body: x.body,
--- a/entry/internal/forwarder/stream.go
+++ b/entry/internal/forwarder/stream.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -109,7 +110,10 @@
 		Str("server", string(p.server.ID)).Str("address", p.server.Address).
 		Int("helpers", len(p.helpers)).Int("choices", p.choices).
 		Int("tokens", x.call.Prompt).Dur("reading", p.work.Reading).Dur("expected", p.expected).
-		Float64("cost", float64(int(p.cost*100))/100).Int("writers", p.load.Writing()).Dur("backlog", p.load.Reading).
+		Float64("cost", cents(p.cost)).Float64("price", cents(p.price)).Int("writers", p.load.Writing()).Dur("backlog", p.load.Reading).
 		Dur("server_age", age).Dur("first", x.relay.first).Dur("took", time.Since(p.attempted)).
 		Str("outcome", result.String()).Str("cause", x.cause).Msg("")
 }
+
+// cents shortens a figure for the log.
+func cents(x float64) float64 { return math.Round(100*x) / 100 }
