Prompts wait at the entry while room may come in time

Cause: a prompt that found engines busy was either read at a high cost to those beside it or refused, though long targets leave seconds and a part is read in a few hundred milliseconds.

Change: assigner.Decide says serve, wait or refuse.

In a flood a wait costs a little: those that waited have less time left.

--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -33,6 +33,7 @@
 	Answer int           // most tokens to write
 	Target time.Duration // until the first event
 	Gap    time.Duration // longest pause between events
+	Waited time.Duration // since the request came
 	Busy   float64       // share of all engines that reading lately asked for keeps busy
 }
 
@@ -132,30 +133,55 @@
 	return readingValue * scarce * work
 }
 
-// Admit reports whether a prompt should be served as planned. It answers the
-// load pattern of a flood beyond what the engines hold: whoever then waits is
-// late, and so is everyone behind. A prompt that can't be in time because of
-// others is turned down at once, so that those that are taken are in time. One
-// that would be late at an idle engine too is taken if it waits little. The
-// largest prompts, whose reading grows with the square of their size, are turned
-// down when it would cost others more than they are worth.
-func Admit(p Prompt, plan Plan, all []Candidate) bool {
-	if plan.Cost+plan.Price > Value(p.Tokens) {
-		return false
+// Verdict says what becomes of a prompt now.
+type Verdict int
+
+// Verdicts.
+const (
+	Serve Verdict = iota // as planned
+	Wait                 // and ask again: room may come in time
+	Refuse
+)
+
+// Decide says what becomes of a prompt. It answers the load pattern of a flood
+// beyond what the engines hold: whoever then waits in an engine is late, and so
+// is everyone behind. A prompt that can't be in time because of others waits at
+// the entry while room may come, and is turned down at once when it can't, so
+// that those that are taken are in time. One that would be late at an idle
+// engine too is taken if it waits little. The largest prompts, whose reading
+// grows with the square of their size, are turned down when it would cost
+// others more than they are worth.
+func Decide(p Prompt, plan Plan, all []Candidate) Verdict {
+	value := Value(p.Tokens)
+	wait := p.Waited < time.Duration(waitMost*float64(p.Target-waitReserve))
+	switch cost := plan.Cost + plan.Price; {
+	case wait && cost > waitCost*value:
+		return Wait
+	case cost > value:
+		return Refuse
 	}
 	bound := time.Duration(lateMost * float64(p.Target))
 	for _, c := range all {
 		alone := expect(Candidate{Engine: c.Engine}, c.Engine.ReadTime(p.Tokens), false)
-		return plan.Expected <= max(bound, time.Duration(aloneMost*float64(alone)))
+		if p.Waited+plan.Expected <= max(bound, time.Duration(aloneMost*float64(alone))) {
+			return Serve
+		}
+	}
+	if wait {
+		return Wait
 	}
-	return false
+	return Refuse
 }
 
-// Bounds of the wait that Admit accepts, against the target and against an idle
-// engine. Predictions err by about a fifth.
+// Bounds of what Decide accepts. Predictions err by about a fifth.
 const (
-	lateMost  = 1.2
-	aloneMost = 1.5
+	lateMost  = 1.2 // time until the first event, against the target
+	aloneMost = 1.5 // and against an idle engine
+	waitMost  = 0.5 // wait at the entry, against what the target leaves
+	waitCost  = 0.5 // cost against the value of a prompt, above which it waits
+	// waitReserve is what the target must leave for serving: a prompt of the
+	// tightest target has nothing to wait with.
+	waitReserve = 250 * time.Millisecond
 )
 
 // member is a candidate with the price of its share.
@@ -173,7 +199,7 @@
 	for _, c := range all {
 		share := pace(c, c.Engine.ReadTime(p.Tokens)/time.Duration(parts))
 		m := member{Candidate: c, expected: expect(c, share, parts > 1), harm: harm(c, share)}
-		m.rank = m.harm + value*(risk(m.expected, p.Target)+haste*ratio(m.expected, p.Target))
+		m.rank = m.harm + value*(risk(p.Waited+m.expected, p.Target)+haste*ratio(m.expected, p.Target))
 		if parts == 1 {
 			m.rank += ownCost(p, c, value)
 		}
@@ -197,7 +223,7 @@
 		plan.Expected += memoryWait
 		plan.Cost += value
 	}
-	plan.Cost += value * (risk(plan.Expected, p.Target) + haste*ratio(plan.Expected, p.Target))
+	plan.Cost += value * (risk(p.Waited+plan.Expected, p.Target) + haste*ratio(plan.Expected, p.Target))
 	plan.Cost += ownCost(p, members[first].Candidate, value)
 	return plan
 }
--- a/core/budgeter/budgeter_test.go
+++ b/core/budgeter/budgeter_test.go
@@ -45,7 +45,7 @@
 		const ratio, slack, window = 0.2, 10.0, 10 * time.Second
 		b := budgeter.New(budgeter.Config{Ratio: ratio, Slack: slack, Window: window})
 		now := time.Now()
-		var firsts, agains []time.Time
+		var firsts, repeats []time.Time
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
 			if rapid.Bool().Draw(t, "first") {
@@ -53,10 +53,10 @@
 				firsts = append(firsts, now)
 			}
 			if b.Again("s", 1, now) {
-				agains = append(agains, now)
+				repeats = append(repeats, now)
 			}
 			allowed := slack + ratio*float64(within(firsts, now, 2*window))
-			if n := within(agains, now, window); float64(n) > allowed {
+			if n := within(repeats, now, window); float64(n) > allowed {
 				t.Fatalf("%d repeats within %v, %.1f allowed", n, window, allowed)
 			}
 		}
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -207,7 +207,11 @@
 	f := x.forwarder
 	f.Budget.First(x.service.Name, time.Now())
 	for {
-		p, err := x.place(time.Now())
+		p, err := x.settle(ctx)
+		if err != nil && x.r.Context().Err() != nil {
+			x.end("caller-left", 0, "while it waited")
+			return
+		}
 		if err != nil {
 			x.full = errors.Is(err, errFull)
 			x.fail(err.Error())
--- a/entry/internal/forwarder/place.go
+++ b/entry/internal/forwarder/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"math/rand/v2"
 	"slices"
@@ -16,6 +17,7 @@
 var (
 	errNoServer = errors.New("no backend server")
 	errFull     = errors.New("all backend servers are full")
+	errWait     = errors.New("room may come")
 )
 
 // placement is where a request is sent.
@@ -59,7 +61,11 @@
 	}
 	p := placement{choices: len(servers), attempted: now}
 	if x.service.Engine != nil && x.route.Kind == viewer.Streaming {
-		if !x.placePrompt(&p, servers, now) {
+		switch x.placePrompt(&p, servers, now) {
+		case assigner.Serve:
+		case assigner.Wait:
+			return placement{}, errWait
+		case assigner.Refuse:
 			return placement{}, errFull
 		}
 	} else {
@@ -80,8 +86,33 @@
 	return v
 }
 
+// askAgain is how long a prompt that waits is left before it is decided on
+// again: a fraction of an engine's pass.
+const askAgain = 20 * time.Millisecond
+
+// settle places the request, waiting here while room may come.
+func (x *exchange) settle(ctx context.Context) (placement, error) {
+	for waits := 0; ; waits++ {
+		p, err := x.place(time.Now())
+		if !errors.Is(err, errWait) {
+			return p, err
+		}
+		if waits == 0 {
+			x.forwarder.Meter.Add("waits", 1)
+			x.forwarder.Log.Info().Str("event", "waiting").Str("id", x.call.Attempt).Str("route", x.route.Name).Int("tokens", x.call.Prompt).Msg("")
+		}
+		t := time.NewTimer(askAgain)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return p, ctx.Err()
+		case <-t.C:
+		}
+	}
+}
+
 // placePrompt places a prompt on model engines.
-func (x *exchange) placePrompt(p *placement, servers []*viewer.Server, now time.Time) bool {
+func (x *exchange) placePrompt(p *placement, servers []*viewer.Server, now time.Time) assigner.Verdict {
 	candidates := make([]assigner.Candidate, len(servers))
 	byID := make(map[viewer.ServerID]*viewer.Server, len(servers))
 	for i, s := range servers {
@@ -91,11 +122,13 @@
 	_, pace := x.forwarder.Books.Pace(now)
 	prompt := assigner.Prompt{
 		Tokens: x.call.Prompt, Answer: x.call.Answer, Busy: pace / float64(len(servers)),
-		Target: x.route.TargetLatency, Gap: x.route.TargetGap,
+		Target: x.route.TargetLatency, Gap: x.route.TargetGap, Waited: now.Sub(x.received),
 	}
 	plan, _ := assigner.Choose(prompt, candidates)
-	if x.history.sends == 0 && !assigner.Admit(prompt, plan, candidates) {
-		return false
+	if x.history.sends == 0 {
+		if v := assigner.Decide(prompt, plan, candidates); v != assigner.Serve {
+			return v
+		}
 	}
 	p.server = byID[plan.Server]
 	for _, id := range plan.Helpers {
@@ -111,7 +144,7 @@
 		Server: plan.Server, Helpers: plan.Helpers, Held: plan.Held, Reading: plan.Reading,
 		Context: plan.Context, Pause: bookkeeper.PauseOf(x.route.TargetGap),
 	}
-	return true
+	return assigner.Serve
 }
 
 // placeCall places a request of a plain service: where the fewest run.
--- a/load/internal/replayer/policy.go
+++ b/load/internal/replayer/policy.go
@@ -6,28 +6,34 @@
 	"bamboohill/core/assigner"
 )
 
-// Policy decides where a prompt goes. It returns false to refuse it.
+// Policy decides where a prompt goes, and when.
 type Policy interface {
-	Choose(p assigner.Prompt, all []assigner.Candidate, random *rand.Rand) (assigner.Plan, bool)
+	Choose(p assigner.Prompt, all []assigner.Candidate, random *rand.Rand) (assigner.Plan, assigner.Verdict)
 }
 
 // Priced is the product's own policy.
 type Priced struct {
-	// Open turns nobody down.
+	// Open sends everybody on at once.
 	Open bool
 }
 
 // Choose implements Policy.
-func (p Priced) Choose(prompt assigner.Prompt, all []assigner.Candidate, _ *rand.Rand) (assigner.Plan, bool) {
+func (p Priced) Choose(prompt assigner.Prompt, all []assigner.Candidate, _ *rand.Rand) (assigner.Plan, assigner.Verdict) {
 	plan, found := assigner.Choose(prompt, all)
-	return plan, found && (p.Open || assigner.Admit(prompt, plan, all))
+	switch {
+	case !found:
+		return plan, assigner.Refuse
+	case p.Open:
+		return plan, assigner.Serve
+	}
+	return plan, assigner.Decide(prompt, plan, all)
 }
 
 // Least sends to the engine with the fewest requests: a baseline.
 type Least struct{}
 
 // Choose implements Policy.
-func (Least) Choose(p assigner.Prompt, all []assigner.Candidate, random *rand.Rand) (assigner.Plan, bool) {
+func (Least) Choose(p assigner.Prompt, all []assigner.Candidate, random *rand.Rand) (assigner.Plan, assigner.Verdict) {
 	best, ties := 0, 0
 	for i, c := range all {
 		switch {
@@ -39,15 +45,15 @@
 			}
 		}
 	}
-	return alone(p, all[best]), true
+	return alone(p, all[best]), assigner.Serve
 }
 
 // Random sends anywhere: a baseline.
 type Random struct{}
 
 // Choose implements Policy.
-func (Random) Choose(p assigner.Prompt, all []assigner.Candidate, random *rand.Rand) (assigner.Plan, bool) {
-	return alone(p, all[random.IntN(len(all))]), true
+func (Random) Choose(p assigner.Prompt, all []assigner.Candidate, random *rand.Rand) (assigner.Plan, assigner.Verdict) {
+	return alone(p, all[random.IntN(len(all))]), assigner.Serve
 }
 
 func alone(p assigner.Prompt, c assigner.Candidate) assigner.Plan {
--- a/load/internal/replayer/replayer.go
+++ b/load/internal/replayer/replayer.go
@@ -24,6 +24,7 @@
 	tail      = 20 * time.Second      // in which answers may end after the traffic
 	retryLow  = 2 * time.Second       // what refused callers are told
 	retrySpan = 2 * time.Second
+	asking    = 20 * time.Millisecond // until a prompt that waits is decided on again
 )
 
 // tokensPerEvent is what one pass of the sheets' engines writes.
@@ -98,7 +99,7 @@
 		}
 		r.engine.At(at, func() {
 			r.result.asked(q)
-			r.arrive(q)
+			r.arrive(q, r.engine.Now())
 		})
 	}
 }
@@ -120,10 +121,14 @@
 	}
 }
 
-// arrive places a request at one of the entries.
-func (r *replay) arrive(q *request) {
+// arrive brings a request to one of the entries.
+func (r *replay) arrive(q *request, came time.Duration) {
+	r.place(q, r.books[r.random.IntN(len(r.books))], came)
+}
+
+// place decides on a request, which came to an entry at a time.
+func (r *replay) place(q *request, books *bookkeeper.Bookkeeper, came time.Duration) {
 	c := r.config.Load.Classes[q.class]
-	books := r.books[r.random.IntN(len(r.books))]
 	now := epoch.Add(r.engine.Now())
 	all := make([]assigner.Candidate, len(r.ids))
 	for i, id := range r.ids {
@@ -131,14 +136,17 @@
 	}
 	_, pace := books.Pace(now)
 	prompt := assigner.Prompt{
-		Tokens: q.tokens, Answer: q.events * tokensPerEvent, Target: c.Target, Gap: c.Gap, Busy: pace / float64(len(all)),
-	}
-	plan, served := r.config.Policy.Choose(prompt, all, r.random)
-	if !served {
+		Tokens: q.tokens, Answer: q.events * tokensPerEvent, Target: c.Target, Gap: c.Gap,
+		Waited: r.engine.Now() - came, Busy: pace / float64(len(all)),
+	}
+	switch plan, verdict := r.config.Policy.Choose(prompt, all, r.random); verdict {
+	case assigner.Serve:
+		r.submit(q, books, prompt, plan)
+	case assigner.Wait:
+		r.engine.At(r.engine.Now()+asking, func() { r.place(q, books, came) })
+	case assigner.Refuse:
 		r.refuse(q)
-		return
 	}
-	r.submit(q, books, prompt, plan)
 }
 
 // refuse sends a caller away, who comes back once.
@@ -149,7 +157,7 @@
 	}
 	q.again = true
 	wait := retryLow + time.Duration(r.random.Float64()*float64(retrySpan))
-	r.engine.At(r.engine.Now()+wait, func() { r.arrive(q) })
+	r.engine.At(r.engine.Now()+wait, func() { r.arrive(q, r.engine.Now()) })
 }
 
 // submit hands a request to its engines.
