A stand-in of the platform; the adapter's boundary and real processes tested

Change: platform/rig, a stand-in of the store (rows, feed, lost history, outages, answers lost, one caller turned away) and of backend servers (surplus, stray, unframed, torn, early and encoded answers, reused addresses, reservations). Tests of the dialect, rows and outages, the connector, the forwarder's whole life of a request, the exchange between entries, and TestDirect: three real entry processes through a revoked key while the store turns one away, a restart without the store, crashing engines and a planned stop. The log of `entry direct` goes through a bounded queue that drops and counts instead of blocking.

--- /dev/null
+++ b/core/connector/connector_test.go
@@ -0,0 +1,260 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bamboohill/core/connector"
+
+	"github.com/matryer/is"
+)
+
+// peer is a server that answers each request of a connection with the next
+// text of a script; "" closes the connection. It repeats the last text.
+type peer struct {
+	address string
+	opened  atomic.Int64
+	read    atomic.Int64
+}
+
+func newPeer(t *testing.T, script ...string) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0") //nolint:noctx // it ends with the test
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() }) // its end is of no interest here
+	p := &peer{address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.opened.Add(1)
+			go p.serve(c, script)
+		}
+	}()
+	return p
+}
+
+func (p *peer) serve(c net.Conn, script []string) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for i := 0; ; i++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		p.read.Add(1)
+		text := script[min(i, len(script)-1)]
+		if text == "" {
+			return
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+		if strings.HasSuffix(text, "torn") {
+			return
+		}
+	}
+}
+
+func text(id, body, more string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, more, len(body), body)
+}
+
+func request() connector.Request {
+	return connector.Request{
+		Method: "POST", Target: "/x", Host: "h", Body: []byte("body"),
+		Mine: func(h http.Header) bool { return h.Get("Id") == "mine" },
+	}
+}
+
+// exchange sends a request and returns the body of its answer.
+func exchange(c *connector.Connector, address string, r connector.Request) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	a, err := c.Send(ctx, address, r)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	return string(body), err
+}
+
+// TestReuse says which connections carry a second request.
+func TestReuse(t *testing.T) {
+	good := text("mine", "yes", "")
+	tests := map[string]struct {
+		first  string
+		opened int64
+	}{
+		"whole answer":        {first: good, opened: 1},
+		"surplus bytes":       {first: good + "more", opened: 2},
+		"surplus answer":      {first: good + text("ghost", "no", ""), opened: 2},
+		"asked to close":      {first: text("mine", "yes", "Connection: close\r\n"), opened: 2},
+		"short keep-alive":    {first: text("mine", "yes", "Keep-Alive: timeout=0\r\n"), opened: 2},
+		"stray answer before": {first: text("ghost", "no", "") + good, opened: 1},
+		"interim answer":      {first: "HTTP/1.1 100 Continue\r\n\r\n" + good, opened: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPeer(t, test.first, good)
+			c := connector.New(connector.Config{})
+			for range 2 {
+				body, err := exchange(c, p.address, request())
+				is.NoErr(err)
+				is.Equal(body, "yes")
+			}
+			is.Equal(p.opened.Load(), test.opened)
+			is.Equal(c.Opened(), test.opened)
+		})
+	}
+}
+
+// TestLateSurplus lets bytes arrive on an idle connection.
+func TestLateSurplus(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0") //nolint:noctx // it ends with the test
+	is.NoErr(err)
+	defer l.Close()
+	late := make(chan struct{})
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				reader := bufio.NewReader(conn)
+				for {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, text("mine", "yes", ""))
+					<-late
+					_, _ = io.WriteString(conn, text("mine", "stale", "")) // even with the right id
+					late <- struct{}{}
+				}
+			}()
+		}
+	}()
+	c := connector.New(connector.Config{})
+	r := request()
+	r.Body = nil
+	body, err := exchange(c, l.Addr().String(), r)
+	is.NoErr(err)
+	is.Equal(body, "yes")
+	late <- struct{}{}
+	<-late
+	body, err = exchange(c, l.Addr().String(), r)
+	is.NoErr(err)
+	is.Equal(body, "yes") // on a connection of its own
+	is.Equal(c.Opened(), int64(2))
+}
+
+// TestSent says of each failure whether the request may have run.
+func TestSent(t *testing.T) {
+	nobody, err := net.Listen("tcp4", "127.0.0.1:0") //nolint:noctx // closed at once
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = nobody.Close() // nobody listens there from now on
+	tests := map[string]struct {
+		address string
+		sent    bool
+		phase   string
+	}{
+		"nobody listens":   {address: nobody.Addr().String(), sent: false, phase: "dial"},
+		"closed unread":    {address: newPeer(t, "").address, sent: true, phase: "read"},
+		"torn head":        {address: newPeer(t, "HTTP/1.1 200 OK\r\ntorn").address, sent: true, phase: "read"},
+		"no answer at all": {address: newPeer(t, "not HTTP at all torn").address, sent: true, phase: "read"},
+		"strays only":      {address: newPeer(t, strings.Repeat(text("ghost", "no", ""), 9)).address, sent: true, phase: "read"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := exchange(connector.New(connector.Config{}), test.address, request())
+			var failed *connector.Error
+			is.True(errors.As(err, &failed))
+			is.Equal(failed.Sent, test.sent)
+			is.Equal(failed.Phase, test.phase)
+		})
+	}
+}
+
+// TestTorn cuts the body.
+func TestTorn(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 100\r\n\r\ntorn")
+	_, err := exchange(connector.New(connector.Config{}), p.address, request())
+	is.Equal(err, io.ErrUnexpectedEOF)
+}
+
+// TestCancel gives up while the server is silent.
+func TestCancel(t *testing.T) {
+	is := is.New(t)
+	hold := make(chan struct{})
+	l, err := net.Listen("tcp4", "127.0.0.1:0") //nolint:noctx // it ends with the test
+	is.NoErr(err)
+	defer l.Close()
+	gone := make(chan error, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			close(hold)
+		}
+		_, err = conn.Read(make([]byte, 1))
+		gone <- err
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-hold
+		cancel()
+	}()
+	r := request()
+	r.Body = nil
+	_, err = connector.New(connector.Config{}).Send(ctx, l.Addr().String(), r)
+	var failed *connector.Error
+	is.True(errors.As(err, &failed))
+	is.True(failed.Sent)
+	is.True(<-gone != nil) // the server hears of it
+}
+
+func TestExpire(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, text("mine", "yes", ""))
+	c := connector.New(connector.Config{IdleTimeout: time.Minute})
+	for range 3 {
+		_, err := exchange(c, p.address, request())
+		is.NoErr(err)
+	}
+	is.Equal(c.Opened(), int64(1))
+	c.Expire(time.Now().Add(2 * time.Minute))
+	_, err := exchange(c, p.address, request())
+	is.NoErr(err)
+	is.Equal(c.Opened(), int64(2))
+	fresh := request()
+	fresh.Fresh = true
+	_, err = exchange(c, p.address, fresh)
+	is.NoErr(err)
+	is.Equal(c.Opened(), int64(3))
+}
--- a/entry/internal/director/director.go
+++ b/entry/internal/director/director.go
@@ -30,6 +30,7 @@
 type Config struct {
 	Settings Settings
 	Log      *log.Logger
+	Dropped  func() int64 // lines of the log that were dropped
 }
 
 // Pace of what is done now and then, and of a stop.
@@ -155,6 +156,7 @@
 func (d *Director) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	d.meter.Set("connections_opened", d.connector.Opened())
+	d.meter.Set("log_dropped", d.config.Dropped())
 	d.meter.Set("store_calls", d.platform.Calls())
 	d.meter.Set("entries", int64(d.exchanger.Entries()))
 	d.meter.Write(w)
--- /dev/null
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -0,0 +1,527 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"bamboohill/core/bookkeeper"
+	"bamboohill/core/budgeter"
+	"bamboohill/core/connector"
+	"bamboohill/core/doubter"
+	"bamboohill/core/predictor"
+	"bamboohill/core/viewer"
+	"bamboohill/core/warmer"
+	"bamboohill/entry/internal/forwarder"
+	"bamboohill/platform"
+	"bamboohill/platform/rig"
+
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+)
+
+// bench is an entry before some backend servers.
+type bench struct {
+	t       *testing.T
+	view    *viewer.Viewer
+	books   *bookkeeper.Bookkeeper
+	server  *httptest.Server
+	servers []*rig.Server
+}
+
+const key = "k1"
+
+// newBench starts an entry before a number of model engines, i-0 and on, and
+// of plain servers, p-0 and on.
+func newBench(t *testing.T, engines, plain int) *bench {
+	t.Helper()
+	b := &bench{t: t, view: viewer.New(), books: bookkeeper.New()}
+	list := map[viewer.ServerID]*viewer.Server{}
+	start := func(id, service string) {
+		s, err := rig.StartServer(rig.ServerConfig{ID: id, Service: service, Events: 8, Pause: 2 * time.Millisecond})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = s.Close() }) // its end is of no interest here
+		b.servers = append(b.servers, s)
+		list[viewer.ServerID(id)] = &viewer.Server{
+			ID: viewer.ServerID(id), Service: viewer.ServiceName(service), Address: s.Address(), Domain: "north", Slots: 4, Seen: time.Now(),
+		}
+	}
+	for i := range engines {
+		start("i-"+string(rune('0'+i)), "pool")
+	}
+	for i := range plain {
+		start("p-"+string(rune('0'+i)), "plain")
+	}
+	b.view.List(list)
+	b.configure(1, func(*viewer.Route) {})
+	budget := budgeter.New(budgeter.Config{Ratio: 1, Slack: 1000, Window: time.Second})
+	f := forwarder.New(forwarder.Config{
+		Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, Dialect: platform.Dialect{}, Viewer: b.view, Books: b.books,
+		Budget: budget, Connector: connector.New(connector.Config{}), Doubts: doubter.New(), Warm: warmer.New(),
+		Meter: forwarder.NewMeter(), Region: "home", Entries: func() int { return 1 }, Closing: func() bool { return false },
+	})
+	b.server = httptest.NewServer(f)
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+// configure puts a configuration in force, with each route changed by edit.
+func (b *bench) configure(revision int64, edit func(*viewer.Route)) {
+	target := func(s viewer.ServiceName) []viewer.Target { return []viewer.Target{{Service: s, Weight: 1}} }
+	routes := []*viewer.Route{
+		{Name: "chat", Host: "a.example", Prefix: "/chat/", Kind: viewer.Streaming, Resumable: true, Timeout: 10 * time.Second,
+			TargetLatency: 300 * time.Millisecond, TargetGap: 200 * time.Millisecond, MaxAttempts: 2, Targets: target("pool")},
+		{Name: "fixed", Host: "a.example", Prefix: "/fixed/", Kind: viewer.Streaming, Timeout: 10 * time.Second,
+			TargetLatency: 300 * time.Millisecond, TargetGap: 200 * time.Millisecond, MaxAttempts: 2, Targets: target("pool")},
+		{Name: "book", Host: "a.example", Prefix: "/book/", Kind: viewer.Once, Timeout: 3 * time.Second, MaxAttempts: 1, Targets: target("plain")},
+		{Name: "read", Host: "a.example", Prefix: "/read/", Kind: viewer.Repeat, Timeout: 3 * time.Second, MaxAttempts: 2,
+			TargetLatency: 50 * time.Millisecond, Targets: target("plain")},
+		{Name: "open", Host: "a.example", Prefix: "/open/", Kind: viewer.Repeat, Timeout: 3 * time.Second, MaxAttempts: 2, Public: true, Targets: target("plain")},
+	}
+	for _, r := range routes {
+		edit(r)
+	}
+	c := viewer.NewConfiguration(routes, map[string]*viewer.Account{key: {Name: "acme"}})
+	c.Revision = revision
+	c.Limits = viewer.Limits{BodyBytes: 1 << 16}
+	c.Services["pool"] = &viewer.Service{Name: "pool", Engine: &predictor.Engine{
+		Slots: 4, Capacity: 100_000, Stride: 10, Step: time.Millisecond, ReadRate: 1e6, Chunk: 2048,
+	}}
+	c.Services["plain"] = &viewer.Service{Name: "plain"}
+	b.view.Configure(c)
+}
+
+// request returns a caller's request.
+func (b *bench) request(method, path, body string) *http.Request {
+	b.t.Helper()
+	r, err := http.NewRequestWithContext(context.Background(), method, b.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	r.Host = "a.example"
+	r.Header.Set("Attempt-Id", "at-"+strings.ReplaceAll(b.t.Name(), "/", "-"))
+	r.Header.Set("Authorization", "Token "+key)
+	r.Header.Set("Deadline-Ms", "2000")
+	if strings.HasPrefix(path, "/chat/") || strings.HasPrefix(path, "/fixed/") {
+		r.Header.Set("Token-Usage", "1000,50")
+	}
+	return r
+}
+
+// head is the head of an answer.
+type head struct {
+	StatusCode int
+	Header     http.Header
+}
+
+// do sends a request and returns the answer and its body; err is that of the
+// body.
+func (b *bench) do(r *http.Request) (head, string, error) {
+	b.t.Helper()
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	return head{StatusCode: answer.StatusCode, Header: answer.Header}, string(text), err
+}
+
+// runs returns what all servers ran.
+func (b *bench) runs() []rig.Run {
+	var all []rig.Run
+	for _, s := range b.servers {
+		all = append(all, s.Runs()...)
+	}
+	return all
+}
+
+// fault makes the next requests at every server meet a fault.
+func (b *bench) fault(names ...string) {
+	for _, s := range b.servers {
+		s.Fault(names...)
+	}
+}
+
+// events returns the whole stream for a body.
+func events(body string) string {
+	var all strings.Builder
+	for n := 1; n <= 8; n++ {
+		all.WriteString(rig.Event(n, body))
+	}
+	return all.String()
+}
+
+func TestAnswers(t *testing.T) {
+	tests := map[string]struct {
+		method, path, body, want string
+	}{
+		"stream": {method: "POST", path: "/chat/x", body: "hello", want: events("hello")},
+		"once":   {method: "POST", path: "/book/x?a=%2F&b", body: "seat 4", want: rig.Answer("POST", "/book/x?a=%2F&b", "seat 4")},
+		"repeat": {method: "GET", path: "/read/x%20y", want: rig.Answer("GET", "/read/x%20y", "")},
+		"public": {method: "GET", path: "/open/", want: rig.Answer("GET", "/open/", "")},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 2, 2)
+			r := b.request(test.method, test.path, test.body)
+			if name == "public" {
+				r.Header.Del("Authorization")
+			}
+			answer, body, err := b.do(r)
+			is.NoErr(err)
+			is.Equal(answer.StatusCode, http.StatusOK)
+			is.Equal(body, test.want)
+			is.True(answer.Header.Get("Response-Stamp") != "")
+			is.Equal(len(b.runs()), 1)
+			is.Equal(len(b.books.Own(time.Now())), 0) // nothing is left in the books
+		})
+	}
+}
+
+// TestForged sends what only the system may say.
+func TestForged(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, 0)
+	r := b.request("POST", "/chat/x", "hello")
+	forged := map[string]string{
+		"Tenant": "victim", "Expect-Instance": "i-9", "Request-Priority": "0", "Helpers": "10.0.0.1:1", "Expect-Version": "7",
+		"Not-Executed": "1", "Response-Stamp": "x", "Hold": "1", "Connection": "X-Hop", "X-Hop": "1",
+	}
+	for name, value := range forged {
+		r.Header.Set(name, value)
+	}
+	r.Header.Set("X-Kept", "yes")
+	_, body, err := b.do(r)
+	is.NoErr(err)
+	is.Equal(body, events("hello"))
+	got := b.runs()[0].Header
+	is.Equal(got.Get("Tenant"), "acme")
+	is.Equal(got.Get("Expect-Instance"), "i-0")
+	for _, name := range []string{"Request-Priority", "Helpers", "Expect-Version", "Not-Executed", "Response-Stamp", "Hold", "X-Hop", "Authorization"} {
+		is.Equal(got.Get(name), "")
+	}
+	is.Equal(got.Get("X-Kept"), "yes")
+	left := got.Get("Deadline-Ms")
+	is.True(left != "" && len(left) <= 4 && left <= "2000") // what is left of it
+}
+
+func TestRefusals(t *testing.T) {
+	tests := map[string]struct {
+		path string
+		edit func(*http.Request)
+		want int
+	}{
+		"unknown key":   {path: "/chat/x", edit: func(r *http.Request) { r.Header.Set("Authorization", "Token k2") }, want: http.StatusUnauthorized},
+		"no key":        {path: "/chat/x", edit: func(r *http.Request) { r.Header.Del("Authorization") }, want: http.StatusUnauthorized},
+		"no route":      {path: "/nowhere/", edit: func(*http.Request) {}, want: http.StatusNotFound},
+		"no host":       {path: "/chat/x", edit: func(r *http.Request) { r.Host = "b.example" }, want: http.StatusNotFound},
+		"no attempt id": {path: "/chat/x", edit: func(r *http.Request) { r.Header.Del("Attempt-Id") }, want: http.StatusBadRequest},
+		"long body": {path: "/chat/x", edit: func(r *http.Request) {
+			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 1<<17)))
+			r.ContentLength = 1 << 17
+		}, want: http.StatusRequestEntityTooLarge},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 1, 1)
+			r := b.request("POST", test.path, "hello")
+			test.edit(r)
+			answer, _, err := b.do(r)
+			is.NoErr(err)
+			is.Equal(answer.StatusCode, test.want)
+			is.Equal(answer.Header.Get("Response-Stamp"), "")
+			is.Equal(len(b.runs()), 0)
+		})
+	}
+}
+
+// TestUnready answers before a configuration or a list of servers is known.
+func TestUnready(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 0, 0)
+	answer, _, err := b.do(b.request("POST", "/chat/x", "hello")) // no server at all
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusServiceUnavailable)
+	is.True(answer.Header.Get("Retry-After") != "")
+}
+
+// TestFaultsOnce meets each fault on a call that must not run twice: the caller
+// gets its own whole answer or an honest failure.
+func TestFaultsOnce(t *testing.T) {
+	tests := map[string]struct {
+		fault string
+		want  int // status
+		runs  int
+	}{
+		"surplus":  {fault: rig.FaultSurplus, want: http.StatusOK, runs: 1},
+		"stray":    {fault: rig.FaultStray, want: http.StatusOK, runs: 1},
+		"unframed": {fault: rig.FaultUnframed, want: http.StatusOK, runs: 1},
+		"torn":     {fault: rig.FaultTorn, want: http.StatusBadGateway, runs: 1},
+		"full":     {fault: rig.FaultFull, want: http.StatusServiceUnavailable, runs: 0},
+		"fails":    {fault: rig.FaultFails, want: http.StatusInternalServerError, runs: 1},
+		"closes":   {fault: rig.FaultCloses, want: http.StatusBadGateway, runs: 1},
+		"hangs":    {fault: rig.FaultHangs, want: http.StatusGatewayTimeout, runs: 1},
+		"encoded":  {fault: rig.FaultEncoded, want: http.StatusBadGateway, runs: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 0, 2)
+			b.fault(test.fault, test.fault, test.fault)
+			answer, body, err := b.do(b.request("POST", "/book/x", "seat 4"))
+			is.NoErr(err)
+			is.Equal(answer.StatusCode, test.want)
+			is.Equal(len(b.runs()), test.runs)
+			is.Equal(body == rig.Answer("POST", "/book/x", "seat 4"), test.want == http.StatusOK)
+			is.Equal(answer.Header.Get("Retry-After") != "", test.want == http.StatusServiceUnavailable)
+			// The next request is answered as if nothing had been.
+			again := b.request("POST", "/book/y", "seat 5")
+			again.Header.Set("Attempt-Id", "again")
+			b.clearFaults()
+			answer, body, err = b.do(again)
+			is.NoErr(err)
+			is.Equal(answer.StatusCode, http.StatusOK)
+			is.Equal(body, rig.Answer("POST", "/book/y", "seat 5"))
+		})
+	}
+}
+
+// clearFaults forgets the faults that were not met.
+func (b *bench) clearFaults() {
+	for _, s := range b.servers {
+		s.ClearFaults()
+	}
+}
+
+// TestFaultsRepeat meets a fault at the first server on a call that may run
+// again: another answers.
+func TestFaultsRepeat(t *testing.T) {
+	for _, fault := range []string{rig.FaultStray, rig.FaultTorn, rig.FaultFull, rig.FaultFails, rig.FaultCloses, rig.FaultHangs, rig.FaultEncoded, rig.FaultSurplus, rig.FaultUnframed} {
+		t.Run(fault, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 0, 2)
+			b.servers[0].Fault(fault)
+			for range 6 { // some of them meet the fault; its connection is not used again
+				answer, body, err := b.do(b.request("GET", "/read/x", ""))
+				is.NoErr(err)
+				is.Equal(answer.StatusCode, http.StatusOK)
+				is.Equal(body, rig.Answer("GET", "/read/x", ""))
+			}
+			is.True(len(b.runs()) <= 6+1)
+		})
+	}
+}
+
+// TestResume breaks a stream inside its third event: it goes on elsewhere, at
+// the right event, and the caller sees one stream.
+func TestResume(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 2, 0)
+	b.servers[0].Fault(rig.FaultMidEvent)
+	b.servers[1].Fault(rig.FaultMidEvent)
+	answer, body, err := b.do(b.request("POST", "/chat/x", "hello"))
+	// Two breaks use up the two servers that the route allows: the caller sees
+	// that the stream is cut, with whole events only.
+	is.True(err != nil)
+	is.Equal(answer.StatusCode, http.StatusOK)
+	is.True(strings.HasPrefix(events("hello"), body))
+	runs := b.runs()
+	is.Equal(len(runs), 2)
+	is.Equal(runs[0].Behind+runs[1].Behind, 2) // the second went on behind the second event
+
+	answer, body, err = b.do(b.request("POST", "/chat/x", "hello"))
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusOK)
+	is.Equal(body, events("hello"))
+}
+
+// TestResumeOnce breaks one server only.
+func TestResumeOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 2, 0)
+	for _, s := range b.servers {
+		s.Fault(rig.FaultMidEvent)
+	}
+	b.servers[1].ClearFaults()
+	stamp := map[string]bool{}
+	for range 2 { // one of them meets the fault first
+		answer, body, err := b.do(b.request("POST", "/chat/x", "hello"))
+		is.NoErr(err)
+		is.Equal(body, events("hello"))
+		stamp[answer.Header.Get("Response-Stamp")] = true
+	}
+	is.True(len(stamp) >= 1)
+	for _, r := range b.runs() {
+		is.True(r.Behind == 0 || r.Behind == 2)
+	}
+}
+
+// TestNotResumable cuts a stream that may not go on elsewhere.
+func TestNotResumable(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 2, 0)
+	b.fault(rig.FaultMidEvent)
+	_, body, err := b.do(b.request("POST", "/fixed/x", "hello"))
+	is.True(err != nil) // visibly cut
+	is.True(strings.HasPrefix(events("hello"), body))
+	is.Equal(len(b.runs()), 1)
+}
+
+// TestCallerResumes hands on where the caller wants to go on.
+func TestCallerResumes(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, 0)
+	r := b.request("POST", "/chat/x", "hello")
+	r.Header.Set("Last-Event-Id", "5")
+	_, body, err := b.do(r)
+	is.NoErr(err)
+	is.Equal(rig.Event(1, "hello")+rig.Event(2, "hello")+rig.Event(3, "hello")+rig.Event(4, "hello")+rig.Event(5, "hello")+body, events("hello"))
+}
+
+// TestReusedAddress finds another server at the address: nothing runs there.
+func TestReusedAddress(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 0, 2)
+	b.servers[0].Rename("i-other")
+	b.servers[1].Rename("i-other")
+	answer, _, err := b.do(b.request("POST", "/book/x", "seat 4"))
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(len(b.runs()), 0)
+}
+
+// TestCallerLeaves closes the caller's connection in the middle of a stream:
+// the engine hears of it.
+func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, 0)
+	b.fault(rig.FaultHangs)
+	ctx, leave := context.WithCancel(context.Background())
+	r := b.request("POST", "/chat/x", "hello").WithContext(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		answer, err := http.DefaultClient.Do(r)
+		if err == nil {
+			_ = answer.Body.Close() // never reached: the engine says nothing
+		}
+	}()
+	waitFor(t, func() bool { return len(b.servers[0].Runs()) == 1 })
+	leave()
+	<-done
+	waitFor(t, func() bool { return b.servers[0].Left() == 1 })
+	waitFor(t, func() bool { return len(b.books.Own(time.Now())) == 0 })
+	is.Equal(len(b.runs()), 1)
+}
+
+// TestEarly gets an answer before the server has read a long body: the rest of
+// the body must not be taken for a request.
+func TestEarly(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 0, 1)
+	body := strings.Repeat("GET /read/smuggled HTTP/1.1\r\n\r\n", 1500)
+	b.fault(rig.FaultEarly)
+	answer, _, err := b.do(b.request("POST", "/book/x", body))
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusServiceUnavailable)
+	answer, text, err := b.do(b.request("POST", "/book/x", body))
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusOK)
+	is.Equal(text, rig.Answer("POST", "/book/x", body))
+	is.Equal(len(b.runs()), 1)
+}
+
+// TestSmuggled sends a request with two lengths.
+func TestSmuggled(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 0, 1)
+	c, err := net.Dial("tcp4", b.server.Listener.Addr().String()) //nolint:noctx // a raw connection on purpose
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /book/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a\r\nAuthorization: Token "+key+
+		"\r\nContent-Length: 4\r\nContent-Length: 40\r\n\r\nseatGET /read/smuggled HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: b\r\nAuthorization: Token "+key+"\r\n\r\n")
+	is.NoErr(err)
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	defer answer.Body.Close()
+	is.Equal(answer.StatusCode, http.StatusBadRequest)
+	is.Equal(len(b.runs()), 0)
+}
+
+// TestTimeout ends a request at its route's time, not at the caller's.
+func TestTimeout(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 0, 1)
+	b.configure(2, func(r *viewer.Route) { r.Timeout = 200 * time.Millisecond })
+	b.fault(rig.FaultHangs)
+	answer, _, err := b.do(b.request("POST", "/book/x", "seat 4"))
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusGatewayTimeout)
+}
+
+// TestNewRoute obeys a configuration from the moment it is in force.
+func TestNewRoute(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 0, 1)
+	b.configure(2, func(r *viewer.Route) { r.Prefix = "/v2" + r.Prefix })
+	answer, _, err := b.do(b.request("GET", "/read/x", ""))
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusNotFound)
+	answer, _, err = b.do(b.request("GET", "/v2/read/x", ""))
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusOK)
+}
+
+// TestReservations serves a prompt larger than one engine: memory is reserved
+// at helpers, and released whatever becomes of it.
+func TestReservations(t *testing.T) {
+	tests := map[string]struct {
+		fault string
+		want  int
+	}{
+		"served":         {want: http.StatusOK},
+		"a helper full":  {fault: rig.FaultFull, want: http.StatusServiceUnavailable},
+		"engine crashes": {fault: rig.FaultCloses, want: http.StatusOK}, // the next one serves
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 3, 0)
+			if test.fault != "" {
+				b.fault(test.fault)
+			}
+			r := b.request("POST", "/chat/x", "hello")
+			r.Header.Set("Token-Usage", "150000,50")
+			answer, _, err := b.do(r)
+			is.NoErr(err)
+			is.True(answer.StatusCode == test.want || answer.StatusCode == http.StatusBadGateway && test.fault == rig.FaultCloses)
+			waitFor(t, func() bool { return b.servers[0].Held()+b.servers[1].Held()+b.servers[2].Held() == 0 })
+			if test.want == http.StatusOK && test.fault == "" {
+				is.True(strings.Contains(b.runs()[0].Header.Get("Helpers"), "/")) // with a ticket
+			}
+		})
+	}
+}
+
+// waitFor waits until something holds.
+func waitFor(t *testing.T, holds func() bool) {
+	t.Helper()
+	for range 5000 {
+		if holds() {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	t.Fatal("it never held")
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -10,8 +10,10 @@
 
 import (
 	"context"
+	"os"
 
 	"bamboohill/core/commander"
+	"bamboohill/core/logger"
 	"bamboohill/entry/internal/director"
 	"bamboohill/entry/internal/server"
 	"bamboohill/entry/internal/settings"
@@ -41,8 +43,14 @@
 	Name:  "direct",
 	Usage: "takes callers' requests and calls backend servers itself",
 	Level: func(s *director.Settings) string { return s.Level },
-	Run: func(ctx context.Context, s *director.Settings, l *log.Logger) error {
-		d, err := director.New(director.Config{Settings: *s, Log: l})
+	Run: func(ctx context.Context, s *director.Settings, _ *log.Logger) error {
+		sink := logger.NewBounded(os.Stdout, 0)
+		defer sink.Close()
+		l, err := logger.New(logger.Config{Program: "entry", Level: s.Level, Sink: sink})
+		if err != nil {
+			return err
+		}
+		d, err := director.New(director.Config{Settings: *s, Log: l, Dropped: sink.Dropped})
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/prover/direct_test.go
@@ -0,0 +1,379 @@
+package prover
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"bamboohill/platform/rig"
+
+	"github.com/matryer/is"
+)
+
+// deployment is a stand-in of the users' platform with entries as processes.
+type deployment struct {
+	t       *testing.T
+	store   *rig.Store
+	engines []*rig.Server
+	plain   []*rig.Server
+	entries []*directEntry
+}
+
+// directEntry is one process.
+type directEntry struct {
+	t        *testing.T
+	gate     *rig.Gate
+	callers  string
+	ready    string
+	metrics  string
+	settings string
+	log      *output
+	command  *exec.Cmd
+	ended    chan error
+}
+
+// output is what a process wrote.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+// String returns all of it.
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
+// Keys of the deployment's two accounts.
+const (
+	keptKey    = "kept"
+	revokedKey = "revoked"
+)
+
+func desired(version int, keys ...string) []byte {
+	accounts := make([]string, len(keys))
+	for i, k := range keys {
+		accounts[i] = fmt.Sprintf(`{"name":"of-%s","apiKeys":[%q]}`, k, k)
+	}
+	return fmt.Appendf(nil, `{"version":%d,"routes":[
+ {"name":"chat","host":"a.example","pathPrefix":"/chat/","kind":"streaming","timeoutMs":10000,"targetLatencyMs":300,"targetGapMs":200,"service":"pool","maxAttempts":2,"resumable":true},
+ {"name":"book","host":"a.example","pathPrefix":"/book/","kind":"unsafe","timeoutMs":3000,"service":"plain","maxAttempts":1}],
+"services":[{"name":"pool","coldStartS":3,"coldPerS":36,"engine":{"slots":16,"kvCapacityTokens":450000,"stride":46,"step_ms":0.925,"per_seq_ms":0.00483,"context_per_k":0.00254,"read_per_s":256000,"pairs_per_m":0.0917,"chunk":2048}},{"name":"plain"}],
+"limits":{"maxBodyBytes":4194304},"tenants":[%s]}`, version, strings.Join(accounts, ","))
+}
+
+// newDeployment starts a store, three engines, two plain servers and entries.
+func newDeployment(t *testing.T, entries int) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: rig.NewStore()}
+	d.store.Put("op", "config", desired(1, keptKey, revokedKey))
+	start := func(id, service string) *rig.Server {
+		s, err := rig.StartServer(rig.ServerConfig{ID: id, Service: service, Store: d.store, Events: 20, Pause: 10 * time.Millisecond})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = s.Close() }) // its end is of no interest here
+		return s
+	}
+	for i := range 3 {
+		d.engines = append(d.engines, start(fmt.Sprintf("i-%d", i), "pool"))
+	}
+	for i := range 2 {
+		d.plain = append(d.plain, start(fmt.Sprintf("p-%d", i), "plain"))
+	}
+	for n := range entries {
+		d.entries = append(d.entries, d.newEntry(n, entries))
+	}
+	for _, e := range d.entries {
+		e.start()
+		t.Cleanup(e.kill)
+	}
+	for _, e := range d.entries {
+		e.until("ready", e.isReady)
+	}
+	return d
+}
+
+// newEntry writes the settings of an entry. Datagrams have one port at all.
+func (d *deployment) newEntry(n, of int) *directEntry {
+	d.t.Helper()
+	e := &directEntry{t: d.t, gate: rig.NewGate(d.store), log: &output{}, settings: filepath.Join(d.t.TempDir(), "direct.toml")}
+	way := httptest.NewServer(e.gate)
+	d.t.Cleanup(way.Close)
+	p := os.Getpid()
+	host := func(n int) string { return fmt.Sprintf("127.%d.%d.%d", 64+p%128, 1+p/128%250, 200+n) }
+	at := func(port int) string { return net.JoinHostPort(host(n), fmt.Sprint(port)) }
+	e.callers, e.ready, e.metrics = at(21000), at(21001), at(21004)
+	seeds := make([]string, of)
+	for i := range seeds {
+		seeds[i] = fmt.Sprintf("%q", net.JoinHostPort(host(i), "21002"))
+	}
+	text := fmt.Sprintf("vm = \"front-%d\"\ndomain = \"north\"\nregion = \"home\"\ngrace_s = 6\nentries = [%s]\n[listen]\ncallers = %q\nready = %q\ncalls = %q\ndatagrams = %q\nmetrics = %q\n[platform]\nstore = %q\n",
+		n, strings.Join(seeds, ","), e.callers, e.ready, at(21002), at(21003), e.metrics, way.Listener.Addr().String())
+	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	return e
+}
+
+func (e *directEntry) start() {
+	e.t.Helper()
+	e.command = exec.CommandContext(context.Background(), filepath.Join(programs, "entry"), "direct", "run", e.settings)
+	e.command.Stdout, e.command.Stderr = e.log, e.log
+	if err := e.command.Start(); err != nil {
+		e.t.Fatal(err)
+	}
+	e.ended = make(chan error, 1)
+	go func(c *exec.Cmd, ended chan error) { ended <- c.Wait() }(e.command, e.ended)
+}
+
+// kill ends the process as a crash would.
+func (e *directEntry) kill() {
+	if err := e.command.Process.Kill(); err == nil {
+		<-e.ended
+	}
+}
+
+func (e *directEntry) until(what string, holds func() bool) {
+	e.t.Helper()
+	for range 5000 {
+		if holds() {
+			return
+		}
+		time.Sleep(4 * time.Millisecond)
+	}
+	e.t.Fatalf("never: %s\n%s", what, e.log)
+}
+
+func (e *directEntry) isReady() bool {
+	status, _, err := get(e.ready, "/readiness")
+	return err == nil && status == http.StatusOK
+}
+
+func get(address, path string) (int, string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	return answer.StatusCode, string(text), err
+}
+
+// attempts numbers the callers' attempts.
+var attempts struct {
+	sync.Mutex
+	n int
+}
+
+// ask sends a caller's request and returns the status and the body.
+func (e *directEntry) ask(path, key, body string) (int, string, error) {
+	attempts.Lock()
+	attempts.n++
+	id := fmt.Sprintf("at%d", attempts.n)
+	attempts.Unlock()
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+e.callers+path, strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	r.Host = "a.example"
+	r.Header.Set("Attempt-Id", id)
+	r.Header.Set("Authorization", "Token "+key)
+	r.Header.Set("Deadline-Ms", "5000")
+	if strings.HasPrefix(path, "/chat/") {
+		r.Header.Set("Token-Usage", "2000,100")
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	return answer.StatusCode, string(text), err
+}
+
+func chat(body string) string {
+	var all strings.Builder
+	for n := 1; n <= 20; n++ {
+		all.WriteString(rig.Event(n, body))
+	}
+	return all.String()
+}
+
+// serves checks that an entry answers both kinds of request.
+func (e *directEntry) serves(is *is.I) {
+	is.Helper()
+	status, body, err := e.ask("/chat/x", keptKey, "hello")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, chat("hello"))
+	status, body, err = e.ask("/book/x", keptKey, "seat 4")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, rig.Answer("POST", "/book/x", "seat 4"))
+}
+
+// TestDirect walks entries that call backend servers themselves through what
+// their days bring: service, a store that turns one away, a restart without
+// the store, engines that crash, and a planned stop under load.
+func TestDirect(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 3)
+	for _, e := range d.entries {
+		e.serves(is)
+	}
+	status, text, err := get(d.entries[0].metrics, "/")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.True(strings.Contains(text, "sends_answered 2\n"))
+	is.True(strings.Contains(text, "first_event_ms_p50 "))
+
+	t.Run("turned away", func(t *testing.T) { d.turnedAway(t) })
+	t.Run("restart without store", func(t *testing.T) { d.restartWithoutStore(t) })
+	t.Run("engine crashes", func(t *testing.T) { d.engineCrashes(t) })
+	t.Run("planned stop", func(t *testing.T) { d.plannedStop(t) })
+}
+
+// turnedAway revokes a key while the store serves all entries but one: that one
+// has it from the others.
+func (d *deployment) turnedAway(t *testing.T) {
+	is := is.New(t)
+	e := d.entries[0]
+	e.gate.Shut(true)
+	e.until("the loss is logged", func() bool { return strings.Contains(e.log.String(), "event=dependency-lost") })
+	d.store.Put("op", "config", desired(2, keptKey))
+	for _, e := range d.entries {
+		e.until("the key is refused", func() bool {
+			status, _, err := e.ask("/chat/x", revokedKey, "hello")
+			return err == nil && status == http.StatusUnauthorized
+		})
+	}
+	is.True(strings.Contains(e.log.String(), "event=pulled"))
+	e.serves(is)
+	e.gate.Shut(false)
+	e.until("the return is logged", func() bool { return strings.Contains(e.log.String(), "event=dependency-back") })
+}
+
+// restartWithoutStore kills an entry while the store is away from all: it has
+// the configuration and the servers from the others, and nothing older.
+func (d *deployment) restartWithoutStore(t *testing.T) {
+	is := is.New(t)
+	e := d.entries[1]
+	for _, other := range d.entries {
+		other.gate.Shut(true)
+	}
+	e.kill()
+	e.start()
+	e.until("ready", e.isReady)
+	status, _, err := e.ask("/chat/x", revokedKey, "hello")
+	is.NoErr(err)
+	is.Equal(status, http.StatusUnauthorized)
+	e.serves(is)
+	for _, other := range d.entries {
+		other.gate.Shut(false)
+	}
+}
+
+// engineCrashes ends streams inside an event: callers see whole streams.
+func (d *deployment) engineCrashes(t *testing.T) {
+	is := is.New(t)
+	d.engines[0].Fault(rig.FaultMidEvent, rig.FaultCloses)
+	d.plain[0].Fault(rig.FaultCloses)
+	unknown := 0
+	for range 9 {
+		for _, e := range d.entries {
+			status, body, err := e.ask("/chat/x", keptKey, "hello")
+			is.NoErr(err)
+			is.Equal(status, http.StatusOK)
+			is.Equal(body, chat("hello"))
+			status, _, err = e.ask("/book/x", keptKey, "seat 5")
+			is.NoErr(err)
+			if status == http.StatusBadGateway {
+				unknown++
+			}
+		}
+	}
+	is.Equal(unknown, 1) // it may have run, and is not sent again
+	runs := 0
+	for _, s := range d.plain {
+		for _, r := range s.Runs() {
+			if r.Body == "seat 5" {
+				runs++
+			}
+		}
+	}
+	is.Equal(runs, 27)
+}
+
+// plannedStop stops an entry while it serves: it is not ready at once, and
+// whoever still comes until the balancer has noticed is answered.
+func (d *deployment) plannedStop(t *testing.T) {
+	is := is.New(t)
+	e := d.entries[2]
+	type result struct {
+		body string
+		err  error
+	}
+	streams := make(chan result, 8)
+	for range cap(streams) {
+		go func() {
+			_, body, err := e.ask("/chat/x", keptKey, "hello")
+			streams <- result{body, err}
+		}()
+	}
+	is.NoErr(e.command.Process.Signal(syscall.SIGTERM))
+	e.until("not ready", func() bool { return !e.isReady() })
+	status, body, err := e.ask("/chat/x", keptKey, "late")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, chat("late"))
+	for range cap(streams) {
+		r := <-streams
+		is.NoErr(r.err)
+		is.Equal(r.body, chat("hello"))
+	}
+	is.NoErr(<-e.ended) // exits 0
+	e.ended <- nil      // for the clean-up
+	is.True(strings.Contains(e.log.String(), "event=stopped"))
+	d.entries[0].until("withdrawn", func() bool { return len(d.store.Rows("entries")) == 2 })
+}
+
+// TestDirectSettings names what is wrong, with file and line.
+func TestDirectSettings(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "direct.toml")
+	is.NoErr(os.WriteFile(path, []byte("vm = \"front\"\ndomain = \"north\"\ngrace_s = -1\n"), 0o600))
+	out, err := exec.CommandContext(t.Context(), filepath.Join(programs, "entry"), "direct", "check", path).CombinedOutput()
+	var exit *exec.ExitError
+	is.True(errors.As(err, &exit))
+	is.Equal(exit.ExitCode(), 2)
+	is.True(strings.Contains(string(out), path+":3: grace_s: must be above 0 seconds"))
+	is.True(strings.Contains(string(out), "platform.store"))
+}
