--- a/entry/internal/director/director.go
+++ b/entry/internal/director/director.go
@@ -49,6 +49,10 @@
 // whatever it costs: the rest is for stacks, buffers of the kernel and bursts.
 const memoryShare = 0.7
 
+// garbagePercent bounds the heap of a process that makes little garbage: its
+// memory costs more than its collections.
+const garbagePercent = 75
+
 // Director runs the parts of one entry.
 type Director struct {
 	config    Config
@@ -98,6 +102,7 @@
 // Run serves until ctx ends, then stops within the grace.
 func (d *Director) Run(ctx context.Context) error {
 	s := d.config.Settings
+	debug.SetGCPercent(garbagePercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory<<20)))
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
--- a/entry/internal/exchanger/exchanger.go
+++ b/entry/internal/exchanger/exchanger.go
@@ -63,9 +63,11 @@
 const (
 	heartbeat    = 250 * time.Millisecond // a lost datagram is mended by the next
 	gapLeast     = 8 * time.Millisecond   // between two datagrams, which bounds what a burst costs
+	gapPerPeer   = time.Millisecond       // more where each datagram goes to many
+	namesEvery   = time.Second            // between two lists of the entries that are heard
 	peerLive     = 2 * time.Second        // some heartbeats
 	peerKept     = time.Minute            // a silent entry is still told for as long
-	lookEvery    = 8 * time.Second        // at the directory
+	lookEvery    = 20 * time.Second       // at the directory
 	pullPatience = 150 * time.Millisecond // for the store to bring the same change
 	pullMost     = time.Second
 	peerSpeaks   = 5 * time.Second // from an entry's name to its first datagram
@@ -96,7 +98,8 @@
 	mu      sync.Mutex
 	peers   map[string]*peer // by the address where it serves Path
 	pulling bool
-	looked  bool // the directory was read
+	named   time.Time // when the entries that are heard were last listed
+	looked  bool      // the directory was read
 }
 
 // New opens the socket.
@@ -164,7 +167,7 @@
 	defer beat.Stop()
 	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
 		e.send(e.encode(sequence, time.Now()))
-		gap := time.NewTimer(gapLeast)
+		gap := time.NewTimer(e.gap())
 		select {
 		case <-ctx.Done():
 		case <-gap.C:
@@ -177,6 +180,13 @@
 	}
 }
 
+// gap returns the shortest time between two datagrams.
+func (e *Exchanger) gap() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return gapLeast + time.Duration(len(e.peers))*gapPerPeer
+}
+
 func (e *Exchanger) encode(sequence uint64, now time.Time) *wire.Outstanding {
 	o := &wire.Outstanding{
 		Entry: e.config.Name, Incarnation: e.incarnation, Sequence: sequence,
@@ -200,13 +210,17 @@
 func (e *Exchanger) send(o *wire.Outstanding) {
 	e.mu.Lock()
 	var to []netip.AddrPort
+	names := time.Since(e.named) >= namesEvery
+	if names {
+		e.named = time.Now()
+	}
 	for address, p := range e.peers {
 		if time.Since(p.known) > peerKept {
 			delete(e.peers, address)
 			e.config.Log.Info().Str("event", "peer-forgotten").Str("peer", address).Msg("")
 			continue
 		}
-		if p.heard.IsZero() || time.Since(p.heard) < peerKept {
+		if names && (p.heard.IsZero() || time.Since(p.heard) < peerKept) {
 			o.Peers = append(o.Peers, address)
 		}
 		to = append(to, netip.AddrPortFrom(netip.MustParseAddrPort(address).Addr(), e.config.Datagrams.Port()))
