Policies of placing by settings; headers and idle connections bounded

Cause: baselines could be compared on the emulator only, and the limits of the configuration on headers and idle connections were not obeyed.

Change: assigner.Policies (priced, open, least, random), chosen by the setting placing; the configured bound on headers answers 431; callers' connections idle for longer than the configuration says are closed, also when it changes while they are open. Tests of the settings, of both bounds.

Ruled out: http.Server's IdleTimeout, which is fixed for an open connection.

--- a/entry/internal/director/director.go
+++ b/entry/internal/director/director.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"bamboohill/core/assigner"
 	"bamboohill/core/bookkeeper"
 	"bamboohill/core/budgeter"
 	"bamboohill/core/connector"
@@ -64,6 +65,7 @@
 	warm      *warmer.Warmer
 	doubts    *doubter.Doubter
 	meter     *forwarder.Meter
+	idle      *idle
 	closing   atomic.Bool
 }
 
@@ -72,7 +74,7 @@
 	s := config.Settings
 	d := &Director{
 		config: config, viewer: viewer.New(), meter: forwarder.NewMeter(),
-		connector: connector.New(connector.Config{}), warm: warmer.New(), doubts: doubter.New(),
+		connector: connector.New(connector.Config{}), warm: warmer.New(), doubts: doubter.New(), idle: newIdle(),
 	}
 	d.platform = platform.New(platform.Config{Settings: s.Platform, Viewer: d.viewer, Log: config.Log})
 	books := bookkeeper.New()
@@ -94,7 +96,7 @@
 	d.forwarder = forwarder.New(forwarder.Config{
 		Log: config.Log, Dialect: platform.Dialect{}, Viewer: d.viewer, Books: books,
 		Budget: budgeter.New(s.Retry.budget()), Connector: d.connector, Doubts: d.doubts, Warm: d.warm,
-		Meter: d.meter, Region: s.Region, Entries: d.exchanger.Entries, Closing: d.closing.Load,
+		Meter: d.meter, Policy: assigner.Policies[s.Placing], Region: s.Region, Entries: d.exchanger.Entries, Closing: d.closing.Load,
 	})
 	return d, nil
 }
@@ -106,7 +108,9 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory<<20)))
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	callers := &http.Server{Handler: d.forwarder, MaxHeaderBytes: headerMost, ReadHeaderTimeout: headerTimeout}
+	callers := &http.Server{
+		Handler: d.forwarder, MaxHeaderBytes: headerMost, ReadHeaderTimeout: headerTimeout, ConnState: d.idle.note,
+	}
 	servers := map[string]*http.Server{
 		s.Listen.Callers: callers,
 		s.Listen.Ready:   {Handler: http.HandlerFunc(d.ready), ReadHeaderTimeout: headerTimeout},
@@ -184,6 +188,9 @@
 			d.connector.Expire(now)
 			d.warm.Expire(now)
 			d.doubts.Expire(now)
+			if c := d.viewer.Load().Configuration; c != nil {
+				d.idle.expire(now, c.Limits.IdleTimeout)
+			}
 		}
 	}
 }
--- /dev/null
+++ b/entry/internal/director/director_test.go
@@ -0,0 +1,58 @@
+package director
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"bamboohill/core/checker/examiner"
+
+	"github.com/matryer/is"
+)
+
+func TestSettings(t *testing.T) {
+	examiner.Examine(t, examiner.Config[Settings]{
+		Example: "../../../docs/examples/direct.toml",
+		Page:    "../../../docs/SETTINGS.md",
+		Section: "direct",
+		Faults: map[string]examiner.Fault{
+			"grace":        {Old: "grace_s = 8 ", New: "grace_s = -1 ", Want: "LINE: grace_s: must be above 0 seconds"},
+			"address":      {Old: "callers = \"127.0.0.1:21100\"", New: "callers = \"here\"", Want: "LINE: listen.callers: must be IP:PORT"},
+			"unknown key":  {Old: "slack = 100", New: "slak = 100", Want: "LINE: unknown key \"retry.slak\""},
+			"level":        {Old: "level = \"info\"", New: "level = \"loud\"", Want: "LINE: level: must be debug, info, warn or error"},
+			"placing":      {Old: "placing = \"priced\"", New: "placing = \"luck\"", Want: "LINE: placing: must be priced, open, least or random"},
+			"small memory": {Old: "memory_mb = 284", New: "memory_mb = 3", Want: "LINE: memory_mb: must be at least 32 megabytes"},
+		},
+	})
+}
+
+// TestIdle closes what is idle for too long, and nothing that is in use.
+func TestIdle(t *testing.T) {
+	is := is.New(t)
+	i := newIdle()
+	var ends [3]net.Conn
+	var conns [3]net.Conn
+	for n := range conns {
+		conns[n], ends[n] = net.Pipe()
+		i.note(conns[n], http.StateNew)
+	}
+	i.note(conns[1], http.StateActive)
+	now := time.Now()
+	i.expire(now.Add(time.Hour), 0) // no bound
+	is.Equal(len(i.since), 2)
+	i.expire(now.Add(time.Second), 2*time.Second)
+	is.Equal(len(i.since), 2)
+	i.expire(now.Add(3*time.Second), 2*time.Second)
+	is.Equal(len(i.since), 0)
+	is.NoErr(ends[1].SetReadDeadline(now.Add(-time.Second))) // it is open: nothing comes
+	for n, end := range ends {
+		_, err := end.Read(make([]byte, 1))
+		is.Equal(errors.Is(err, io.EOF), n != 1)
+	}
+	i.note(conns[1], http.StateIdle)
+	i.note(conns[1], http.StateClosed)
+	is.Equal(len(i.since), 0)
+}
--- a/entry/internal/director/settings.go
+++ b/entry/internal/director/settings.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"bamboohill/core/assigner"
 	"bamboohill/core/budgeter"
 	"bamboohill/core/checker"
 	"bamboohill/core/logger"
@@ -20,6 +21,7 @@
 	Region   viewer.Region     `toml:"region"`    // of the failure domain
 	Memory   int64             `toml:"memory_mb"` // that the process may use
 	Grace    float64           `toml:"grace_s"`   // from the order to stop until the process is killed
+	Placing  string            `toml:"placing"`   // policy of placing prompts
 	Entries  []string          `toml:"entries"`   // listen.calls of some other entries, perhaps stale
 	Listen   Listen            `toml:"listen"`
 	Retry    Retry             `toml:"retry"`
@@ -61,6 +63,7 @@
 // Check implements checker.Checked; it fills in the defaults first.
 func (s *Settings) Check() []checker.Problem {
 	checker.Default(&s.Level, "info")
+	checker.Default(&s.Placing, "priced")
 	checker.Default(&s.Memory, defaultMemory)
 	checker.Default(&s.Grace, defaultGrace)
 	checker.Default(&s.Retry.Ratio, defaultRatio)
@@ -72,6 +75,7 @@
 	bad.Require(s.Domain != "", "domain", "must name the failure domain")
 	bad.Require(s.Memory >= 32, "memory_mb", "must be at least 32 megabytes")
 	bad.Require(s.Grace > 0, "grace_s", "must be above 0 seconds")
+	bad.Require(assigner.Policies[s.Placing] != nil, "placing", "must be priced, open, least or random")
 	bad.Require(checker.AreAddresses(s.Entries), "entries", "must hold IP:PORT")
 	bad.Require(checker.IsAddress(s.Listen.Callers), "listen.callers", "must be IP:PORT")
 	bad.Require(checker.IsAddress(s.Listen.Ready), "listen.ready", "must be IP:PORT")
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"bamboohill/core/assigner"
 	"bamboohill/core/bookkeeper"
 	"bamboohill/core/budgeter"
 	"bamboohill/core/connector"
@@ -33,6 +34,7 @@
 	Doubts    *doubter.Doubter
 	Warm      *warmer.Warmer
 	Meter     *Meter
+	Policy    assigner.Policy // of placing prompts
 	Region    viewer.Region
 	Entries   func() int  // that share limits, this one included
 	Closing   func() bool // whether callers are asked to leave
@@ -129,12 +131,27 @@
 	if x.call.Attempt == "" {
 		return http.StatusBadRequest, "no attempt id"
 	}
+	if size := headerSize(x.r); c.Limits.HeaderBytes > 0 && size > c.Limits.HeaderBytes {
+		return http.StatusRequestHeaderFieldsTooLarge, "header too large"
+	}
 	if status, cause := x.readBody(c.Limits); status != 0 {
 		return status, cause
 	}
 	return x.target()
 }
 
+// headerSize returns the bytes of a request's line and header.
+func headerSize(r *http.Request) int {
+	const between = 4 // colon, blank, end of line
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host) + len("  HTTP/1.1\r\nHost: \r\n")
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + between
+		}
+	}
+	return size
+}
+
 func home(region viewer.Region, allowed []viewer.Region) bool {
 	for _, r := range allowed {
 		if r == region {
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"bamboohill/core/assigner"
 	"bamboohill/core/bookkeeper"
 	"bamboohill/core/budgeter"
 	"bamboohill/core/connector"
@@ -66,7 +67,7 @@
 	f := forwarder.New(forwarder.Config{
 		Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, Dialect: platform.Dialect{}, Viewer: b.view, Books: b.books,
 		Budget: budget, Connector: connector.New(connector.Config{}), Doubts: doubter.New(), Warm: warmer.New(),
-		Meter: forwarder.NewMeter(), Region: "home", Entries: func() int { return 1 }, Closing: func() bool { return false },
+		Meter: forwarder.NewMeter(), Policy: assigner.Priced{}, Region: "home", Entries: func() int { return 1 }, Closing: func() bool { return false },
 	})
 	b.server = httptest.NewServer(f)
 	t.Cleanup(b.server.Close)
@@ -91,7 +92,7 @@
 	}
 	c := viewer.NewConfiguration(routes, map[string]*viewer.Account{key: {Name: "acme"}})
 	c.Revision = revision
-	c.Limits = viewer.Limits{BodyBytes: 1 << 16}
+	c.Limits = viewer.Limits{BodyBytes: 1 << 16, HeaderBytes: 4 << 10}
 	c.Services["pool"] = &viewer.Service{Name: "pool", Engine: &predictor.Engine{
 		Slots: 4, Capacity: 100_000, Stride: 10, Step: time.Millisecond, ReadRate: 1e6, Chunk: 2048,
 	}}
@@ -226,6 +227,7 @@
 		"no route":      {path: "/nowhere/", edit: func(*http.Request) {}, want: http.StatusNotFound},
 		"no host":       {path: "/chat/x", edit: func(r *http.Request) { r.Host = "b.example" }, want: http.StatusNotFound},
 		"no attempt id": {path: "/chat/x", edit: func(r *http.Request) { r.Header.Del("Attempt-Id") }, want: http.StatusBadRequest},
+		"long header":   {path: "/chat/x", edit: func(r *http.Request) { r.Header.Set("X-Long", strings.Repeat("x", 5<<10)) }, want: http.StatusRequestHeaderFieldsTooLarge},
 		"long body": {path: "/chat/x", edit: func(r *http.Request) {
 			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 1<<17)))
 			r.ContentLength = 1 << 17
--- a/entry/internal/forwarder/place.go
+++ b/entry/internal/forwarder/place.go
@@ -124,11 +124,9 @@
 		Tokens: x.call.Prompt, Answer: x.call.Answer, Busy: pace / float64(len(servers)),
 		Target: x.route.TargetLatency, Gap: x.route.TargetGap, Waited: now.Sub(x.received),
 	}
-	plan, _ := assigner.Choose(prompt, candidates)
-	if x.history.sends == 0 {
-		if v := assigner.Decide(prompt, plan, candidates); v != assigner.Serve {
-			return v
-		}
+	plan, verdict := x.forwarder.Policy.Choose(prompt, candidates)
+	if verdict != assigner.Serve && x.history.sends == 0 {
+		return verdict
 	}
 	p.server = byID[plan.Server]
 	for _, id := range plan.Helpers {
--- a/load/internal/replayer/replayer.go
+++ b/load/internal/replayer/replayer.go
@@ -14,7 +14,7 @@
 // Config describes a replay.
 type Config struct {
 	Load   Load
-	Policy Policy
+	Policy assigner.Policy
 	Seed   uint64
 }
 
@@ -139,7 +139,7 @@
 		Tokens: q.tokens, Answer: q.events * tokensPerEvent, Target: c.Target, Gap: c.Gap,
 		Waited: r.engine.Now() - came, Busy: pace / float64(len(all)),
 	}
-	switch plan, verdict := r.config.Policy.Choose(prompt, all, r.random); verdict {
+	switch plan, verdict := r.config.Policy.Choose(prompt, all); verdict {
 	case assigner.Serve:
 		r.submit(q, books, prompt, plan)
 	case assigner.Wait:
--- a/load/internal/replayer/replayer_test.go
+++ b/load/internal/replayer/replayer_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"testing"
 
+	"bamboohill/core/assigner"
 	"bamboohill/load/internal/replayer"
 
 	"github.com/matryer/is"
@@ -13,8 +15,10 @@
 // by a tenth.
 const seeds = 12
 
+func source() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
 // mean replays days and adds up what became of each class.
-func mean(t *testing.T, l replayer.Load, p replayer.Policy) (classes []replayer.Count, worth float64) {
+func mean(t *testing.T, l replayer.Load, p assigner.Policy) (classes []replayer.Count, worth float64) {
 	t.Helper()
 	classes = make([]replayer.Count, len(l.Classes))
 	for seed := range uint64(seeds) {
@@ -27,7 +31,7 @@
 			classes[i].Refused += c.Refused
 		}
 	}
-	t.Logf("%T%+v worth %.3f in time %.3f %.3f %.3f", p, p, worth, classes[0].Share(), classes[1].Share(), classes[2].Share())
+	t.Logf("%T worth %.3f in time %.3f %.3f %.3f", p, worth, classes[0].Share(), classes[1].Share(), classes[2].Share())
 	return classes, worth
 }
 
@@ -36,13 +40,13 @@
 // earns 0.69 of the worth here, and random choice, which earns 0.58.
 func TestWaves(t *testing.T) {
 	is := is.New(t)
-	classes, worth := mean(t, replayer.Waves(), replayer.Priced{})
+	classes, worth := mean(t, replayer.Waves(), assigner.Priced{})
 	is.True(worth > 0.86)
 	is.True(classes[0].Share() > 0.89) // short prompts beside waves of long ones
 	is.True(classes[1].Share() > 0.78)
 	is.True(classes[2].Share() > 0.82) // newest part first, priced
-	_, least := mean(t, replayer.Waves(), replayer.Least{})
-	_, random := mean(t, replayer.Waves(), replayer.Random{})
+	_, least := mean(t, replayer.Waves(), assigner.Least{Source: source()})
+	_, random := mean(t, replayer.Waves(), assigner.Random{Source: source()})
 	is.True(worth > least+0.15)
 	is.True(worth > random+0.2)
 }
@@ -51,8 +55,8 @@
 // vtg-router from second 22). With everyone let in, four in five are late.
 func TestFlood(t *testing.T) {
 	is := is.New(t)
-	classes, worth := mean(t, replayer.Flood(), replayer.Priced{})
-	open, all := mean(t, replayer.Flood(), replayer.Priced{Open: true})
+	classes, worth := mean(t, replayer.Flood(), assigner.Priced{})
+	open, all := mean(t, replayer.Flood(), assigner.Priced{Open: true})
 	is.True(classes[0].Share() > 0.62)
 	is.True(classes[0].Share() > open[0].Share()+0.25)
 	is.True(worth > all+0.15)
@@ -65,7 +69,7 @@
 	is := is.New(t)
 	l := replayer.Waves()
 	l.Classes[2].Tokens.Spread = 0.8 // one in eight is over 400,000 tokens
-	classes, worth := mean(t, l, replayer.Priced{})
+	classes, worth := mean(t, l, assigner.Priced{})
 	is.True(classes[2].Refused < classes[2].Asked/3)
 	is.True(classes[0].Share() > 0.8)
 	is.True(worth > 0.6)
@@ -76,7 +80,7 @@
 	is := is.New(t)
 	var first, again bytes.Buffer
 	for _, out := range []*bytes.Buffer{&first, &again} {
-		is.NoErr(replayer.Replay(replayer.Config{Load: replayer.Flood(), Policy: replayer.Priced{}, Seed: 3}).Write(out))
+		is.NoErr(replayer.Replay(replayer.Config{Load: replayer.Flood(), Policy: assigner.Priced{}, Seed: 3}).Write(out))
 	}
 	is.Equal(first.String(), again.String())
 }
@@ -84,7 +88,7 @@
 // TestAllAccounted checks that every request ends in one way.
 func TestAllAccounted(t *testing.T) {
 	is := is.New(t)
-	for _, p := range []replayer.Policy{replayer.Priced{}, replayer.Least{}, replayer.Random{}} {
+	for _, p := range []assigner.Policy{assigner.Priced{}, assigner.Least{Source: source()}, assigner.Random{Source: source()}} {
 		for _, c := range replayer.Replay(replayer.Config{Load: replayer.Waves(), Policy: p, Seed: 5}).Classes {
 			is.True(c.InTime+c.Late+c.Refused <= c.Asked)
 			is.True(c.InTime+c.Late+c.Refused >= c.Asked*19/20) // few are still under way at the end
