Slots count where one engine serves; herds are served late; short patience

Change: the rank counts slots and memory; slots of a full engine are taken to need 250 ms; engines under half full, with reading not scarce, are idle, and nobody is refused there; a wait takes a fifth of the caller's time at most.

--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -34,6 +34,7 @@
 	Target time.Duration // until the first event
 	Gap    time.Duration // longest pause between events
 	Waited time.Duration // since the request came
+	Limit  time.Duration // that the caller waits at all; 0 if unknown
 	Busy   float64       // share of all engines that reading lately asked for keeps busy
 }
 
@@ -60,6 +61,10 @@
 // MostHelpers is the largest number of helpers of one prompt.
 const MostHelpers = 16
 
+// sizes are the numbers of parts that are tried: steps of a quarter or so, since
+// the cost changes little between them.
+var sizes = [...]int{1, 2, 3, 4, 5, 6, 8, 10, 13, MostHelpers + 1}
+
 // Constants of the prices.
 const (
 	// tokensPerValue: an answer is worth one more for each of these tokens.
@@ -80,9 +85,9 @@
 	// aheadCost weighs the delay of a request whose reading others overtake: it
 	// is overtaken more than once.
 	aheadCost = 2
-	// slotWait is how long a slot of a full engine takes to come free: answers
-	// last some two seconds on sixteen slots.
-	slotWait = 150 * time.Millisecond
+	// slotWait is how long a slot of a full engine takes to come free, at its
+	// longest: answers last some two seconds on sixteen slots.
+	slotWait = 250 * time.Millisecond
 	// readingValue is what a second of an engine earns with the usual mix of
 	// prompts, and busyFrom to busyTo the share of busy engines over which it
 	// becomes scarce.
@@ -115,7 +120,10 @@
 	var best Plan
 	found := false
 	most := min(len(all), MostHelpers+1, max(1, p.Tokens/leastPart))
-	for parts := 1; parts <= most; parts++ {
+	for _, parts := range sizes {
+		if parts > most {
+			break
+		}
 		plan := cheapest(p, all, parts)
 		if !found || plan.Cost < best.Cost {
 			best, found = plan, true
@@ -152,25 +160,53 @@
 // grows with the square of their size, are turned down when it would cost
 // others more than they are worth.
 func Decide(p Prompt, plan Plan, all []Candidate) Verdict {
-	value := Value(p.Tokens)
-	wait := p.Waited < time.Duration(waitMost*float64(p.Target-waitReserve))
-	switch cost := plan.Cost + plan.Price; {
-	case wait && cost > waitCost*value:
+	if acceptable(p, plan, all) {
+		return Serve
+	}
+	if p.Waited < patience(p) {
 		return Wait
-	case cost > value:
-		return Refuse
 	}
+	if plan.Cost+plan.Price <= Value(p.Tokens) && inTime(p, plan, all) || idle(p, all) {
+		return Serve
+	}
+	return Refuse
+}
+
+// patience returns how long a prompt may wait here.
+func patience(p Prompt) time.Duration {
+	most := time.Duration(waitMost * float64(p.Target-waitReserve))
+	if p.Limit > 0 {
+		most = min(most, time.Duration(limitMost*float64(p.Limit)))
+	}
+	return most
+}
+
+// acceptable reports whether waiting has nothing to offer: the prompt is in
+// time, at a cost well below its value.
+func acceptable(p Prompt, plan Plan, all []Candidate) bool {
+	return plan.Cost+plan.Price <= waitCost*Value(p.Tokens) && inTime(p, plan, all)
+}
+
+// inTime reports whether a prompt is expected about in time, or about as soon as
+// an idle engine would serve it.
+func inTime(p Prompt, plan Plan, all []Candidate) bool {
 	bound := time.Duration(lateMost * float64(p.Target))
 	for _, c := range all {
 		alone := expect(Candidate{Engine: c.Engine}, c.Engine.ReadTime(p.Tokens), false)
-		if p.Waited+plan.Expected <= max(bound, time.Duration(aloneMost*float64(alone))) {
-			return Serve
-		}
+		return p.Waited+plan.Expected <= max(bound, time.Duration(aloneMost*float64(alone)))
 	}
-	if wait {
-		return Wait
+	return false
+}
+
+// idle reports whether engines have room all the same: a herd that returns at
+// one moment, after an outage of entries, is late but displaces nobody.
+func idle(p Prompt, all []Candidate) bool {
+	slots, taken := 0, 0
+	for _, c := range all {
+		slots += c.Engine.Slots
+		taken += c.Load.Running
 	}
-	return Refuse
+	return float64(taken) < idleMost*float64(slots) && p.Busy < busyFrom
 }
 
 // Bounds of what Decide accepts. Predictions err by about a fifth.
@@ -178,10 +214,14 @@
 	lateMost  = 1.2 // time until the first event, against the target
 	aloneMost = 1.5 // and against an idle engine
 	waitMost  = 0.5 // wait at the entry, against what the target leaves
+	limitMost = 0.2 // and against what the caller waits at all
 	waitCost  = 0.5 // cost against the value of a prompt, above which it waits
 	// waitReserve is what the target must leave for serving: a prompt of the
 	// tightest target has nothing to wait with.
 	waitReserve = 250 * time.Millisecond
+	// idleMost is the share of slots up to which engines count as idle: what
+	// comes then is a moment's herd and no flood.
+	idleMost = 0.5
 )
 
 // member is a candidate with the price of its share.
@@ -199,10 +239,15 @@
 	for _, c := range all {
 		share := pace(c, c.Engine.ReadTime(p.Tokens)/time.Duration(parts))
 		m := member{Candidate: c, expected: expect(c, share, parts > 1), harm: harm(c, share)}
-		m.rank = m.harm + value*(risk(p.Waited+m.expected, p.Target)+haste*ratio(m.expected, p.Target))
+		wait := m.expected
 		if parts == 1 {
-			m.rank += ownCost(p, c, value)
+			wait += slotFor(c)
+			m.rank = ownCost(p, c, value)
+			if p.Tokens+p.Answer > free(c) {
+				m.rank += value
+			}
 		}
+		m.rank += m.harm + value*(risk(p.Waited+wait, p.Target)+haste*ratio(wait, p.Target))
 		members = append(members, m)
 	}
 	slices.SortFunc(members, func(a, b member) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.ID, b.ID)) })
--- a/entry/internal/forwarder/place.go
+++ b/entry/internal/forwarder/place.go
@@ -122,7 +122,7 @@
 	_, pace := x.forwarder.Books.Pace(now)
 	prompt := assigner.Prompt{
 		Tokens: x.call.Prompt, Answer: x.call.Answer, Busy: pace / float64(len(servers)),
-		Target: x.route.TargetLatency, Gap: x.route.TargetGap, Waited: now.Sub(x.received),
+		Target: x.route.TargetLatency, Gap: x.route.TargetGap, Waited: now.Sub(x.received), Limit: x.deadline.Sub(x.received),
 	}
 	plan, verdict := x.forwarder.Policy.Choose(prompt, candidates)
 	if verdict != assigner.Serve && x.history.sends == 0 {
