--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -52,6 +52,7 @@
 	Helpers  []viewer.ServerID // that read parts of the prompt
 	Held     []int             // tokens to reserve at each helper; nil if the server holds all
 	Context  int               // tokens that the server holds
+	Short    bool              // there is too little memory for it
 	Reading  time.Duration     // that each of them does
 	Expected time.Duration     // until the first event
 	Cost     float64           // value of the answers that it probably makes late
@@ -166,7 +167,7 @@
 	if p.Waited < patience(p) {
 		return Wait
 	}
-	if plan.Cost+plan.Price <= Value(p.Tokens) && inTime(p, plan, all) || idle(p, all) {
+	if plan.Cost+plan.Price <= Value(p.Tokens) && inTime(p, plan, all) || !plan.Short && idle(p, all) {
 		return Serve
 	}
 	return Refuse
@@ -265,6 +266,7 @@
 		plan.Expected = max(plan.Expected, wait)
 	}
 	if !spread(p, members, first, &plan) {
+		plan.Short = true
 		plan.Expected += memoryWait
 		plan.Cost += value
 	}
--- a/core/assigner/assigner_test.go
+++ b/core/assigner/assigner_test.go
@@ -135,6 +135,7 @@
 		"a long prompt of a caller in a hurry": {prompt: func() assigner.Prompt { p := waited(busy, time.Second); p.Limit = 2 * time.Second; return p }(), loads: repeat(reading(3*time.Second), 4), want: assigner.Refuse},
 		"a giant while engines are scarce":     {prompt: func() assigner.Prompt { p := waited(long(900_000), 2*time.Second); p.Busy = 1; return p }(), loads: repeat(bookkeeper.Load{}, 14), want: assigner.Refuse},
 		"a giant while engines are idle":       {prompt: waited(long(500_000), 2*time.Second), loads: repeat(bookkeeper.Load{}, 14), want: assigner.Serve},
+		"more than there is memory":            {prompt: waited(long(500_000), 2*time.Second), loads: repeat(bookkeeper.Load{}, 1), want: assigner.Refuse},
 		"late even alone, but not by others":   {prompt: long(300_000), loads: repeat(bookkeeper.Load{}, 1), want: assigner.Wait},
 	}
 	for name, test := range tests {
