The end of a request's own time is no doubt about its server; verdicts logged

Cause, found while explaining a cut stream from its log lines: when a request's time was up, its read failed, and the server was doubted for 300 ms and taken for cold for six seconds, under load many at once. A refusal's line did not say what decided it.

Change: no doubt and no cold share after the request's own time; lines waiting and turned-away hold tokens, choices, expected time, target, cost, price, value, busy and the wait; times in lines are named with their unit; an answered send has no old cause.

Ruled out: nothing.

--- a/entry/internal/director/director.go
+++ b/entry/internal/director/director.go
@@ -201,7 +201,7 @@
 	started := time.Now()
 	grace := seconds(d.config.Settings.Grace) - killMargin
 	d.closing.Store(true)
-	d.config.Log.Info().Str("event", "stopping").Dur("grace", grace).Msg("")
+	d.config.Log.Info().Str("event", "stopping").Float64("grace_s", grace.Seconds()).Msg("")
 	withdraw, cancel := context.WithTimeout(ctx, withdrawMost)
 	defer cancel()
 	if err := d.platform.Withdraw(withdraw, d.config.Settings.VM); err != nil {
@@ -211,7 +211,7 @@
 	rest, cancel := context.WithTimeout(ctx, grace-time.Since(started))
 	defer cancel()
 	err := callers.Shutdown(rest)
-	d.config.Log.Info().Str("event", "stopped").Dur("took", time.Since(started)).Bool("whole", err == nil).Msg("")
+	d.config.Log.Info().Str("event", "stopped").Float64("took_s", time.Since(started).Seconds()).Bool("whole", err == nil).Msg("")
 	if errors.Is(err, context.DeadlineExceeded) {
 		return callers.Close()
 	}
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -322,7 +322,7 @@
 	x.forwarder.Meter.Observe("request", took)
 	e := x.forwarder.Log.Info().Str("event", "ended").Str("id", x.call.Attempt).Str("outcome", outcome).
 		Int("status", status).Int("sends", x.history.sends).Int("runs", x.history.runs).
-		Int("events", x.relay.cutter.Events()).Dur("took", took)
+		Int("events", x.relay.cutter.Events()).Float64("took_ms", millis(took))
 	if x.view.Configuration != nil {
 		e = e.Int64("configuration", x.view.Configuration.Version)
 	}
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -32,6 +32,7 @@
 	t       *testing.T
 	view    *viewer.Viewer
 	books   *bookkeeper.Bookkeeper
+	doubts  *doubter.Doubter
 	server  *httptest.Server
 	servers []*rig.Server
 }
@@ -42,7 +43,7 @@
 // of plain servers, p-0 and on.
 func newBench(t *testing.T, engines, plain int) *bench {
 	t.Helper()
-	b := &bench{t: t, view: viewer.New(), books: bookkeeper.New()}
+	b := &bench{t: t, view: viewer.New(), books: bookkeeper.New(), doubts: doubter.New()}
 	list := map[viewer.ServerID]*viewer.Server{}
 	start := func(id, service string) {
 		s, err := rig.StartServer(rig.ServerConfig{ID: id, Service: service, Events: 8, Pause: 2 * time.Millisecond})
@@ -66,7 +67,7 @@
 	budget := budgeter.New(budgeter.Config{Ratio: 1, Slack: 1000, Window: time.Second})
 	f := forwarder.New(forwarder.Config{
 		Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, Dialect: platform.Dialect{}, Viewer: b.view, Books: b.books,
-		Budget: budget, Connector: connector.New(connector.Config{}), Doubts: doubter.New(), Warm: warmer.New(),
+		Budget: budget, Connector: connector.New(connector.Config{}), Doubts: b.doubts, Warm: warmer.New(),
 		Meter: forwarder.NewMeter(), Policy: assigner.Priced{}, Region: "home", Entries: func() int { return 1 }, Closing: func() bool { return false },
 	})
 	b.server = httptest.NewServer(f)
@@ -470,6 +471,7 @@
 	answer, _, err := b.do(b.request("POST", "/book/x", "seat 4"))
 	is.NoErr(err)
 	is.Equal(answer.StatusCode, http.StatusGatewayTimeout)
+	is.True(!b.doubts.Doubted("p-0", time.Now())) // its time was up, which says nothing about the server
 }
 
 // TestNewRoute obeys a configuration from the moment it is in force.
--- a/entry/internal/forwarder/place.go
+++ b/entry/internal/forwarder/place.go
@@ -28,6 +28,7 @@
 	expected  time.Duration // until the first event; 0 if unknown
 	cost      float64
 	price     float64
+	busy      float64 // share of the engines that reading keeps busy
 	choices   int
 	load      bookkeeper.Load // at the server, before this request
 	attempted time.Time
@@ -64,9 +65,10 @@
 		switch x.placePrompt(&p, servers, now) {
 		case assigner.Serve:
 		case assigner.Wait:
-			return placement{}, errWait
+			return p, errWait
 		case assigner.Refuse:
-			return placement{}, errFull
+			x.logVerdict("turned-away", p)
+			return p, errFull
 		}
 	} else {
 		x.placeCall(&p, servers, now)
@@ -99,7 +101,7 @@
 		}
 		if waits == 0 {
 			x.forwarder.Meter.Add("waits", 1)
-			x.forwarder.Log.Info().Str("event", "waiting").Str("id", x.call.Attempt).Str("route", x.route.Name).Int("tokens", x.call.Prompt).Msg("")
+			x.logVerdict("waiting", p)
 		}
 		t := time.NewTimer(askAgain)
 		select {
@@ -111,6 +113,15 @@
 	}
 }
 
+// logVerdict logs why a prompt is not sent now.
+func (x *exchange) logVerdict(event string, p placement) {
+	x.forwarder.Log.Info().Str("event", event).Str("id", x.call.Attempt).Str("route", x.route.Name).
+		Int("tokens", x.call.Prompt).Int("choices", p.choices).Float64("expected_ms", millis(p.expected)).
+		Float64("target_ms", millis(x.route.TargetLatency)).Float64("cost", cents(p.cost)).Float64("price", cents(p.price)).
+		Float64("value", cents(assigner.Value(x.call.Prompt))).Float64("busy", cents(p.busy)).
+		Float64("waited_ms", millis(time.Since(x.received))).Msg("")
+}
+
 // placePrompt places a prompt on model engines.
 func (x *exchange) placePrompt(p *placement, servers []*viewer.Server, now time.Time) assigner.Verdict {
 	candidates := make([]assigner.Candidate, len(servers))
@@ -125,6 +136,7 @@
 		Target: x.route.TargetLatency, Gap: x.route.TargetGap, Waited: now.Sub(x.received), Limit: x.deadline.Sub(x.received),
 	}
 	plan, verdict := x.forwarder.Policy.Choose(prompt, candidates)
+	p.expected, p.cost, p.price, p.busy = plan.Expected, plan.Cost, plan.Price, prompt.Busy
 	if verdict != assigner.Serve && x.history.sends == 0 {
 		return verdict
 	}
@@ -132,7 +144,6 @@
 	for _, id := range plan.Helpers {
 		p.helpers = append(p.helpers, byID[id])
 	}
-	p.expected, p.cost, p.price = plan.Expected, plan.Cost, plan.Price
 	for _, c := range candidates {
 		if c.ID == plan.Server {
 			p.load = c.Load
--- a/entry/internal/forwarder/send.go
+++ b/entry/internal/forwarder/send.go
@@ -33,6 +33,7 @@
 	attempt := x.call.Attempt
 	defer func() { f.Books.End(attempt, time.Now()) }()
 	x.tried[p.server.ID] = true
+	x.cause = ""
 	f.Warm.Count(p.server.ID, p.attempted)
 	s := translator.Sending{
 		Server: p.server.ID, Account: x.account, Left: time.Until(x.deadline), Behind: x.call.Behind,
@@ -73,7 +74,6 @@
 
 // unanswered handles a send without an answer.
 func (x *exchange) unanswered(p placement, err error) fate {
-	f := x.forwarder
 	result := x.classify(err)
 	if result == fateLeft {
 		return result
@@ -81,17 +81,30 @@
 	if result == fateBroken {
 		x.history.sends++
 		x.history.runs++
-		f.Warm.Fail(p.server.ID, time.Now())
+		x.mayRestart(p)
 	}
 	x.doubt(p, err.Error())
 	return result
 }
 
+// mayRestart notes that a backend server broke off and may come back cold.
+func (x *exchange) mayRestart(p placement) {
+	if time.Until(x.deadline) > 0 {
+		x.forwarder.Warm.Fail(p.server.ID, time.Now())
+	}
+}
+
+// doubt notes that a backend server failed. The end of the request's own time
+// says nothing about the server.
 func (x *exchange) doubt(p placement, cause string) {
+	if time.Until(x.deadline) <= 0 {
+		x.cause = "time is up: " + cause
+		return
+	}
 	span := x.forwarder.Doubts.Fail(p.server.ID, time.Now())
 	x.forwarder.Meter.Add("doubts", 1)
 	x.forwarder.Log.Info().Str("event", "doubted").Str("id", x.call.Attempt).Str("server", string(p.server.ID)).
-		Str("address", p.server.Address).Dur("for", span).Str("cause", cause).Msg("")
+		Str("address", p.server.Address).Float64("for_ms", millis(span)).Str("cause", cause).Msg("")
 }
 
 // turnedDown handles a backend server's word that it did not run the request.
--- a/entry/internal/forwarder/stream.go
+++ b/entry/internal/forwarder/stream.go
@@ -97,7 +97,7 @@
 	if x.relay.cutter.Events() > 0 && x.relay.cutter.Last() == "" {
 		x.history.resumable = false
 	}
-	x.forwarder.Warm.Fail(p.server.ID, time.Now())
+	x.mayRestart(p)
 	x.doubt(p, x.cause)
 	return fateBroken
 }
@@ -109,11 +109,14 @@
 	x.forwarder.Log.Info().Str("event", "sent").Str("id", x.call.Attempt).Str("route", x.route.Name).
 		Str("server", string(p.server.ID)).Str("address", p.server.Address).
 		Int("helpers", len(p.helpers)).Int("choices", p.choices).
-		Int("tokens", x.call.Prompt).Dur("reading", p.work.Reading).Dur("expected", p.expected).
-		Float64("cost", cents(p.cost)).Float64("price", cents(p.price)).Int("writers", p.load.Writing()).Dur("backlog", p.load.Reading).
-		Dur("server_age", age).Dur("first", x.relay.first).Dur("took", time.Since(p.attempted)).
+		Int("tokens", x.call.Prompt).Float64("reading_ms", millis(p.work.Reading)).Float64("expected_ms", millis(p.expected)).
+		Float64("cost", cents(p.cost)).Float64("price", cents(p.price)).Int("writers", p.load.Writing()).Float64("backlog_ms", millis(p.load.Reading)).
+		Float64("server_age_ms", millis(age)).Float64("first_ms", millis(x.relay.first)).Float64("took_ms", millis(time.Since(p.attempted))).
 		Str("outcome", result.String()).Str("cause", x.cause).Msg("")
 }
 
+// millis returns a time in milliseconds, to a tenth.
+func millis(d time.Duration) float64 { return math.Round(float64(d)/1e5) / 10 }
+
 // cents shortens a figure for the log.
 func cents(x float64) float64 { return math.Round(100*x) / 100 }
