load replay: a load replayed on emulated engines, with plots

Change: the command load replay (waves or flood, any policy, a plot of worth, share in time and refusals by second for each).

--- a/load/main.go
+++ b/load/main.go
@@ -6,6 +6,7 @@
 //	load run --config load.toml --rate 50
 //	load run --entry 127.0.0.1:21010 --key KEY --seconds 10
 //	load experiment --engines 20 --load 0.8
+//	load replay --load waves --plots out
 //	load probe --entry 127.0.0.1:21010 --key KEY --tokens 100000
 package main
 
@@ -44,6 +45,7 @@
 		strangersCommand(),
 		overheadCommand(),
 		experimentCommand(),
+		replayCommand(),
 		spreadCommand(),
 		capacityCommand(),
 		measureCommand(),
