--- /dev/null
+++ b/entry/internal/exchanger/size_test.go
@@ -0,0 +1,25 @@
+package exchanger_test
+
+import (
+	"testing"
+
+	"bamboohill/wire"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// TestSize keeps a datagram within one packet for an entry with work at forty
+// servers: what docs/CAPACITY.md counts on.
+func TestSize(t *testing.T) {
+	o := &wire.Outstanding{Entry: "front-ikeja-1", Incarnation: 1_780_000_000_000, Sequence: 100_000, Address: "10.1.0.40:8229", Configuration: 5_000, Pace: 1}
+	bare := proto.Size(o)
+	for i := range uint32(40) {
+		o.Work = append(o.Work, &wire.ServerWork{Server: 1 << 30, ReadingMs: 200 * (i % 2), Tight: 3 * (i % 2), Wide: 1, ContextK: 220, Running: 4, Parts: i % 3, WaitingWide: i % 2})
+	}
+	size := proto.Size(o)
+	t.Logf("%d bytes, %d for each server", size, (size-bare)/40)
+	const packet = 1400 // bytes that fit a frame of the usual networks
+	if size > packet {
+		t.Errorf("%d bytes", size)
+	}
+}
