--- a/entry/internal/director/director.go
+++ b/entry/internal/director/director.go
@@ -121,6 +121,11 @@
 	var listen net.ListenConfig
 	for address, server := range servers {
 		listener, err := listen.Listen(ctx, "tcp4", address)
+		if err != nil && address == s.Listen.Metrics {
+			// Callers are served all the same.
+			d.config.Log.Warn().Str("event", "metrics-off").Str("address", address).Str("cause", err.Error()).Msg("")
+			continue
+		}
 		if err != nil {
 			return err
 		}
--- a/prover/direct_test.go
+++ b/prover/direct_test.go
@@ -365,6 +365,22 @@
 	d.entries[0].until("withdrawn", func() bool { return len(d.store.Rows("entries")) == 2 })
 }
 
+// TestDirectWithoutMetrics serves though something else has the port of the
+// metrics.
+func TestDirectWithoutMetrics(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	e := d.entries[0]
+	e.kill()
+	other, err := net.Listen("tcp4", e.metrics) //nolint:noctx // it ends with the test
+	is.NoErr(err)
+	defer other.Close()
+	e.start()
+	e.until("ready", e.isReady)
+	e.serves(is)
+	is.True(strings.Contains(e.log.String(), "event=metrics-off"))
+}
+
 // TestDirectSettings names what is wrong, with file and line.
 func TestDirectSettings(t *testing.T) {
 	is := is.New(t)
