An entry is ready once it has heard of backend servers

A new entry was ready as soon as it had its configuration; heartbeats come up to 15 s apart, so it could be sent calls while it knew no backend server.

Change: a new entry asks its peers for all backend servers ("*" among the models that it wants, 64 reports a reply) and is ready when a peer that serves has named some, or its own sidecars have called, or 3 s have passed.

--- a/entry/internal/gossiper/gossiper.go
+++ b/entry/internal/gossiper/gossiper.go
@@ -79,11 +79,15 @@
 	config   Config
 	leaving  atomic.Bool
 	catching atomic.Bool
+	joined   atomic.Bool
 	wake     chan struct{}
 
 	mu     sync.Mutex
 	roster *roster
 	random *rand.Rand
+	begun  time.Time         // when Run started
+	rounds int               // until it joined
+	told   bool              // a peer that serves has named servers
 	round  float64           // bytes of one round
 	peers  map[string]uint64 // sequence number that each entry last said
 	sent   map[string]mark   // what each server last took
@@ -164,12 +168,18 @@
 func (g *Gossiper) Run(ctx context.Context) {
 	go g.spreadLoop(ctx)
 	go g.suspectLoop(ctx)
+	g.mu.Lock()
+	g.begun = time.Now()
+	g.mu.Unlock()
 	for n := 0; ctx.Err() == nil; n++ {
 		if n%listEvery == 0 {
 			g.readList(ctx)
 		}
 		g.Round(ctx)
 		gap := g.gap()
+		if !g.joined.Load() {
+			gap = joinGap
+		}
 		t := time.NewTimer(gap/2 + g.jitter(gap))
 		select {
 		case <-ctx.Done():
@@ -255,6 +265,7 @@
 		g.note("entry_gone", a)
 	}
 	g.config.Watcher.Tick()
+	g.join(time.Now())
 	g.Wake()
 }
 
@@ -305,6 +316,7 @@
 	for _, r := range reply.GetReports() {
 		g.config.Watcher.HearOf(r)
 	}
+	g.welcome(reply)
 	return reply
 }
 
--- a/entry/internal/gossiper/want.go
+++ b/entry/internal/gossiper/want.go
@@ -18,8 +18,11 @@
 
 // wants returns the models that plans name and of which this entry hears few
 // servers. A server beats to some entries alone, so of a model with few
-// servers an entry among many may hear none.
+// servers an entry among many may hear none. A new entry wants any.
 func (g *Gossiper) wants() []string {
+	if !g.joined.Load() {
+		return []string{anyModelName}
+	}
 	heard := map[string]int{}
 	for _, row := range g.config.Keeper.State().Rows(keeper.KindPlan) {
 		for _, o := range row.GetRecord().GetPlan().GetOffers() {
@@ -42,18 +45,22 @@
 }
 
 // offering returns the reports of some servers that this entry hears itself
-// and that offer one of the models.
+// and that offer one of the models, or of any if the asker is new.
 func (g *Gossiper) offering(models []string) []*wire.Report {
 	if len(models) == 0 {
 		return nil
 	}
 	var all []*wire.Report
+	most := wantReports
+	if everything(models) {
+		most = joinReports
+	}
 	for _, s := range g.config.Watcher.View().Servers {
-		offers := slices.ContainsFunc(s.GetOffers(), func(o *wire.Offer) bool { return slices.Contains(models, o.GetModel()) })
+		offers := everything(models) || slices.ContainsFunc(s.GetOffers(), func(o *wire.Offer) bool { return slices.Contains(models, o.GetModel()) })
 		if offers && !g.config.Watcher.Silent(s) && s.Failed == 0 {
 			all = append(all, s.Report)
 		}
 	}
 	g.shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all[:min(wantReports, len(all))]
+	return all[:min(most, len(all))]
 }
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -241,7 +241,7 @@
 }
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if s.stopping.Load() || !s.keeper.Ready() {
+	if s.stopping.Load() || !s.keeper.Ready() || !s.gossiper.Joined() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
