A load that failed leaves the budget to other sidecars

Sidecars step once a second, each at a phase of its own, and the fleet's budget refills one load a second: the sidecar whose load fails first finds the next token at its next step, and takes all.

Change: a sidecar rests after a failed load, 1.5 to 2.5 s at first and up to 11 s, before it asks for another.

Ruled out: the choice of engines (the wanted rows named the same three).

Before: TestFailingLoadLeavesTheBudget counts tries [20 0 0]; after it passes.

--- a/sidecar/internal/converger/converger.go
+++ b/sidecar/internal/converger/converger.go
@@ -50,6 +50,15 @@
 // defaultSafety is the default of Config.Safety.
 const defaultSafety = 5 * time.Minute
 
+// Rest after a load that failed: longer than the second in which the fleet's
+// budget refills, so that another sidecar has its turn, and as far apart as looks
+// at an engine come at the most (convergeMost of the sidecar).
+const (
+	restFirst  = 1500 * time.Millisecond
+	restSpread = time.Second
+	restMost   = 10 * time.Second
+)
+
 // Converger is the only source of orders to one engine.
 type Converger struct {
 	config Config
@@ -57,6 +66,8 @@
 	wanted orderer.Wanted // as read last
 	seen   uint64         // revision that the last read has seen
 	due    time.Time      // of the next read
+	failed int            // loads in a row that failed
+	rested time.Time      // no load is tried before
 }
 
 // New returns a converger. It panics if Table or Engine is nil.
@@ -145,6 +156,9 @@
 	}
 	order, loads := next(status, c.wanted.Want)
 	if loads {
+		if c.config.Now().Before(c.rested) {
+			return false, nil
+		}
 		free, err := c.config.Budget.Take(ctx)
 		if err != nil || !free {
 			return false, err
@@ -152,12 +166,26 @@
 	}
 	order.Fence = c.fence
 	if err := c.config.Engine.Order(ctx, order); err != nil {
+		if loads {
+			c.rest()
+		}
 		return false, err
 	}
+	c.failed = 0
 	_, same, err := c.look(ctx)
 	return same, err
 }
 
+// rest puts off the next load after one that failed, longer each time. It
+// answers the load pattern of a weight store that turns loads away: sidecars
+// step at the pace at which the budget refills, so the first to fail would take
+// every token.
+func (c *Converger) rest() {
+	d := min(restMost, restFirst<<min(c.failed, 3)) + rand.N(restSpread)
+	c.failed++
+	c.rested = c.config.Now().Add(d)
+}
+
 // check takes this sidecar's fencing number, or makes sure that it is still
 // the highest.
 func (c *Converger) check(ctx context.Context) error {
--- a/sidecar/internal/converger/converger_test.go
+++ b/sidecar/internal/converger/converger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,13 +34,15 @@
 	return nil
 }
 
-func (r rows) want(names ...string) {
+func (r rows) want(names ...string) { r.wantAt("s", names...) }
+
+func (r rows) wantAt(server string, names ...string) {
 	w := orderer.Want{}
 	for _, name := range names {
 		w.Models = append(w.Models, generator.Model{Name: name, Version: "1"})
 	}
 	value, _ := json.Marshal(w)
-	r.Commit(context.Background(), storer.Txn{Puts: []storer.Put{{Key: orderer.WantKey("d", "s"), Value: value}}})
+	r.Commit(context.Background(), storer.Txn{Puts: []storer.Put{{Key: orderer.WantKey("d", server), Value: value}}})
 }
 
 // fakeEngine obeys orders, with or without a look at their number. before runs
@@ -198,3 +201,45 @@
 		is.Equal(names(engine.Models), "c")
 	})
 }
+
+// TestFailingLoadLeavesTheBudget steps three sidecars each second, a little apart,
+// while the weight store turns every load away: each gets its turn at the fleet's
+// budget of one load a second.
+func TestFailingLoadLeavesTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := rows{}
+		var tries [3]int
+		all := make([]*Converger, len(tries))
+		for i := range all {
+			server := fmt.Sprint("s", i)
+			table.wantAt(server, "a")
+			all[i] = New(Config{
+				Table: table, Engine: turnedAway{&tries[i]}, Server: server, Domain: "d",
+				Budget: orderer.Budget{Table: table, Rate: 1, Burst: 1},
+			})
+		}
+		for range 20 {
+			for i := range all {
+				_, _ = all[i].Step(t.Context(), 0)
+				time.Sleep(50 * time.Millisecond)
+			}
+			time.Sleep(time.Second - 150*time.Millisecond)
+		}
+		t.Log(tries)
+		for _, n := range tries {
+			is.True(n > 0)
+		}
+		is.True(tries[0]+tries[1]+tries[2] <= 20) // the rate holds
+	})
+}
+
+// turnedAway is an engine whose weight store turns every load away.
+type turnedAway struct{ tries *int }
+
+func (turnedAway) Status(context.Context) (generator.Status, error) { return generator.Status{}, nil }
+
+func (e turnedAway) Order(context.Context, generator.Order) error {
+	*e.tries++
+	return &generator.StatusError{Code: 429, Text: "weight store over its rate"}
+}
