Requests that crash backend servers are known to all entries; idle connections bounded

A request that crashes whatever runs it was bounded by its route's attempts alone, and sent anew by its caller it met the next servers through any entry; an entry kept up to 16 idle connections to a server, 31 entries 496 where 77 or 258 are accepted.

Change: core/attester tells crashes from lost answers (a broken send counts once its server refuses connections, is no longer registered or has started anew). What it shows goes to core/accuser, the product's own, and to the other entries in one datagram a second; two crashes convict, and the request is refused with 503 and the time when that ends, for as long as core/convictor says. An entry keeps at most its share of half of a service's connections idle, one at least.

Before: TestCrashingRequest runs the request at a third server when the judgement is taken out. After: two servers, and an entry that only heard of it refuses too.

--- a/core/connector/connector.go
+++ b/core/connector/connector.go
@@ -144,12 +144,16 @@
 	}
 }
 
-// put keeps a connection for another request.
-func (c *Connector) put(k *conn, idle time.Duration) {
+// put keeps a connection for another request, unless as many are kept already
+// as the server bears from this process, or as the settings allow.
+func (c *Connector) put(k *conn, idle time.Duration, most int) {
+	if most <= 0 {
+		most = c.config.Kept
+	}
 	k.until = time.Now().Add(min(idle, c.config.IdleTimeout))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[k.address]) >= c.config.Kept {
+	if len(c.idle[k.address]) >= min(most, c.config.Kept) {
 		_ = k.Close() // one too many
 		return
 	}
--- a/core/connector/connector_test.go
+++ b/core/connector/connector_test.go
@@ -127,6 +127,34 @@
 	}
 }
 
+// TestKept keeps no more idle connections to a server than a request says that
+// it bears from this process.
+func TestKept(t *testing.T) {
+	for most, opened := range map[int]int64{0: 6, 1: 11, 4: 8} {
+		t.Run(fmt.Sprint(most), func(t *testing.T) {
+			is := is.New(t)
+			p := newPeer(t, text("mine", "yes", ""))
+			c := connector.New(connector.Config{})
+			for range 2 { // six at once, twice
+				var answers []*connector.Answer
+				for range 6 {
+					r := request()
+					r.Kept = most
+					a, err := c.Send(context.Background(), p.address, r)
+					is.NoErr(err)
+					answers = append(answers, a)
+				}
+				for _, a := range answers {
+					_, err := io.ReadAll(a)
+					is.NoErr(err)
+					a.Close()
+				}
+			}
+			is.Equal(c.Opened(), opened)
+		})
+	}
+}
+
 // TestLateSurplus lets bytes arrive on an idle connection.
 func TestLateSurplus(t *testing.T) {
 	is := is.New(t)
--- a/core/connector/send.go
+++ b/core/connector/send.go
@@ -19,6 +19,7 @@
 	Header http.Header
 	Body   []byte
 	Fresh  bool // takes a new connection
+	Kept   int  // most idle connections kept to the server afterwards; 0 means the settings' bound
 	// Mine reports whether an answer with the header belongs to this request.
 	Mine func(http.Header) bool
 }
@@ -43,7 +44,7 @@
 	if err != nil {
 		return nil, &Error{Address: address, Phase: "dial", Err: err}
 	}
-	a := &Answer{connector: c, conn: k, written: make(chan error, 1)}
+	a := &Answer{connector: c, conn: k, kept: r.Kept, written: make(chan error, 1)}
 	a.stop = context.AfterFunc(ctx, func() { _ = k.Close() }) // wakes whoever reads or writes
 	deadline, _ := ctx.Deadline()
 	if err := k.SetDeadline(deadline); err != nil {
@@ -128,6 +129,7 @@
 
 	connector *Connector
 	conn      *conn
+	kept      int
 	body      io.ReadCloser
 	close     bool
 	idle      time.Duration
@@ -170,7 +172,7 @@
 		_ = a.conn.Close() // the request is over, one way or the other
 		return
 	}
-	a.connector.put(a.conn, a.idle)
+	a.connector.put(a.conn, a.idle, a.kept)
 }
 
 // clean reports whether the next answer on the connection will be that of the
--- a/core/viewer/configuration.go
+++ b/core/viewer/configuration.go
@@ -59,9 +59,23 @@
 
 // Service is a set of alike backend servers.
 type Service struct {
-	Name     ServiceName
-	ColdRate float64           // requests per second that a cold backend server bears
-	Engine   *predictor.Engine // nil for a plain service
+	Name        ServiceName
+	ColdRate    float64           // requests per second that a cold backend server bears
+	Connections int               // that a backend server accepts, of all callers together; 0 if unknown
+	Engine      *predictor.Engine // nil for a plain service
+}
+
+// idleShare is the part of a backend server's connections that may be idle: the
+// rest is for requests under way, and for entries that were not heard of yet.
+const idleShare = 0.5
+
+// Kept returns how many idle connections one of the given number of entries may
+// keep to a backend server, at least one; 0 if there is no bound.
+func (s *Service) Kept(entries int) int {
+	if s.Connections <= 0 {
+		return 0
+	}
+	return max(1, int(idleShare*float64(s.Connections)/float64(max(1, entries))))
 }
 
 // Account is a client account.
--- a/entry/internal/director/director.go
+++ b/entry/internal/director/director.go
@@ -13,7 +13,9 @@
 	"syscall"
 	"time"
 
+	"bamboohill/core/accuser"
 	"bamboohill/core/assigner"
+	"bamboohill/core/attester"
 	"bamboohill/core/bookkeeper"
 	"bamboohill/core/budgeter"
 	"bamboohill/core/connector"
@@ -78,7 +80,7 @@
 		connector: connector.New(connector.Config{}), warm: warmer.New(), doubts: doubter.New(), idle: newIdle(),
 	}
 	d.platform = platform.New(platform.Config{Settings: s.Platform, Viewer: d.viewer, Log: config.Log})
-	books := bookkeeper.New()
+	books, suspects := bookkeeper.New(), accuser.New(accuser.Config{})
 	calls, err := netip.ParseAddrPort(s.Listen.Calls)
 	if err != nil {
 		return nil, err
@@ -89,7 +91,7 @@
 	}
 	d.exchanger, err = exchanger.New(exchanger.Config{
 		Log: config.Log, Books: books, State: d.platform, Directory: d.platform,
-		Name: s.VM, Calls: calls, Datagrams: datagrams, Seeds: s.Entries,
+		Name: s.VM, Calls: calls, Datagrams: datagrams, Seeds: s.Entries, Suspects: suspects,
 	})
 	if err != nil {
 		return nil, err
@@ -97,6 +99,7 @@
 	d.forwarder = forwarder.New(forwarder.Config{
 		Log: config.Log, Dialect: platform.Dialect{}, Viewer: d.viewer, Books: books,
 		Budget: budgeter.New(s.Retry.budget()), Connector: d.connector, Doubts: d.doubts, Warm: d.warm,
+		Suspects: suspects, Attester: attester.New(),
 		Meter: d.meter, Policy: assigner.Policies[s.Placing], Order: xxhash.Sum64String(s.VM), Lag: d.exchanger.Lag, Region: s.Region, Entries: d.exchanger.Entries, Closing: d.closing.Load,
 	})
 	return d, nil
@@ -194,6 +197,7 @@
 			d.connector.Expire(now)
 			d.warm.Expire(now)
 			d.doubts.Expire(now)
+			d.forwarder.Accuse(now)
 			if c := d.viewer.Load().Configuration; c != nil {
 				d.idle.expire(now, c.Limits.IdleTimeout)
 			}
--- a/entry/internal/exchanger/exchanger.go
+++ b/entry/internal/exchanger/exchanger.go
@@ -57,6 +57,13 @@
 	Calls     netip.AddrPort // where this entry serves Path
 	Datagrams netip.AddrPort // the port is the same at all entries
 	Seeds     []string       // addresses of some entries, perhaps stale
+	Suspects  Suspects       // of crashing backend servers; nil if nobody is told
+}
+
+// Suspects are the requests that crashed backend servers.
+type Suspects interface {
+	Suspects() []*wire.Accusation
+	Hear(accusation *wire.Accusation) bool
 }
 
 // Pace of the exchange.
@@ -74,6 +81,9 @@
 	peerSpeaks   = 5 * time.Second // from an entry's name to its first datagram
 	snapshotMost = 32 << 20
 	datagramMost = 32 << 10
+
+	// accusationsMost bounds a datagram: some 80 B each.
+	accusationsMost = 64
 )
 
 // entriesUnknown is the number of entries that limits are shared between while
@@ -217,6 +227,7 @@
 	names := time.Since(e.named) >= namesEvery
 	if names {
 		e.named = time.Now()
+		o.Accusations = e.accusations()
 	}
 	for address, p := range e.peers {
 		if time.Since(p.known) > peerKept {
@@ -243,6 +254,16 @@
 	}
 }
 
+// accusations returns what the others are told of crash suspects: each second,
+// as a lost datagram is mended by the next.
+func (e *Exchanger) accusations() []*wire.Accusation {
+	if e.config.Suspects == nil {
+		return nil
+	}
+	all := e.config.Suspects.Suspects()
+	return all[:min(accusationsMost, len(all))]
+}
+
 // listen takes the others' datagrams.
 func (e *Exchanger) listen(ctx context.Context) {
 	buffer := make([]byte, datagramMost)
@@ -292,6 +313,12 @@
 		l.Waiting = [...]int{int(w.GetWaitingTight()), int(w.GetWaitingMiddle()), int(w.GetWaitingWide())}
 		loads[w.GetServer()] = l
 	}
+	for _, a := range o.GetAccusations() {
+		if e.config.Suspects != nil && e.config.Suspects.Hear(a) {
+			e.config.Log.Info().Str("event", "accusation-heard").Str("peer", o.GetEntry()).Str("request", a.GetFingerprint()).
+				Str("server", a.GetServer()).Int64("age_ms", a.GetAgeMs()).Msg("")
+		}
+	}
 	e.config.Books.Hear(o.GetEntry(), loads, float64(o.GetPace()), now)
 	if o.GetConfiguration() > e.config.State.Revision() && !e.pulling {
 		e.pulling = true
--- a/entry/internal/exchanger/exchanger_test.go
+++ b/entry/internal/exchanger/exchanger_test.go
@@ -13,7 +13,9 @@
 	"testing"
 	"time"
 
+	"bamboohill/core/accuser"
 	"bamboohill/core/bookkeeper"
+	"bamboohill/core/convictor"
 	"bamboohill/entry/internal/exchanger"
 	"bamboohill/wire"
 
@@ -96,6 +98,7 @@
 type node struct {
 	state     *state
 	books     *bookkeeper.Bookkeeper
+	suspects  *accuser.Accuser
 	exchanger *exchanger.Exchanger
 	calls     netip.AddrPort
 	stop      func()
@@ -116,7 +119,7 @@
 	hosts.n++
 	host := netip.MustParseAddr(fmt.Sprintf("127.77.%d.%d", hosts.n/250, 1+hosts.n%250))
 	hosts.Unlock()
-	n := &node{state: &state{}, books: bookkeeper.New()}
+	n := &node{state: &state{}, books: bookkeeper.New(), suspects: accuser.New(accuser.Config{})}
 	listener, err := net.Listen("tcp4", host.String()+":0") //nolint:noctx // it ends with the test
 	if err != nil {
 		t.Fatal(err)
@@ -124,7 +127,7 @@
 	n.calls = netip.MustParseAddrPort(listener.Addr().String())
 	n.exchanger, err = exchanger.New(exchanger.Config{
 		Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, Books: n.books, State: n.state, Directory: d,
-		Name: host.String(), Calls: n.calls, Datagrams: netip.AddrPortFrom(host, datagrams), Seeds: seeds,
+		Name: host.String(), Calls: n.calls, Datagrams: netip.AddrPortFrom(host, datagrams), Seeds: seeds, Suspects: n.suspects,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -180,6 +183,20 @@
 	waitFor(t, "ended", func() bool { return b.books.Load("s", time.Now()) == bookkeeper.Load{} })
 }
 
+// TestAccusations spreads the requests that crashed backend servers, also to an
+// entry that starts later.
+func TestAccusations(t *testing.T) {
+	is := is.New(t)
+	d := &directory{all: map[string]string{}}
+	a, b := newNode(t, d), newNode(t, d)
+	is.True(a.suspects.Hear(&wire.Accusation{Fingerprint: "f", Server: "i-1", Boot: 7}))
+	waitFor(t, "suspected at b", func() bool { return b.suspects.Judge("f").Ruling == convictor.Alone })
+	is.True(b.suspects.Hear(&wire.Accusation{Fingerprint: "f", Server: "i-2", Boot: 8}))
+	waitFor(t, "convicted at a", func() bool { return a.suspects.Judge("f").Ruling == convictor.Convicted })
+	c := newNode(t, d)
+	waitFor(t, "convicted at c", func() bool { return c.suspects.Judge("f").Ruling == convictor.Convicted })
+}
+
 // TestPull brings an older entry up to date from the others.
 func TestPull(t *testing.T) {
 	is := is.New(t)
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -11,7 +11,9 @@
 	"sync/atomic"
 	"time"
 
+	"bamboohill/core/accuser"
 	"bamboohill/core/assigner"
+	"bamboohill/core/attester"
 	"bamboohill/core/bookkeeper"
 	"bamboohill/core/budgeter"
 	"bamboohill/core/connector"
@@ -33,6 +35,8 @@
 	Connector *connector.Connector
 	Doubts    *doubter.Doubter
 	Warm      *warmer.Warmer
+	Suspects  *accuser.Accuser   // of crashing backend servers, as all entries know them
+	Attester  *attester.Attester // of what this entry has seen break
 	Meter     *Meter
 	Policy    assigner.Policy      // of placing prompts
 	Order     uint64               // seed of this entry's own order among like engines
@@ -79,6 +83,7 @@
 	relay     relay
 	cause     string      // of the last failed send
 	full      bool        // it was not sent for want of room
+	until     time.Time   // when a conviction ends; zero if there is none
 	paid      atomic.Bool // the next send was taken from the retry budget
 }
 
@@ -139,6 +144,9 @@
 	if status, cause := x.readBody(c.Limits); status != 0 {
 		return status, cause
 	}
+	if status, cause := x.judge(); status != 0 {
+		return status, cause
+	}
 	return x.target()
 }
 
@@ -286,6 +294,7 @@
 		if x.full {
 			wait = fullBase + time.Duration(rand.Float64()*float64(fullSpread))
 		}
+		wait = max(wait, time.Until(x.until))
 		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
 	}
 	x.close()
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -11,7 +11,9 @@
 	"testing"
 	"time"
 
+	"bamboohill/core/accuser"
 	"bamboohill/core/assigner"
+	"bamboohill/core/attester"
 	"bamboohill/core/bookkeeper"
 	"bamboohill/core/budgeter"
 	"bamboohill/core/connector"
@@ -35,6 +37,8 @@
 	doubts  *doubter.Doubter
 	server  *httptest.Server
 	servers []*rig.Server
+	entry   *forwarder.Forwarder
+	suspect *accuser.Accuser
 }
 
 const key = "k1"
@@ -43,7 +47,7 @@
 // of plain servers, p-0 and on.
 func newBench(t *testing.T, engines, plain int) *bench {
 	t.Helper()
-	b := &bench{t: t, view: viewer.New(), books: bookkeeper.New(), doubts: doubter.New()}
+	b := &bench{t: t, view: viewer.New(), books: bookkeeper.New(), doubts: doubter.New(), suspect: accuser.New(accuser.Config{})}
 	list := map[viewer.ServerID]*viewer.Server{}
 	start := func(id, service string) {
 		s, err := rig.StartServer(rig.ServerConfig{ID: id, Service: service, Events: 8, Pause: 2 * time.Millisecond})
@@ -68,9 +72,10 @@
 	f := forwarder.New(forwarder.Config{
 		Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, Dialect: platform.Dialect{}, Viewer: b.view, Books: b.books,
 		Budget: budget, Connector: connector.New(connector.Config{}), Doubts: b.doubts, Warm: warmer.New(),
+		Suspects: b.suspect, Attester: attester.New(),
 		Meter: forwarder.NewMeter(), Policy: assigner.Priced{}, Lag: func() time.Duration { return 0 }, Region: "home", Entries: func() int { return 1 }, Closing: func() bool { return false },
 	})
-	b.server = httptest.NewServer(f)
+	b.entry, b.server = f, httptest.NewServer(f)
 	t.Cleanup(b.server.Close)
 	return b
 }
--- a/entry/internal/forwarder/send.go
+++ b/entry/internal/forwarder/send.go
@@ -78,8 +78,8 @@
 	answer, err := f.Connector.Send(guard.ctx, p.server.Address, connector.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: f.Dialect.Encode(x.r.Header, s), Body: x.body,
-		Fresh: !x.history.repeatable,
-		Mine:  func(h http.Header) bool { return f.Dialect.Mine(h, attempt) },
+		Fresh: !x.history.repeatable, Kept: x.service.Kept(f.Entries()),
+		Mine: func(h http.Header) bool { return f.Dialect.Mine(h, attempt) },
 	})
 	if err != nil {
 		return x.unanswered(p, err)
@@ -107,6 +107,10 @@
 		x.history.sends++
 		x.history.runs++
 		x.mayRestart(p)
+		x.witness(p)
+	}
+	if refused(err) {
+		x.forwarder.Attester.Refused(p.server.ID, time.Now())
 	}
 	x.doubt(p, err.Error())
 	return result
@@ -164,6 +168,7 @@
 		if x.r.Context().Err() != nil {
 			return fateLeft
 		}
+		x.witness(p)
 		x.doubt(p, x.cause)
 		return fateBroken
 	case answer.Header.Get("Content-Encoding") != "":
--- a/entry/internal/forwarder/stream.go
+++ b/entry/internal/forwarder/stream.go
@@ -99,6 +99,7 @@
 		x.history.resumable = false
 	}
 	x.mayRestart(p)
+	x.witness(p)
 	x.doubt(p, x.cause)
 	return fateBroken
 }
--- /dev/null
+++ b/entry/internal/forwarder/suspect_test.go
@@ -0,0 +1,89 @@
+package forwarder_test
+
+import (
+	"maps"
+	"net/http"
+	"testing"
+	"time"
+
+	"bamboohill/core/viewer"
+	"bamboohill/platform/rig"
+
+	"github.com/matryer/is"
+)
+
+// crash makes the server that runs the next request break off and takes it from
+// the list.
+func (b *bench) crash(r *http.Request) head {
+	b.t.Helper()
+	for _, s := range b.servers {
+		s.Fault(rig.FaultCloses)
+	}
+	answer, _, err := b.do(r)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.clearFaults()
+	list := maps.Clone(b.view.Load().Servers)
+	for _, run := range b.runs() {
+		if run.Attempt == r.Header.Get("Attempt-Id") {
+			delete(list, viewer.ServerID(run.Header.Get("Expect-Instance")))
+		}
+	}
+	b.view.List(list)
+	b.entry.Accuse(time.Now())
+	return answer
+}
+
+// TestCrashingRequest sends a request that crashes whatever runs it: after two
+// backend servers it is refused, here and by an entry that only heard of it,
+// while others are served.
+func TestCrashingRequest(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 0, 6)
+	poison := func(b *bench, attempt string) *http.Request {
+		r := b.request("POST", "/book/poison", "bad")
+		r.Header.Set("Attempt-Id", attempt)
+		return r
+	}
+	for n, attempt := range []string{"a", "b", "c", "d"} {
+		answer := b.crash(poison(b, attempt))
+		if n < 2 {
+			is.Equal(answer.StatusCode, http.StatusBadGateway)
+			continue
+		}
+		is.Equal(answer.StatusCode, http.StatusServiceUnavailable)
+		is.True(answer.Header.Get("Retry-After") > "1")
+	}
+	is.Equal(len(b.runs()), 2)
+	answer, _, err := b.do(b.request("POST", "/book/poison", "good"))
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusOK)
+
+	other := newBench(t, 0, 2)
+	for _, a := range b.suspect.Suspects() {
+		is.True(other.suspect.Hear(a))
+	}
+	answer, _, err = other.do(poison(other, "e"))
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(len(other.runs()), 0)
+}
+
+// TestLostAnswersConvictNobody loses the answers of a request whose backend
+// servers live.
+func TestLostAnswersConvictNobody(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 0, 4)
+	for _, attempt := range []string{"a", "b", "c"} {
+		b.fault(rig.FaultCloses)
+		r := b.request("POST", "/book/x", "seat 4")
+		r.Header.Set("Attempt-Id", attempt)
+		answer, _, err := b.do(r)
+		is.NoErr(err)
+		is.Equal(answer.StatusCode, http.StatusBadGateway)
+		b.entry.Accuse(time.Now())
+		b.clearFaults()
+	}
+	is.Equal(len(b.suspect.Suspects()), 0)
+}
