--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -39,6 +39,7 @@
 	Limit  time.Duration // that the caller waits at all; 0 if unknown
 	Busy   float64       // share of all engines that reading lately asked for keeps busy
 	Lag    time.Duration // until this entry hears of what others place
+	off    Parts         // of the policy that are switched off
 }
 
 // Candidate is one engine that could serve.
@@ -135,7 +136,7 @@
 	found := false
 	most := min(len(all), MostHelpers+1, max(1, p.Tokens/leastPart))
 	for _, parts := range sizes {
-		if parts > most {
+		if parts > most || parts > 1 && !p.on(Helpers) {
 			break
 		}
 		plan := cheapest(p, all, parts)
@@ -150,6 +151,9 @@
 // price returns what reading costs those that come after: nothing while engines
 // are idle, and what it earns elsewhere once all are busy.
 func price(p Prompt, plan Plan) float64 {
+	if !p.on(Scarcity) {
+		return 0
+	}
 	scarce := min(1, max(0, (p.Busy-busyFrom)/(busyTo-busyFrom)))
 	work := plan.Reading.Seconds() * float64(1+len(plan.Helpers))
 	return readingValue * scarce * work
@@ -253,9 +257,11 @@
 	members := make([]member, 0, len(all))
 	for _, c := range all {
 		share := pace(c, c.Engine.ReadTime(p.Tokens)/time.Duration(parts))
-		m := member{Candidate: c, expected: expect(c, share, parts > 1), harm: harm(c, share)}
+		m := member{Candidate: c, expected: expect(c, share, parts > 1), harm: harm(p, c, share)}
 		wait := m.expected
-		m.rank = orderCost * c.Order
+		if p.on(Orders) {
+			m.rank = orderCost * c.Order
+		}
 		if parts == 1 {
 			wait += slotFor(c)
 			m.rank += ownCost(p, c, value)
@@ -308,10 +314,13 @@
 func ownCost(p Prompt, c Candidate, value float64) float64 {
 	pass := c.Engine.PassTime(predictor.Batch{Writers: c.Load.Writing() + 1, Context: c.Load.Context, Reading: c.Load.Reading})
 	cost := value * risk(pace(c, pass), p.Gap)
-	if bookkeeper.PauseOf(p.Gap) == bookkeeper.Tight && c.Load.Writers[bookkeeper.Tight] == 0 {
+	if p.on(Opening) && bookkeeper.PauseOf(p.Gap) == bookkeeper.Tight && c.Load.Writers[bookkeeper.Tight] == 0 {
 		cost += openCost
 	}
-	return cost + value*crowded(p, c)
+	if p.on(Unheard) {
+		cost += value * crowded(p, c)
+	}
+	return cost
 }
 
 // crowded returns how likely other entries have taken the slots that an engine
@@ -388,7 +397,7 @@
 }
 
 // harm prices what a share of reading does to those at the engine.
-func harm(c Candidate, share time.Duration) float64 {
+func harm(p Prompt, c Candidate, share time.Duration) float64 {
 	b := predictor.Batch{Writers: c.Load.Writing(), Context: c.Load.Context, Reading: c.Load.Reading}
 	before := pace(c, c.Engine.PassTime(b))
 	b.Reading += share
@@ -397,6 +406,9 @@
 	for i, n := range c.Load.Writers {
 		sum += float64(n) * values[i] * (risk(after, bounds[i]) - risk(before, bounds[i]))
 	}
+	if !p.on(Ahead) {
+		return sum
+	}
 	// A part goes ahead of what those that wait here have still to read.
 	for i, n := range c.Load.Waiting {
 		sum += float64(n) * values[i] * min(1, aheadCost*ratio(share, targets[i]))
--- a/core/assigner/assigner_test.go
+++ b/core/assigner/assigner_test.go
@@ -205,3 +205,28 @@
 		assigner.Choose(long(300_000), all)
 	}
 }
+
+func TestNamed(t *testing.T) {
+	tests := map[string]struct {
+		want  assigner.Policy
+		known bool
+	}{
+		"priced":                {assigner.Priced{}, true},
+		"open":                  {assigner.Priced{Off: assigner.Refusing}, true},
+		"least":                 {assigner.Least{}, true},
+		"random":                {assigner.Random{}, true},
+		"priced-helpers-orders": {assigner.Priced{Off: assigner.Helpers | assigner.Orders}, true},
+		"priced-refusing":       {assigner.Priced{Off: assigner.Refusing}, true},
+		"priced-luck":           {nil, false},
+		"luck":                  {nil, false},
+		"":                      {nil, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got, known := assigner.Named(name)
+			is.Equal(known, test.known)
+			is.Equal(got, test.want)
+		})
+	}
+}
--- a/entry/internal/director/director.go
+++ b/entry/internal/director/director.go
@@ -96,11 +96,12 @@
 	if err != nil {
 		return nil, err
 	}
+	policy, _ := assigner.Named(s.Placing) // Settings.Check knows it
 	d.forwarder = forwarder.New(forwarder.Config{
 		Log: config.Log, Dialect: platform.Dialect{}, Viewer: d.viewer, Books: books,
 		Budget: budgeter.New(s.Retry.budget()), Connector: d.connector, Doubts: d.doubts, Warm: d.warm,
 		Suspects: suspects, Attester: attester.New(),
-		Meter: d.meter, Policy: assigner.Policies[s.Placing], Order: xxhash.Sum64String(s.VM), Lag: d.exchanger.Lag, Region: s.Region, Entries: d.exchanger.Entries, Closing: d.closing.Load,
+		Meter: d.meter, Policy: policy, Order: xxhash.Sum64String(s.VM), Lag: d.exchanger.Lag, Region: s.Region, Entries: d.exchanger.Entries, Closing: d.closing.Load,
 	})
 	return d, nil
 }
--- a/entry/internal/director/director_test.go
+++ b/entry/internal/director/director_test.go
@@ -23,7 +23,7 @@
 			"address":      {Old: "callers = \"127.0.0.1:21100\"", New: "callers = \"here\"", Want: "LINE: listen.callers: must be IP:PORT"},
 			"unknown key":  {Old: "slack = 100", New: "slak = 100", Want: "LINE: unknown key \"retry.slak\""},
 			"level":        {Old: "level = \"info\"", New: "level = \"loud\"", Want: "LINE: level: must be debug, info, warn or error"},
-			"placing":      {Old: "placing = \"priced\"", New: "placing = \"luck\"", Want: "LINE: placing: must be priced, open, least or random"},
+			"placing":      {Old: "placing = \"priced\"", New: "placing = \"luck\"", Want: "LINE: placing: must be priced, open, least, random, or priced with parts switched off, as priced-helpers-orders"},
 			"small memory": {Old: "memory_mb = 284", New: "memory_mb = 3", Want: "LINE: memory_mb: must be at least 32 megabytes"},
 		},
 	})
--- a/load/internal/replayer/load.go
+++ b/load/internal/replayer/load.go
@@ -16,8 +16,9 @@
 	Events Size    // of the answer
 	Target time.Duration
 	Gap    time.Duration
-	Worth  float64 // of an answer in time, of the mean size
-	Late   float64 // of a late one
+	Limit  time.Duration // that callers wait at all
+	Worth  float64       // of an answer in time, of the mean size
+	Late   float64       // of a late one
 }
 
 // Size is a log-normal distribution.
@@ -66,11 +67,11 @@
 		Engines: 14, Entries: 4, Engine: sheetEngine(), Length: 34 * time.Second,
 		Classes: []Class{
 			{Name: "short", Rate: 30.7 * scale, Tokens: Size{Mean: 4_960, Spread: 0.9, Most: 23_800}, Events: Size{Mean: 34.9, Spread: 0.7, Most: 87},
-				Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond, Worth: 1.3, Late: 0.33},
+				Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond, Limit: 10 * time.Second, Worth: 1.3, Late: 0.33},
 			{Name: "middle", Rate: 2.23 * scale, Tokens: Size{Mean: 45_000, Spread: 0.5, Most: 110_000}, Events: Size{Mean: 20.9, Spread: 0.6, Most: 52},
-				Target: 1500 * time.Millisecond, Gap: 500 * time.Millisecond, Worth: 3.1, Late: 0.79},
+				Target: 1500 * time.Millisecond, Gap: 500 * time.Millisecond, Limit: 10 * time.Second, Worth: 3.1, Late: 0.79},
 			{Name: "long", Rate: 0.923 * scale, Tokens: Size{Mean: 210_000, Spread: 0.55, Most: 1_000_000}, Events: Size{Mean: 17.4, Spread: 0.5, Most: 44},
-				Target: 3 * time.Second, Gap: 800 * time.Millisecond, Worth: 22, Late: 5.4},
+				Target: 3 * time.Second, Gap: 800 * time.Millisecond, Limit: 15 * time.Second, Worth: 22, Late: 5.4},
 		},
 		Phases: []Phase{
 			{Until: 2400 * time.Millisecond, Factors: []float64{1, 1, 1}},
--- a/load/internal/replayer/replayer.go
+++ b/load/internal/replayer/replayer.go
@@ -145,7 +145,7 @@
 	_, pace := books.Pace(now)
 	prompt := assigner.Prompt{
 		Tokens: q.tokens, Answer: q.events * tokensPerEvent, Target: c.Target, Gap: c.Gap,
-		Waited: r.engine.Now() - came, Busy: pace / float64(len(all)), Lag: r.config.Load.Hearing,
+		Waited: r.engine.Now() - came, Limit: q.asked + c.Limit - came, Busy: pace / float64(len(all)), Lag: r.config.Load.Hearing,
 	}
 	switch plan, verdict := r.config.Policy.Choose(prompt, all); verdict {
 	case assigner.Serve:
@@ -190,8 +190,12 @@
 		q.paused = q.paused || now-q.last > c.Gap
 		q.last = now
 	}
-	j.End = func(time.Duration) {
+	j.End = func(now time.Duration) {
 		books.End(attempt, clock())
+		if now > q.asked+c.Limit {
+			r.result.refused(q) // its caller has left
+			return
+		}
 		r.result.answered(q)
 	}
 	if !r.engine.Submit(j) {
--- a/load/internal/replayer/replayer_test.go
+++ b/load/internal/replayer/replayer_test.go
@@ -38,7 +38,8 @@
 			classes[i].Refused += c.Refused
 		}
 	}
-	t.Logf("%T worth %.3f in time %.3f %.3f %.3f", p, worth, classes[0].Share(), classes[1].Share(), classes[2].Share())
+	t.Logf("%T worth %.3f in time %.3f %.3f %.3f refused %d %d %d", p, worth, classes[0].Share(), classes[1].Share(), classes[2].Share(),
+		classes[0].Refused, classes[1].Refused, classes[2].Refused)
 	return classes, worth
 }
 
@@ -63,7 +64,7 @@
 func TestFlood(t *testing.T) {
 	is := is.New(t)
 	classes, worth := mean(t, replayer.Flood(), assigner.Priced{})
-	open, all := mean(t, replayer.Flood(), assigner.Priced{Open: true})
+	open, all := mean(t, replayer.Flood(), assigner.Priced{Off: assigner.Refusing})
 	is.True(classes[0].Share() > 0.62)
 	is.True(classes[0].Share() > open[0].Share()+0.25)
 	is.True(worth > all+0.15)
--- a/load/replay.go
+++ b/load/replay.go
@@ -22,8 +22,8 @@
 		Name:  "replay",
 		Usage: "replay a load of prompts on emulated engines, under a fake clock",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "load", Value: "waves", Usage: "waves (floods of short and waves of long prompts) or flood (beyond what engines hold)"},
-			&cli.StringSliceFlag{Name: "policy", Value: []string{"priced", "least", "random"}, Usage: "policies to compare: priced, open, least, random"},
+			&cli.StringFlag{Name: "load", Value: "waves", Usage: "waves (floods of short and waves of long prompts), flood (beyond what engines hold) or crowd (a flood over many entries)"},
+			&cli.StringSliceFlag{Name: "policy", Value: []string{"priced", "least", "random"}, Usage: "policies to compare: " + assigner.Names},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the arrivals"},
 			&cli.StringFlag{Name: "plots", Usage: "write a plot for each policy to this folder"},
 		},
@@ -34,12 +34,12 @@
 func replay(_ context.Context, c *cli.Command) error {
 	load, found := loads[c.String("load")]
 	if !found {
-		return fmt.Errorf("load: --load must be waves or flood, not %q", c.String("load"))
+		return fmt.Errorf("load: --load must be waves, flood or crowd, not %q", c.String("load"))
 	}
 	for _, name := range c.StringSlice("policy") {
-		policy := assigner.Policies[name]
-		if policy == nil {
-			return fmt.Errorf("load: --policy must be priced, open, least or random, not %q", name)
+		policy, known := assigner.Named(name)
+		if !known {
+			return fmt.Errorf("load: --policy must be %s, not %q", assigner.Names, name)
 		}
 		result := replayer.Replay(replayer.Config{Load: load(), Policy: policy, Seed: c.Uint64("seed")})
 		fmt.Printf("load=%s policy=%s seed=%d\n", c.String("load"), name, c.Uint64("seed"))
