--- a/load/internal/replayer/result.go
+++ b/load/internal/replayer/result.go
@@ -38,11 +38,14 @@
 	return &Result{Classes: make([]Count, len(l.Classes)), Seconds: make([]Count, 1+int(l.Length/time.Second)), load: l}
 }
 
-// value returns what an answer is worth, which grows with the prompt.
+// value returns what an answer is worth, which grows with what its caller pays
+// for.
 func (r *Result) value(q *request, worth float64) float64 {
 	const floor, most = 0.3, 4.0
+	const written = 10 * tokensPerEvent // a token that is written costs ten times one that is read
 	c := r.load.Classes[q.class]
-	return worth * min(most, floor+(1-floor)*float64(q.tokens)/c.Tokens.Mean)
+	size := (float64(q.tokens) + written*float64(q.events)) / (c.Tokens.Mean + written*c.Events.Mean)
+	return worth * min(most, floor+(1-floor)*size)
 }
 
 func (r *Result) counts(q *request) [2]*Count {
