--- a/prover/direct_test.go
+++ b/prover/direct_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"bamboohill/platform/rig"
+	"bamboohill/standin/relayer"
 
 	"github.com/matryer/is"
 )
@@ -29,6 +30,7 @@
 	store   *rig.Store
 	engines []*rig.Server
 	plain   []*rig.Server
+	relays  []*relayer.Relay // to the store for each entry, then to the servers
 	entries []*directEntry
 }
 
@@ -88,8 +90,11 @@
 	t.Helper()
 	d := &deployment{t: t, store: rig.NewStore()}
 	d.store.Put("op", "config", desired(1, keptKey, revokedKey))
+	for n := range entries {
+		d.entries = append(d.entries, d.newEntry(n, entries))
+	}
 	start := func(id, service string) *rig.Server {
-		s, err := rig.StartServer(rig.ServerConfig{ID: id, Service: service, Store: d.store, Events: 20, Pause: 10 * time.Millisecond})
+		s, err := rig.StartServer(rig.ServerConfig{ID: id, Service: service, Store: d.store, Front: d.relay, Events: 20, Pause: 10 * time.Millisecond})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -102,9 +107,6 @@
 	for i := range 2 {
 		d.plain = append(d.plain, start(fmt.Sprintf("p-%d", i), "plain"))
 	}
-	for n := range entries {
-		d.entries = append(d.entries, d.newEntry(n, entries))
-	}
 	for _, e := range d.entries {
 		e.start()
 		t.Cleanup(e.kill)
@@ -115,12 +117,29 @@
 	return d
 }
 
+// relay starts a relay to an address and returns its own.
+func (d *deployment) relay(address string) (string, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0") //nolint:noctx // it ends with the test
+	if err != nil {
+		return "", err
+	}
+	d.t.Cleanup(func() { _ = listener.Close() }) // its end is of no interest here
+	r := relayer.New(relayer.Config{Pick: relayer.To(address)})
+	d.relays = append(d.relays, r)
+	go func() { _ = r.Serve(listener) }() // until the listener is closed
+	return listener.Addr().String(), nil
+}
+
 // newEntry writes the settings of an entry. Datagrams have one port at all.
 func (d *deployment) newEntry(n, of int) *directEntry {
 	d.t.Helper()
 	e := &directEntry{t: d.t, gate: rig.NewGate(d.store), log: &output{}, settings: filepath.Join(d.t.TempDir(), "direct.toml")}
 	way := httptest.NewServer(e.gate)
 	d.t.Cleanup(way.Close)
+	store, err := d.relay(way.Listener.Addr().String())
+	if err != nil {
+		d.t.Fatal(err)
+	}
 	p := os.Getpid()
 	host := func(n int) string { return fmt.Sprintf("127.%d.%d.%d", 64+p%128, 1+p/128%250, 200+n) }
 	at := func(port int) string { return net.JoinHostPort(host(n), fmt.Sprint(port)) }
@@ -130,7 +149,7 @@
 		seeds[i] = fmt.Sprintf("%q", net.JoinHostPort(host(i), "21002"))
 	}
 	text := fmt.Sprintf("vm = \"front-%d\"\ndomain = \"north\"\nregion = \"home\"\ngrace_s = 6\nentries = [%s]\n[listen]\ncallers = %q\nready = %q\ncalls = %q\ndatagrams = %q\nmetrics = %q\n[platform]\nstore = %q\n",
-		n, strings.Join(seeds, ","), e.callers, e.ready, at(21002), at(21003), e.metrics, way.Listener.Addr().String())
+		n, strings.Join(seeds, ","), e.callers, e.ready, at(21002), at(21003), e.metrics, store)
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
--- a/prover/soak_test.go
+++ b/prover/soak_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bamboohill/platform/rig"
+	"bamboohill/standin/relayer"
 )
 
 // Flags of the soak. By hand: go test -run TestSoak ./prover -soak.seeds 50.
@@ -124,7 +125,7 @@
 	n := 0
 	for ; time.Now().Before(end); n++ {
 		i := random.IntN(len(d.entries))
-		e, last, kind := d.entries[i], span(100, 1500), random.IntN(9)
+		e, last, kind := d.entries[i], span(100, 1500), random.IntN(11)
 		if kind < 3 && !busy[i].TryLock() {
 			continue
 		}
@@ -172,6 +173,20 @@
 			d.plain[random.IntN(len(d.plain))].Fault([]string{
 				rig.FaultSurplus, rig.FaultStray, rig.FaultUnframed, rig.FaultTorn, rig.FaultCloses, rig.FaultFull, rig.FaultFails,
 			}[random.IntN(7)])
+		case 9: // a link drops what goes one way or the other, or is reset
+			r, cut := d.relays[random.IntN(len(d.relays))], []relayer.Cut{relayer.Swallow, relayer.Mute, relayer.Reset}[random.IntN(3)]
+			r.Cut(cut)
+			back.Go(func() {
+				time.Sleep(last)
+				r.Cut(relayer.Pass)
+			})
+		case 10: // a link is slow
+			r := d.relays[random.IntN(len(d.relays))]
+			r.Delay(last / 4)
+			back.Go(func() {
+				time.Sleep(last)
+				r.Delay(0)
+			})
 		}
 		time.Sleep(span(20, 250))
 	}
--- a/standin/relayer/relay.go
+++ b/standin/relayer/relay.go
@@ -43,6 +43,7 @@
 type Relay struct {
 	config  Config
 	cut     atomic.Int64
+	delay   atomic.Int64 // nanoseconds
 	refused atomic.Int64
 
 	mu   sync.Mutex
@@ -65,6 +66,9 @@
 // Cut sets what is done with every connection, open ones too.
 func (r *Relay) Cut(cut Cut) { r.cut.Store(int64(cut)) }
 
+// Delay makes all bytes come so much later, those of open connections too.
+func (r *Relay) Delay(d time.Duration) { r.delay.Store(int64(d)) }
+
 // Counts returns the connections passed on by target, and how many found no
 // target or one that refused them.
 func (r *Relay) Counts() (sent map[string]int, refused int) {
@@ -112,8 +116,8 @@
 	}
 	defer target.Close()
 	done := make(chan error, 2)
-	go func() { done <- copyUnless(target, caller, cut, Swallow) }()
-	go func() { done <- copyUnless(caller, target, cut, Mute) }()
+	go func() { done <- r.copyUnless(target, caller, cut, Swallow) }()
+	go func() { done <- r.copyUnless(caller, target, cut, Mute) }()
 	for range 2 {
 		if err := <-done; err != nil {
 			caller.SetLinger(0)
@@ -143,7 +147,7 @@
 // copyUnless passes bytes on until the source ends, which it tells the sink.
 // While the cut is the given one it drops them instead, and once that is over
 // a connection that lost some is ended.
-func copyUnless(sink, source *net.TCPConn, cut func() Cut, drop Cut) error {
+func (r *Relay) copyUnless(sink, source *net.TCPConn, cut func() Cut, drop Cut) error {
 	buffer := make([]byte, chunk)
 	lost := false
 	for {
@@ -156,6 +160,7 @@
 		case now == drop:
 			lost = lost || n > 0
 		case n > 0:
+			time.Sleep(time.Duration(r.delay.Load()))
 			if _, bad := sink.Write(buffer[:n]); bad != nil {
 				return bad
 			}
