--- a/entry/internal/director/settings.go
+++ b/entry/internal/director/settings.go
@@ -58,6 +58,7 @@
 	defaultRatio  = 0.2
 	defaultSlack  = 10
 	defaultWindow = 10
+	defaultDrain  = 1200 // a heartbeat of a backend server
 )
 
 // Check implements checker.Checked; it fills in the defaults first.
@@ -69,6 +70,7 @@
 	checker.Default(&s.Retry.Ratio, defaultRatio)
 	checker.Default(&s.Retry.Slack, defaultSlack)
 	checker.Default(&s.Retry.Window, defaultWindow)
+	checker.Default(&s.Platform.Drain, defaultDrain)
 	var bad checker.Problems
 	bad.Require(slices.Contains(logger.Levels, s.Level), "level", "must be debug, info, warn or error")
 	bad.Require(s.VM != "", "vm", "must name this VM")
@@ -87,5 +89,6 @@
 	bad.Require(s.Retry.Slack > 0, "retry.slack", "must be above 0")
 	bad.Require(s.Retry.Window > 0, "retry.window_s", "must be above 0 seconds")
 	bad.Require(checker.IsAddress(s.Platform.Store), "platform.store", "must be IP:PORT")
+	bad.Require(s.Platform.Drain > 0, "platform.drain_ms", "must be above 0 milliseconds")
 	return bad
 }
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -348,6 +348,22 @@
 	}
 }
 
+// TestReleasesDontWait releases memory at two helpers that say nothing: neither
+// has to wait for the other, which may be dead.
+func TestReleasesDontWait(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 3, 0)
+	for _, s := range b.servers {
+		s.Mute()
+	}
+	r := b.request("POST", "/chat/x", "hello")
+	r.Header.Set("Token-Usage", "250000,50")
+	answer, _, err := b.do(r)
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusOK)
+	waitFor(t, func() bool { return b.servers[0].Muted()+b.servers[1].Muted()+b.servers[2].Muted() == 2 })
+}
+
 // waitFor waits until something holds.
 func waitFor(t *testing.T, holds func() bool) {
 	t.Helper()
--- a/entry/internal/forwarder/hold.go
+++ b/entry/internal/forwarder/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -77,6 +78,10 @@
 	for i, err := range errs {
 		if err != nil {
 			x.tried[h.places[i].server.ID] = true
+			var full *heldError
+			if !errors.As(err, &full) && ctx.Err() == nil {
+				x.forwarder.Doubts.Fail(h.places[i].server.ID, time.Now()) // it did not answer
+			}
 			return nil, h, err
 		}
 	}
@@ -127,12 +132,22 @@
 			return
 		case <-tick.C:
 		}
-		for _, p := range h.places {
+		h.each(func(p place) {
 			if err := h.reserve(ctx, p); err != nil && ctx.Err() == nil {
 				h.log("renew", p, err)
 			}
-		}
+		})
+	}
+}
+
+// each calls do for every reservation at once: a helper that is dead must not
+// make the others wait.
+func (h *holding) each(do func(place)) {
+	var all sync.WaitGroup
+	for _, p := range h.places {
+		all.Go(func() { do(p) })
 	}
+	all.Wait()
 }
 
 // release ends the reservations, in the background: the caller has its answer.
@@ -145,7 +160,7 @@
 	}
 	go func() {
 		h.done.Wait()
-		for _, p := range h.places {
+		h.each(func(p place) {
 			o, err := h.forwarder.Dialect.Release(p.ticket)
 			if err == nil {
 				err = h.order(context.Background(), p, o)
@@ -153,7 +168,7 @@
 			if err != nil {
 				h.log("release", p, err) // it ends by itself within holdTime
 			}
-		}
+		})
 	}()
 }
 
