--- a/entry/internal/director/director.go
+++ b/entry/internal/director/director.go
@@ -92,7 +92,8 @@
 	}
 	d.exchanger, err = exchanger.New(exchanger.Config{
 		Log: config.Log, Books: books, State: d.platform, Directory: d.platform,
-		Name: s.VM, Calls: calls, Datagrams: datagrams, Seeds: s.Entries, Suspects: suspects, Grades: grades, Engines: func() int { return d.viewer.Load().Engines },
+		Name: s.VM, Calls: calls, Datagrams: datagrams, Seeds: s.Entries, Suspects: suspects, Grades: grades,
+		Engines: func() int { return d.viewer.Load().Engines },
 	})
 	if err != nil {
 		return nil, err
@@ -102,7 +103,8 @@
 		Log: config.Log, Dialect: platform.Dialect{}, Viewer: d.viewer, Books: books,
 		Budget: budgeter.New(s.Retry.budget()), Connector: d.connector, Doubts: d.doubts, Warm: d.warm,
 		Suspects: suspects, Attester: attester.New(), Grades: grades,
-		Meter: d.meter, Policy: policy, Order: xxhash.Sum64String(s.VM), Lag: d.exchanger.Lag, Region: s.Region, Entries: d.exchanger.Entries, Cells: d.exchanger.Cells, Near: d.exchanger.Near, Closing: d.closing.Load,
+		Meter: d.meter, Policy: policy, Order: xxhash.Sum64String(s.VM), Lag: d.exchanger.Lag, Region: s.Region,
+		Entries: d.exchanger.Entries, Cells: d.exchanger.Cells, Near: d.exchanger.Near, Closing: d.closing.Load,
 	})
 	return d, nil
 }
--- a/entry/internal/exchanger/exchanger.go
+++ b/entry/internal/exchanger/exchanger.go
@@ -116,6 +116,7 @@
 	pulling bool
 	named   time.Time // when the entries that are heard were last listed
 	told    time.Time // when all entries were last told
+	cells   int       // as of the last datagram
 	looked  bool      // the directory was read
 }
 
@@ -208,7 +209,7 @@
 	defer e.mu.Unlock()
 	near := 0
 	for address := range e.peers {
-		if e.near(address, cells) {
+		if e.Near(address, cells) {
 			near++
 		}
 	}
@@ -218,11 +219,10 @@
 // Cells returns the number of cells that entries and engines are parted into.
 func (e *Exchanger) Cells() int { return partitioner.Count(e.Entries(), e.config.Engines()) }
 
-// Near reports whether an engine is of this entry's cell, of some number of
-// cells: other entries may be sending to it, of which this one does not hear.
-func (e *Exchanger) Near(engine string, cells int) bool { return e.near(engine, cells) }
-
-func (e *Exchanger) near(name string, cells int) bool {
+// Near reports whether an engine, or the entry at an address, is of this entry's
+// cell, of some number of cells. This entry does not hear of others' work at
+// other engines.
+func (e *Exchanger) Near(name string, cells int) bool {
 	return partitioner.Together(e.config.Calls.String(), name, cells)
 }
 
@@ -263,7 +263,12 @@
 	cells := e.Cells()
 	e.mu.Lock()
 	var near, far []netip.AddrPort
-	names, all := time.Since(e.named) >= namesEvery, time.Since(e.told) >= farEvery
+	if cells != e.cells {
+		e.config.Log.Info().Str("event", "cells").Int("before", e.cells).Int("now", cells).Int("peers", len(e.peers)).Msg("")
+		e.cells = cells
+	}
+	all := time.Since(e.told) >= farEvery
+	names := all || time.Since(e.named) >= namesEvery
 	if names {
 		e.named = time.Now()
 		o.Accusations = e.accusations()
@@ -282,7 +287,7 @@
 		}
 		to := netip.AddrPortFrom(netip.MustParseAddrPort(address).Addr(), e.config.Datagrams.Port())
 		switch {
-		case e.near(address, cells):
+		case e.Near(address, cells):
 			near = append(near, to)
 		case all:
 			far = append(far, to)
--- a/entry/internal/forwarder/place.go
+++ b/entry/internal/forwarder/place.go
@@ -174,8 +174,8 @@
 	return assigner.Serve
 }
 
-// failWeight is how many more requests than its slots a plain server would have
-// to run for one that fails every request to be preferred.
+// failWeight is how often over its slots a sound plain server may be taken before
+// one that fails every request is preferred: calls are short, failures final.
 const failWeight = 4
 
 // placeCall places a request of a plain service: where the fewest run, and where
