--- a/core/doubter/doubter.go
+++ b/core/doubter/doubter.go
@@ -9,9 +9,11 @@
 //	d := doubter.New()
 //	d.Fail(id, now)
 //	if d.Doubted(id, now) { ... }
+//	servers = doubter.Trust(d, servers, id, now)
 package doubter
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -100,6 +102,34 @@
 	}
 }
 
+// mostDoubted is the part of the servers that doubts may pass over: where more
+// fail, that says more about the path than about the servers, and the few left
+// must not be made to bear everything.
+const mostDoubted = 0.5
+
+// Trust returns those of some servers that are not doubted, and if these are
+// fewer than half, as many as make up half of those whose doubts end soonest.
+// The order of the servers is kept.
+func Trust[S any](d *Doubter, servers []S, id func(S) viewer.ServerID, now time.Time) []S {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ends := make([]time.Time, 0, len(servers))
+	trusted := 0
+	for _, s := range servers {
+		if until := d.doubts[id(s)].until; now.Before(until) {
+			ends = append(ends, until)
+		} else {
+			trusted++
+		}
+	}
+	limit := now
+	if missing := len(servers) - int(mostDoubted*float64(len(servers))) - trusted; missing > 0 {
+		slices.SortFunc(ends, time.Time.Compare)
+		limit = ends[missing-1]
+	}
+	return slices.DeleteFunc(slices.Clone(servers), func(s S) bool { return d.doubts[id(s)].until.After(limit) })
+}
+
 // Doubted reports whether a server should be passed over now.
 func (d *Doubter) Doubted(id viewer.ServerID, now time.Time) bool {
 	d.mu.Lock()
--- a/core/doubter/doubter_test.go
+++ b/core/doubter/doubter_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bamboohill/core/doubter"
+	"bamboohill/core/viewer"
 
 	"github.com/matryer/is"
 )
@@ -42,3 +43,37 @@
 	d.Expire(now.Add(time.Minute))
 	is.True(!d.HeardSince("a", now.Add(-time.Hour)))
 }
+
+// TestTrust passes over doubted servers, half of them at the most: those whose
+// doubts end soonest are tried again first.
+func TestTrust(t *testing.T) {
+	servers := []viewer.ServerID{"a", "b", "c", "d", "e", "f"}
+	tests := map[string]struct {
+		failures map[viewer.ServerID]int
+		want     string
+	}{
+		"nobody is doubted":          {want: "abcdef"},
+		"two are":                    {failures: map[viewer.ServerID]int{"b": 1, "e": 3}, want: "acdf"},
+		"half are":                   {failures: map[viewer.ServerID]int{"a": 1, "b": 1, "c": 1}, want: "def"},
+		"more than half":             {failures: map[viewer.ServerID]int{"a": 4, "b": 3, "c": 2, "d": 1}, want: "def"},
+		"all, as long as each other": {failures: map[viewer.ServerID]int{"a": 1, "b": 1, "c": 1, "d": 1, "e": 1, "f": 1}, want: "abcdef"},
+		"all, one after the other":   {failures: map[viewer.ServerID]int{"a": 1, "b": 2, "c": 3, "d": 4, "e": 4, "f": 4}, want: "abc"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := doubter.New()
+			now := time.Unix(1000, 0)
+			for id, n := range test.failures {
+				at := now
+				for range n {
+					at = at.Add(d.Fail(id, at) + time.Millisecond) // each doubt ends before the next failure
+				}
+			}
+			got := ""
+			for _, id := range doubter.Trust(d, servers, func(id viewer.ServerID) viewer.ServerID { return id }, now) {
+				got += string(id)
+			}
+			is.New(t).Equal(got, test.want)
+		})
+	}
+}
--- a/entry/internal/forwarder/place.go
+++ b/entry/internal/forwarder/place.go
@@ -10,6 +10,7 @@
 
 	"bamboohill/core/assigner"
 	"bamboohill/core/bookkeeper"
+	"bamboohill/core/doubter"
 	"bamboohill/core/viewer"
 )
 
@@ -35,22 +36,16 @@
 }
 
 // choices returns the backend servers that may get the request: of those that
-// may work, the ones that this entry has no reason to pass over.
+// may work and were not tried, the ones that this entry has no reason to pass
+// over.
 func (x *exchange) choices(now time.Time) []*viewer.Server {
 	f := x.forwarder
 	entries := f.Entries()
 	all := slices.DeleteFunc(x.cell(), func(s *viewer.Server) bool {
 		return !f.Warm.Room(s, x.service, entries, now)
 	})
-	trusted := slices.DeleteFunc(slices.Clone(all), func(s *viewer.Server) bool {
-		return x.tried[s.ID] || f.Doubts.Doubted(s.ID, now)
-	})
-	if len(trusted) > 0 {
-		return trusted
-	}
-	// Everything is doubted, which says more about the path than about the
-	// servers: one that was not tried yet is better than none.
-	return slices.DeleteFunc(all, func(s *viewer.Server) bool { return x.tried[s.ID] })
+	untried := slices.DeleteFunc(all, func(s *viewer.Server) bool { return x.tried[s.ID] })
+	return doubter.Trust(f.Doubts, untried, func(s *viewer.Server) viewer.ServerID { return s.ID }, now)
 }
 
 // cell returns the backend servers of the request's service; of model engines
