Failing test: accusations beyond one datagram never leave an entry

Cause: exchanger.accusations takes the first 64 by fingerprint, each second anew. An entry that holds more never sends the others, so each entry counts only the crashes that it saw itself: a request that crashes servers is blocked at none of them.

--- a/Makefile
+++ b/Makefile
@@ -24,12 +24,13 @@
 test: lint unit model
 	@.ci/red
 
+# Tests that KNOWN-RED.txt lists are run and printed by .ci/red.
+RED := $(shell sed -n 's/^[a-z][^ ]* \(Test[^ ]*\).*/\1$$/p' KNOWN-RED.txt | paste -sd'|')
+SKIP := $(if $(RED),-skip '$(RED)')
 # The scenarios build the programs themselves, which the test cache can't see.
-# Those that KNOWN-RED.txt lists are run and printed by .ci/red.
-RED := $(shell sed -n 's/^prover \(Test[^ ]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|')
 unit:
-	go test $(filter-out ./prover/...,$(PACKAGES))
-	go test -count=1 $(if $(RED),-skip '$(RED)') ./prover/...
+	go test $(SKIP) $(filter-out ./prover/...,$(PACKAGES))
+	go test -count=1 $(SKIP) ./prover/...
 
 lint: $(LINT)
 	@test -z "$$(gofmt -l $(MODULES))" || { gofmt -l $(MODULES); echo "run make format"; exit 1; }
--- a/entry/internal/exchanger/exchanger_test.go
+++ b/entry/internal/exchanger/exchanger_test.go
@@ -200,6 +200,26 @@
 	waitFor(t, "blocked at c", func() bool { return c.screener.Decide("f").Mode == quarantiner.Blocked })
 }
 
+// TestAccusationsBeyondOneDatagram guards against accusations that never leave an
+// entry because it holds more than one datagram can carry.
+func TestAccusationsBeyondOneDatagram(t *testing.T) {
+	is := is.New(t)
+	d := &directory{all: map[string]string{}}
+	a, b := newNode(t, d), newNode(t, d)
+	blocked := func(n *node) func() bool {
+		return func() bool { return n.screener.Decide("f").Mode == quarantiner.Blocked }
+	}
+	for i := range 300 {
+		is.True(a.screener.Record(&wire.Accusation{Fingerprint: fmt.Sprint("a", i), Server: "i-0", Boot: 6}))
+	}
+	is.True(a.screener.Record(&wire.Accusation{Fingerprint: "f", Server: "i-1", Boot: 7}))
+	is.True(b.screener.Record(&wire.Accusation{Fingerprint: "f", Server: "i-2", Boot: 8}))
+	waitFor(t, "blocked at b", blocked(b))
+	waitFor(t, "blocked at a", blocked(a))
+	c := newNode(t, d)
+	waitFor(t, "blocked at an entry that starts later", blocked(c))
+}
+
 // TestGrades checks that grades of a backend server reach the other entries, also
 // if no work is outstanding there.
 func TestGrades(t *testing.T) {
