Write bursts of log lines in parts of at most 4 KiB

The writer combined all waiting lines into one call. Change: at most 4096 bytes a call, which a pipe passes on whole. Result: TestAsyncWriterSplitsBursts fails with the former async.go ("not true: out.longest <= 4096") and passes.

--- a/core/logger/async.go
+++ b/core/logger/async.go
@@ -47,28 +47,35 @@
 // full or the underlying writer failed.
 func (w *AsyncWriter) Dropped() int64 { return w.dropped.Load() }
 
-// run writes the queued lines, combining those that are waiting into one call.
+// maxCombinedBytes limits the lines that are combined into one call. POSIX
+// guarantees that a pipe does not split or interleave a write of this size.
+const maxCombinedBytes = 4096
+
+// run writes the queued lines, combining those that are waiting.
 func (w *AsyncWriter) run() {
 	defer close(w.done)
-	for line := range w.lines {
-		text, count := line, int64(1)
-		for more := true; more; {
-			select {
-			case next, open := <-w.lines:
-				if !open {
-					more = false
-					break
-				}
-				text = append(text, next...)
-				count++
-			default:
-				more = false
-			}
+	var text []byte
+	count := int64(0)
+	flush := func() {
+		if count == 0 {
+			return
 		}
 		if _, err := w.out.Write(text); err != nil {
 			w.dropped.Add(count) // the failure cannot be logged, so it is only counted
 		}
+		text, count = text[:0], 0
+	}
+	for line := range w.lines {
+		if len(text)+len(line) > maxCombinedBytes {
+			flush()
+		}
+		text = append(text, line...)
+		count++
+		if len(w.lines) == 0 {
+			flush()
+		}
 	}
+	flush()
 }
 
 // Close writes the queued lines and stops the writer. Write must not be called
--- a/core/logger/async_test.go
+++ b/core/logger/async_test.go
@@ -66,3 +66,32 @@
 	w.Close()
 	is.Equal(w.Dropped(), int64(1))
 }
+
+// sizeWriter records the size of the longest write.
+type sizeWriter struct {
+	blockedWriter
+	longest int
+}
+
+// Write implements io.Writer.
+func (s *sizeWriter) Write(p []byte) (int, error) {
+	s.longest = max(s.longest, len(p))
+	return s.blockedWriter.Write(p)
+}
+
+// TestAsyncWriterSplitsBursts guards against bursts that are written in one call,
+// which a collector of logs may truncate.
+func TestAsyncWriterSplitsBursts(t *testing.T) {
+	is := is.New(t)
+	out := &sizeWriter{blockedWriter: blockedWriter{entered: make(chan struct{}, 1), free: make(chan struct{})}}
+	w := logger.NewAsyncWriter(out, 1000)
+	line := strings.Repeat("x", 199) + "\n"
+	for range 500 {
+		_, err := w.Write([]byte(line))
+		is.NoErr(err)
+	}
+	close(out.free)
+	w.Close()
+	is.Equal(out.text.String(), strings.Repeat(line, 500))
+	is.True(out.longest <= 4096)
+}
