Examine sends that the caller or the deadline ended for a crash of their server

Cause: a send was examined only if its connection broke before the deadline while the caller was there. A server that ends without closing its connections is noticed by a caller that gives up or by the deadline; both dropped the evidence. An answer without length that ends with its connection counted as complete even if the server crashed. The class: evidence of a crash is dropped because something else ends the send first. Change: every send that ends without a complete answer is examined. As such a server may also be sound, it is cleared by a sign of life after the break: an answer to another request or a renewed registration. Without either, a break is kept for 30 s instead of 10, as long as an outage of the store may hide an expiry.

--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -10,29 +10,46 @@
 
 // Limits on the broken sends that are held.
 const (
-	retention     = 10 * time.Second // a registration expires within three heartbeats of about 1.2 s, and is read a second later
+	retention     = 30 * time.Second // without evidence, as while the list of servers is not renewed
 	refusalWindow = 2 * time.Second  // a crashed server is down for some seconds; one that refuses later may have been shut down
 	maxBroken     = 4096             // broken sends; beyond it the oldest is dropped
 )
 
-// Break is a send to a backend server that ended without a complete answer.
+// Times after a break from which a sign of life shows that the server was alive at
+// the break. Earlier ones may have been under way when it crashed.
+const (
+	answerTransit       = 500 * time.Millisecond
+	registrationTransit = 2 * time.Second // two reads of the list of servers, and a slow store
+)
+
+// Run is one run of a backend server.
+type Run struct {
+	Server      viewer.ServerID
+	StartMillis int64 // start time of the server, in Unix milliseconds
+}
+
+// RunOf returns the run of a backend server that is on the list.
+func RunOf(s *viewer.Server) Run { return Run{Server: s.ID, StartMillis: s.StartMillis} }
+
+// Break is a send to backend servers that ended without a complete answer. Its
+// cause may be a crash of any of them, even if the caller or this entry ended it.
 type Break struct {
 	Attempt     string // id of the request
 	Fingerprint string
-	Server      viewer.ServerID
-	StartMillis int64 // start time of the server, in Unix milliseconds
+	Runs        []Run // of the server that the request was sent to, then of its helpers
 	At          time.Time
 }
 
 // Evidence is the reason of a verdict.
 type Evidence string
 
-// Values of Evidence. All but the last two confirm a crash.
+// Values of Evidence. The first three confirm a crash.
 const (
 	Refused     Evidence = "refused a connection"
 	Expired     Evidence = "registration expired"
 	Restarted   Evidence = "restarted"
-	Unconfirmed Evidence = "no crash within the retention"
+	Alive       Evidence = "alive after the break"
+	Unconfirmed Evidence = "no evidence within the retention"
 	Overflow    Evidence = "too many broken sends"
 )
 
@@ -40,16 +57,23 @@
 type Verdict struct {
 	Break
 	Evidence Evidence
+	Crashed  Run           // the run that crashed, if Evidence confirms a crash
 	Age      time.Duration // since the break
 }
 
-// Crashed reports whether the backend server has crashed.
-func (v Verdict) Crashed() bool { return v.Evidence != Unconfirmed && v.Evidence != Overflow }
+// Confirmed reports whether a backend server has crashed under the request.
+func (v Verdict) Confirmed() bool { return v.Crashed.Server != "" }
+
+// Observations are what an entry knows of the backend servers.
+type Observations struct {
+	Servers       map[viewer.ServerID]*viewer.Server
+	AnsweredSince func(viewer.ServerID, time.Time) bool // whether it sent any part of an answer after a time
+}
 
 // pending is a break without a verdict.
 type pending struct {
 	Break
-	refused bool // the server refused a connection within refusalWindow
+	refused map[viewer.ServerID]bool // servers that refused a connection within refusalWindow
 }
 
 // Detector holds the broken sends of one entry. It is safe for concurrent use.
@@ -70,22 +94,22 @@
 		d.dropped = append(d.dropped, d.pending[0].Break)
 		d.pending = slices.Delete(d.pending, 0, 1)
 	}
-	d.pending = append(d.pending, pending{Break: b})
+	d.pending = append(d.pending, pending{Break: b, refused: map[viewer.ServerID]bool{}})
 }
 
 // RecordRefused records that a backend server refused a connection.
 func (d *Detector) RecordRefused(server viewer.ServerID, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for i, b := range d.pending {
-		if b.Server == server && now.Sub(b.At) <= refusalWindow {
-			d.pending[i].refused = true
+	for _, b := range d.pending {
+		if now.Sub(b.At) <= refusalWindow {
+			b.refused[server] = true
 		}
 	}
 }
 
 // Examine returns a verdict on each break that has one, and forgets these breaks.
-func (d *Detector) Examine(servers map[viewer.ServerID]*viewer.Server, now time.Time) []Verdict {
+func (d *Detector) Examine(o Observations, now time.Time) []Verdict {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var verdicts []Verdict
@@ -94,28 +118,53 @@
 	}
 	d.dropped = nil
 	d.pending = slices.DeleteFunc(d.pending, func(b pending) bool {
-		evidence := b.examine(servers, now)
-		if evidence != "" {
-			verdicts = append(verdicts, Verdict{Break: b.Break, Evidence: evidence, Age: now.Sub(b.At)})
+		v := b.examine(o, now)
+		if v.Evidence != "" {
+			verdicts = append(verdicts, v)
 		}
-		return evidence != ""
+		return v.Evidence != ""
 	})
 	return verdicts
 }
 
-// examine returns the evidence for a verdict on a break, or "" while there is
+// examine returns the verdict on a break. Its Evidence is "" while there is none.
+func (b pending) examine(o Observations, now time.Time) Verdict {
+	v := Verdict{Break: b.Break, Age: now.Sub(b.At)}
+	alive := 0
+	for _, r := range b.Runs {
+		switch evidence := b.examineRun(r, o); evidence {
+		case "":
+		case Alive:
+			alive++
+		default:
+			v.Evidence, v.Crashed = evidence, r
+			return v
+		}
+	}
+	switch {
+	case alive == len(b.Runs):
+		v.Evidence = Alive
+	case v.Age > retention:
+		v.Evidence = Unconfirmed
+	}
+	return v
+}
+
+// examineRun returns the evidence on one run of a server, or "" while there is
 // none.
-func (b pending) examine(servers map[viewer.ServerID]*viewer.Server, now time.Time) Evidence {
-	listed, found := servers[b.Server]
+func (b pending) examineRun(r Run, o Observations) Evidence {
+	listed, found := o.Servers[r.Server]
 	switch {
-	case b.refused:
+	case o.AnsweredSince(r.Server, b.At.Add(answerTransit)):
+		return Alive
+	case b.refused[r.Server]:
 		return Refused
 	case !found:
 		return Expired
-	case listed.StartMillis != b.StartMillis:
+	case listed.StartMillis != r.StartMillis:
 		return Restarted
-	case now.Sub(b.At) > retention:
-		return Unconfirmed
+	case listed.Observed.After(b.At.Add(registrationTransit)):
+		return Alive
 	}
 	return ""
 }
--- a/entry/internal/forwarder/crash.go
+++ b/entry/internal/forwarder/crash.go
@@ -46,31 +46,18 @@
 	return http.StatusServiceUnavailable, "this request crashed two backend servers"
 }
 
-// recordBreak records that a send ended without a complete answer, in case its
-// backend server crashed.
-func (x *exchange) recordBreak(p placement) {
-	x.forwarder.Detector.RecordBreak(detector.Break{
-		Attempt: x.call.Attempt, Fingerprint: x.fingerprint(), Server: p.server.ID, StartMillis: p.server.StartMillis, At: time.Now(),
-	})
-}
-
-// examineSend passes a send that may have ended with its backend server to the
-// detector, and logs whether it did.
+// examineSend passes a send to the detector if it may have ended with its backend
+// server: it broke off, or the caller left or the time was up while the server was
+// silent.
 func (x *exchange) examineSend(p placement, result sendResult) {
-	if result != sendBroken && result != sendCanceled {
+	if result != sendBroken && result != sendCanceled && !x.unframed {
 		return
 	}
-	reason := ""
-	switch {
-	case result == sendCanceled:
-		reason = "the caller left"
-	case time.Until(x.deadline) <= 0:
-		reason = "after the deadline"
-	default:
-		x.recordBreak(p)
-	}
+	x.forwarder.Detector.RecordBreak(detector.Break{
+		Attempt: x.call.Attempt, Fingerprint: x.fingerprint(), Runs: []detector.Run{detector.RunOf(p.server)}, At: time.Now(),
+	})
 	x.forwarder.Log.Info().Str("event", "send-broken").Str("id", x.call.Attempt).Str("request", x.fingerprint()).
-		Str("server", string(p.server.ID)).Int("helpers", len(p.helpers)).Bool("examined", reason == "").Str("reason", reason).Msg("")
+		Str("server", string(p.server.ID)).Int("helpers", len(p.helpers)).Str("outcome", result.String()).Msg("")
 }
 
 // connectionRefused reports whether a send failed because no process listens at
@@ -84,18 +71,18 @@
 // is confirmed to have crashed. The exchanger sends the accusations to the other
 // entries. It must be called periodically.
 func (f *Forwarder) RecordCrashes(now time.Time) {
-	for _, v := range f.Detector.Examine(f.Viewer.Load().Servers, now) {
-		if !v.Crashed() {
+	o := detector.Observations{Servers: f.Viewer.Load().Servers, AnsweredSince: f.Ejector.AnsweredSince}
+	for _, v := range f.Detector.Examine(o, now) {
+		if !v.Confirmed() {
 			f.Meter.Add("breaks_dismissed", 1)
-			f.Log.Info().Str("event", "break-dismissed").Str("id", v.Attempt).Str("request", v.Fingerprint).
-				Str("server", string(v.Server)).Float64("age_ms", millis(v.Age)).Str("reason", string(v.Evidence)).Msg("")
+			f.Log.Info().Str("event", "break-dismissed").Str("id", v.Attempt).Str("request", v.Fingerprint).Float64("age_ms", millis(v.Age)).Str("reason", string(v.Evidence)).Msg("")
 			continue
 		}
 		isNew := f.Screener.Accuse(&wire.Accusation{
-			Fingerprint: v.Fingerprint, Server: string(v.Server), Boot: uint64(v.StartMillis), AgeMs: v.Age.Milliseconds(),
+			Fingerprint: v.Fingerprint, Server: string(v.Crashed.Server), Boot: uint64(v.Crashed.StartMillis), AgeMs: v.Age.Milliseconds(),
 		})
 		f.Meter.Add("accused", 1)
-		f.Log.Info().Str("event", "crash-suspected").Str("id", v.Attempt).Str("request", v.Fingerprint).Str("server", string(v.Server)).
-			Int64("born", v.StartMillis).Float64("age_ms", millis(v.Age)).Bool("new", isNew).Str("evidence", string(v.Evidence)).Msg("")
+		f.Log.Info().Str("event", "crash-suspected").Str("id", v.Attempt).Str("request", v.Fingerprint).Str("server", string(v.Crashed.Server)).
+			Int64("born", v.Crashed.StartMillis).Float64("age_ms", millis(v.Age)).Bool("new", isNew).Str("evidence", string(v.Evidence)).Msg("")
 	}
 }
--- a/entry/internal/forwarder/crash_test.go
+++ b/entry/internal/forwarder/crash_test.go
@@ -1,6 +1,8 @@
 package forwarder_test
 
 import (
+	"context"
+	"io"
 	"maps"
 	"net/http"
 	"testing"
@@ -70,6 +72,53 @@
 	is.Equal(len(other.runs()), 0)
 }
 
+// TestServerEndsUnnoticed ends the server of a request in ways that this entry does
+// not see as a broken connection before the deadline: the request must be suspected
+// all the same.
+func TestServerEndsUnnoticed(t *testing.T) {
+	tests := map[string]struct {
+		path, body string
+		fault      string
+		callerTime time.Duration // until the caller leaves; 0 if it stays
+	}{
+		"connection closed":                   {path: "/book/x", fault: rig.FaultClosed},
+		"stream closed inside an event":       {path: "/fixed/x", fault: rig.FaultMidEvent},
+		"silent until the deadline":           {path: "/book/x", fault: rig.FaultNoAnswer},
+		"silent until the caller leaves":      {path: "/book/x", fault: rig.FaultNoAnswer, callerTime: 100 * time.Millisecond},
+		"stream silent until the caller left": {path: "/fixed/x", fault: rig.FaultNoAnswer, callerTime: 100 * time.Millisecond},
+		"answer without length":               {path: "/book/x", fault: rig.FaultNoLength},
+		"long answer closed early":            {path: "/book/x", fault: rig.FaultLongTruncated},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 2, 2)
+			b.fault(test.fault)
+			r := b.request("POST", test.path, "poison")
+			r.Header.Set("Deadline-Ms", "300")
+			if test.callerTime > 0 {
+				ctx, cancel := context.WithTimeout(r.Context(), test.callerTime)
+				defer cancel()
+				r = r.WithContext(ctx)
+			}
+			if answer, err := http.DefaultClient.Do(r); err == nil {
+				_, _ = io.Copy(io.Discard, answer.Body) // it may be cut
+				_ = answer.Body.Close()
+			}
+			waitFor(t, func() bool { return len(b.loads.OwnLoads(time.Now())) == 0 })
+			list := maps.Clone(b.view.Load().Servers)
+			server := b.runs()[0].Header.Get("Expect-Instance")
+			delete(list, viewer.ServerID(server))
+			b.view.SetServers(list)
+			waitFor(t, func() bool {
+				b.entry.RecordCrashes(time.Now())
+				return len(b.screener.Accusations()) == 1
+			})
+			is.Equal(b.screener.Accusations()[0].GetServer(), server)
+		})
+	}
+}
+
 // TestLostAnswersDontBlock loses the answers of a request whose backend servers
 // are alive: it must not be blocked.
 func TestLostAnswersDontBlock(t *testing.T) {
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -90,6 +90,7 @@
 	cause        string      // why the last send failed
 	full         bool        // the request was not sent because all backend servers are full
 	blockedUntil time.Time   // when the block of this request ends; zero if it is not blocked
+	unframed     bool        // the end of the last answer can't be distinguished from a crash
 	retryPaid    atomic.Bool // the next send has already been taken from the retry budget
 }
 
--- a/entry/internal/forwarder/send.go
+++ b/entry/internal/forwarder/send.go
@@ -59,7 +59,7 @@
 	attempt := x.call.Attempt
 	defer func() { f.Loads.RecordEnd(attempt, time.Now()) }()
 	x.tried[p.server.ID] = true
-	x.cause = ""
+	x.cause, x.unframed = "", false
 	f.Warmer.RecordRequest(p.server.ID, p.attempted)
 	metadata := translator.RequestMetadata{
 		Server: p.server.ID, Account: x.account, Remaining: time.Until(x.deadline), LastEvent: x.call.LastEvent,
@@ -92,6 +92,7 @@
 		return x.handleRefusal(p, v, answer)
 	}
 	x.history.runs++
+	x.unframed = !answer.Framed
 	if answer.Status/100 == 2 && x.route.Kind == viewer.Streaming {
 		return x.relayStream(p, answer, guard)
 	}
