--- a/entry/internal/forwarder/crash.go
+++ b/entry/internal/forwarder/crash.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
 	"bamboohill/core/connector"
 	"bamboohill/core/detector"
 	"bamboohill/core/quarantiner"
+	"bamboohill/core/viewer"
 	"bamboohill/wire"
 )
 
@@ -47,19 +49,40 @@
 }
 
 // examineSend passes a send to the detector if it may have ended with its backend
-// server: it broke off, or the caller left or the time was up while the server was
-// silent.
+// server or a helper: it broke off, or the caller left or the time was up while the
+// server was silent.
 func (x *exchange) examineSend(p placement, result sendResult) {
 	if result != sendBroken && result != sendCanceled && !x.unframed {
 		return
 	}
-	x.forwarder.Detector.RecordBreak(detector.Break{
-		Attempt: x.call.Attempt, Fingerprint: x.fingerprint(), Runs: []detector.Run{detector.RunOf(p.server)}, At: time.Now(),
-	})
+	x.recordBreak(append([]*viewer.Server{p.server}, p.helpers...))
 	x.forwarder.Log.Info().Str("event", "send-broken").Str("id", x.call.Attempt).Str("request", x.fingerprint()).
 		Str("server", string(p.server.ID)).Int("helpers", len(p.helpers)).Str("outcome", result.String()).Msg("")
 }
 
+// recordBreak records that a send ended, possibly because one of the given backend
+// servers, on which it ran, has crashed.
+func (x *exchange) recordBreak(servers []*viewer.Server) {
+	b := detector.Break{Attempt: x.call.Attempt, Fingerprint: x.fingerprint(), At: time.Now()}
+	for _, s := range servers {
+		b.Runs = append(b.Runs, detector.RunOf(s))
+	}
+	x.forwarder.Detector.RecordBreak(b)
+}
+
+// recentAnswer is the age of an answer up to which it shows that a server was alive
+// when a request was sent.
+const recentAnswer = time.Second
+
+// wasAlive reports whether a helper is known to have been alive when the request
+// was sent: it has reserved memory for it, or answered another request shortly
+// before. A request is not suspected of the crash of a helper that was already gone.
+func (x *exchange) wasAlive(p placement, helper *viewer.Server) bool {
+	i := slices.Index(p.helpers, helper)
+	reserved := i < len(p.work.HelperContextTokens) && p.work.HelperContextTokens[i] > 0
+	return reserved || x.forwarder.Ejector.AnsweredSince(helper.ID, p.attempted.Add(-recentAnswer))
+}
+
 // connectionRefused reports whether a send failed because no process listens at
 // the address.
 func connectionRefused(err error) bool {
--- a/entry/internal/forwarder/crash_test.go
+++ b/entry/internal/forwarder/crash_test.go
@@ -119,6 +119,37 @@
 	}
 }
 
+// TestHelperEndsUnnoticed ends a helper of a prompt while the engine that the prompt
+// was sent to lives on: the prompt must be suspected.
+func TestHelperEndsUnnoticed(t *testing.T) {
+	for name, fault := range map[string]string{
+		"while prefilling": rig.FaultHelperLost,
+		"while decoding":   rig.FaultMidEvent,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 3, 0)
+			b.fault(fault)
+			r := b.request("POST", "/fixed/x", "poison")
+			r.Header.Set("Token-Usage", "150000,50") // reserves memory at helpers
+			_, _, _ = b.do(r)                        // the answer is cut
+			list := map[viewer.ServerID]*viewer.Server{}
+			for _, run := range b.runs() {
+				id := viewer.ServerID(run.Header.Get("Expect-Instance"))
+				lives := *b.view.Load().Servers[id]
+				lives.Observed = time.Now().Add(time.Minute)
+				list[id] = &lives
+			}
+			b.view.SetServers(list)
+			b.entry.RecordCrashes(time.Now())
+			is.True(len(b.screener.Accusations()) >= 1)
+			for _, a := range b.screener.Accusations() {
+				is.True(list[viewer.ServerID(a.GetServer())] == nil)
+			}
+		})
+	}
+}
+
 // TestLostAnswersDontBlock loses the answers of a request whose backend servers
 // are alive: it must not be blocked.
 func TestLostAnswersDontBlock(t *testing.T) {
--- a/entry/internal/forwarder/send.go
+++ b/entry/internal/forwarder/send.go
@@ -147,6 +147,9 @@
 	}
 	for _, h := range p.helpers {
 		if h.Address == v.FaultyServer {
+			if x.wasAlive(p, h) {
+				x.recordBreak([]*viewer.Server{h})
+			}
 			x.forwarder.Ejector.RecordFailure(h.ID, time.Now())
 			delete(x.tried, p.server.ID) // the failure is that of the helper
 			x.tried[h.ID] = true
