Confirm the crash of a server at once instead of after a second or more

Cause: a refused connection confirms a crash, but only another request that happened to be placed there met one, and the ejection of the server keeps requests away. Without one, the registration had to expire. Evidence was examined once a second, then sent once a second. Change: after a break the entry opens a connection to each server of the send, at most one in 500 ms to each server. A refusal, there, at a send or at a reservation, is examined at once, the rest every 250 ms. Why it works: a crashed process has no listener, so the refusal comes within a round trip; a server that only lost an answer accepts.

--- a/core/connector/connector.go
+++ b/core/connector/connector.go
@@ -127,6 +127,17 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, 8<<10), address: address}, nil
 }
 
+// Probe opens a connection to the address and closes it. The error is that of the
+// dial.
+func (c *Connector) Probe(ctx context.Context, address string) error {
+	k, err := c.get(ctx, address, true)
+	if err != nil {
+		return err
+	}
+	_ = k.Close() // nothing was sent on it
+	return nil
+}
+
 // takeIdle removes and returns the idle connection to the address that was used
 // last, or nil if no reusable one is left. It closes those it finds unusable.
 func (c *Connector) takeIdle(address string, now time.Time) *conn {
--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -22,6 +22,9 @@
 	registrationTransit = 2 * time.Second // two reads of the list of servers, and a slow store
 )
 
+// probeInterval is the shortest time between two probes of a server.
+const probeInterval = 500 * time.Millisecond
+
 // Run is one run of a backend server.
 type Run struct {
 	Server      viewer.ServerID
@@ -81,10 +84,11 @@
 	mu      sync.Mutex
 	pending []pending // oldest first
 	dropped []Break   // because of maxBroken, not yet reported
+	probed  map[viewer.ServerID]time.Time
 }
 
 // New returns a Detector without broken sends.
-func New() *Detector { return &Detector{} }
+func New() *Detector { return &Detector{probed: map[viewer.ServerID]time.Time{}} }
 
 // RecordBreak records that a send broke off.
 func (d *Detector) RecordBreak(b Break) {
@@ -108,10 +112,27 @@
 	}
 }
 
+// BeginProbe reports whether a server should be probed for a refused connection
+// now, and records that it is.
+func (d *Detector) BeginProbe(server viewer.ServerID, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now.Sub(d.probed[server]) < probeInterval {
+		return false
+	}
+	d.probed[server] = now
+	return true
+}
+
 // Examine returns a verdict on each break that has one, and forgets these breaks.
 func (d *Detector) Examine(o Observations, now time.Time) []Verdict {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	for server, at := range d.probed {
+		if now.Sub(at) >= probeInterval {
+			delete(d.probed, server)
+		}
+	}
 	var verdicts []Verdict
 	for _, b := range d.dropped {
 		verdicts = append(verdicts, Verdict{Break: b, Evidence: Overflow, Age: now.Sub(b.At)})
--- a/core/detector/detector_test.go
+++ b/core/detector/detector_test.go
@@ -91,3 +91,13 @@
 	is.Equal(count[detector.Expired], 4096)
 	is.Equal(count[detector.Overflow], 5000-4096)
 }
+
+func TestBeginProbe(t *testing.T) {
+	is := is.New(t)
+	d := detector.New()
+	now := time.Unix(1000, 0)
+	is.True(d.BeginProbe("i-1", now))
+	is.True(!d.BeginProbe("i-1", now.Add(100*time.Millisecond)))
+	is.True(d.BeginProbe("i-2", now.Add(100*time.Millisecond)))
+	is.True(d.BeginProbe("i-1", now.Add(time.Second)))
+}
--- a/entry/internal/director/director.go
+++ b/entry/internal/director/director.go
@@ -41,6 +41,7 @@
 // Interval of maintenance, and times of a shutdown.
 const (
 	expireInterval = time.Second
+	crashInterval  = 250 * time.Millisecond // between two searches for crashed servers
 	// balancerDelay is the time until the load balancer sends no new connections
 	// to an entry that is not ready: it checks once a second and acts on the
 	// second failed check.
@@ -197,25 +198,28 @@
 }
 
 // maintain removes expired connections and records once per expireInterval, and
-// records accusations against the requests whose backend servers crashed. After a
-// SIGHUP it logs that the settings are not reloaded.
+// records accusations against the requests whose backend servers crashed once per
+// crashInterval. After a SIGHUP it logs that the settings are not reloaded.
 func (d *Director) maintain(ctx context.Context) {
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
 	tick := time.NewTicker(expireInterval)
 	defer tick.Stop()
+	crashTick := time.NewTicker(crashInterval)
+	defer crashTick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case now := <-crashTick.C:
+			d.forwarder.RecordCrashes(now)
 		case <-reload:
 			d.config.Log.Info().Str("event", "reload").Str("outcome", "settings take effect at the next start").Msg("")
 		case now := <-tick.C:
 			d.connector.Expire(now)
 			d.warmer.Expire(now)
 			d.ejector.Expire(now)
-			d.forwarder.RecordCrashes(now)
 			if c := d.viewer.Load().Configuration; c != nil {
 				d.idle.expire(now, c.Limits.IdleTimeout)
 			}
--- a/entry/internal/forwarder/crash.go
+++ b/entry/internal/forwarder/crash.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"crypto/sha256"
 	"errors"
 	"fmt"
@@ -9,7 +10,6 @@
 	"syscall"
 	"time"
 
-	"bamboohill/core/connector"
 	"bamboohill/core/detector"
 	"bamboohill/core/quarantiner"
 	"bamboohill/core/viewer"
@@ -55,7 +55,11 @@
 	if result != sendBroken && result != sendCanceled && !x.unframed {
 		return
 	}
-	x.recordBreak(append([]*viewer.Server{p.server}, p.helpers...))
+	servers := append([]*viewer.Server{p.server}, p.helpers...)
+	x.recordBreak(servers)
+	if result == sendBroken {
+		x.forwarder.probe(servers)
+	}
 	x.forwarder.Log.Info().Str("event", "send-broken").Str("id", x.call.Attempt).Str("request", x.fingerprint()).
 		Str("server", string(p.server.ID)).Int("helpers", len(p.helpers)).Str("outcome", result.String()).Msg("")
 }
@@ -70,6 +74,36 @@
 	x.forwarder.Detector.RecordBreak(b)
 }
 
+// probe opens connections to the backend servers of a send that broke off. A crashed
+// server refuses them. Without a probe only the next request that is placed there
+// would notice that, or the expiry of the registration seconds later.
+func (f *Forwarder) probe(servers []*viewer.Server) {
+	for _, s := range servers {
+		if !f.Detector.BeginProbe(s.ID, time.Now()) {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+			defer cancel()
+			f.Meter.Add("probes", 1)
+			if connectionRefused(f.Connector.Probe(ctx, s.Address)) {
+				f.recordRefused(s.ID)
+			}
+		}()
+	}
+}
+
+// recordRefused records that a backend server refused a connection, and records
+// the crashes that this confirms.
+func (f *Forwarder) recordRefused(server viewer.ServerID) {
+	now := time.Now()
+	f.Detector.RecordRefused(server, now)
+	f.RecordCrashes(now)
+}
+
+// probeTimeout is the time after which a probe that was not refused shows nothing.
+const probeTimeout = 400 * time.Millisecond
+
 // recentAnswer is the age of an answer up to which it shows that a server was alive
 // when a request was sent.
 const recentAnswer = time.Second
@@ -83,12 +117,9 @@
 	return reserved || x.forwarder.Ejector.AnsweredSince(helper.ID, p.attempted.Add(-recentAnswer))
 }
 
-// connectionRefused reports whether a send failed because no process listens at
-// the address.
-func connectionRefused(err error) bool {
-	var failed *connector.Error
-	return errors.As(err, &failed) && !failed.Sent && errors.Is(failed.Err, syscall.ECONNREFUSED)
-}
+// connectionRefused reports whether a connection could not be opened because no
+// process listens at the address.
+func connectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // RecordCrashes records an accusation against each request whose backend server
 // is confirmed to have crashed. The exchanger sends the accusations to the other
--- a/entry/internal/forwarder/crash_test.go
+++ b/entry/internal/forwarder/crash_test.go
@@ -119,6 +119,24 @@
 	}
 }
 
+// TestCrashIsConfirmedLate guards against a crash that is confirmed only once another
+// request is placed on the server or its registration expires.
+func TestCrashIsConfirmedLate(t *testing.T) {
+	for name, path := range map[string]string{"call": "/book/x", "stream": "/fixed/x"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 2, 2)
+			b.fault(rig.FaultCrash)
+			_, _, err := b.do(b.request("POST", path, "poison"))
+			is.NoErr(err)
+			start := time.Now()
+			waitFor(t, func() bool { return len(b.screener.Accusations()) == 1 })
+			is.True(time.Since(start) < time.Second)
+			is.Equal(b.screener.Accusations()[0].GetServer(), b.runs()[0].Header.Get("Expect-Instance"))
+		})
+	}
+}
+
 // TestHelperEndsUnnoticed ends a helper of a prompt while the engine that the prompt
 // was sent to lives on: the prompt must be suspected.
 func TestHelperEndsUnnoticed(t *testing.T) {
--- a/entry/internal/forwarder/reservation.go
+++ b/entry/internal/forwarder/reservation.go
@@ -112,6 +112,9 @@
 		Matches: func(http.Header) bool { return true },
 	})
 	if err != nil {
+		if connectionRefused(err) {
+			h.forwarder.recordRefused(r.server.ID)
+		}
 		return err
 	}
 	defer answer.Close()
--- a/entry/internal/forwarder/send.go
+++ b/entry/internal/forwarder/send.go
@@ -111,7 +111,7 @@
 		x.recordDisconnect(p)
 	}
 	if connectionRefused(err) {
-		x.forwarder.Detector.RecordRefused(p.server.ID, time.Now())
+		x.forwarder.recordRefused(p.server.ID)
 	}
 	x.recordFailure(p, err.Error())
 	return result
