Check a request before each send, not only on arrival

Cause: an entry checked a request for crashes when it arrived. If it became blocked while it waited for placement or for the answer of a silent server, it was sent on. Change: the check is made before each send as well. A request that ran before gets 502, one that did not 503. The check is cheap without suspects (no list is built).

--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -181,6 +181,9 @@
 	return true
 }
 
+// Len returns the number of fingerprints held.
+func (c *Quarantiner) Len() int { return len(c.suspects) }
+
 // Decide returns how a request may run now.
 func (c *Quarantiner) Decide(fingerprint string, now time.Time) Decision {
 	s, found := c.suspects[fingerprint]
--- a/core/screener/screener.go
+++ b/core/screener/screener.go
@@ -57,6 +57,13 @@
 	return s.suspects.Record(accusation, s.now())
 }
 
+// Empty reports whether there is no suspect.
+func (s *Screener) Empty() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.suspects.Len() == 0
+}
+
 // Decide returns how a request may run now.
 func (s *Screener) Decide(fingerprint string) quarantiner.Decision {
 	s.mu.Lock()
--- a/entry/internal/forwarder/crash.go
+++ b/entry/internal/forwarder/crash.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
-	"net/http"
 	"slices"
 	"syscall"
 	"time"
@@ -29,23 +28,26 @@
 	return x.print
 }
 
-// checkBlocked refuses a request that has crashed two backend servers, through
-// any entries. It returns the status and reason of the refusal, or zero.
-// Requests are hashed only while there are accusations.
-func (x *exchange) checkBlocked() (int, string) {
+// causeBlocked is the reason that callers of a blocked request get.
+const causeBlocked = "this request crashed two backend servers"
+
+// isBlocked reports whether the request has crashed two backend servers, through
+// any entries. It is called before each send, as a request may crash servers while
+// a copy of it waits. Requests are hashed only while there are accusations.
+func (x *exchange) isBlocked() bool {
 	f := x.forwarder
-	if len(f.Screener.Accusations()) == 0 {
-		return 0, ""
+	if f.Screener.Empty() {
+		return false
 	}
 	v := f.Screener.Decide(x.fingerprint())
 	if v.Mode != quarantiner.Blocked {
-		return 0, ""
+		return false
 	}
 	x.blockedUntil = v.Until
 	f.Meter.Add("convicted", 1)
 	f.Log.Info().Str("event", "refused-as-suspect").Str("id", x.call.Attempt).Str("request", x.fingerprint()).
 		Float64("for_s", time.Until(v.Until).Seconds()).Msg("")
-	return http.StatusServiceUnavailable, "this request crashed two backend servers"
+	return true
 }
 
 // examineSend passes a send to the detector if it may have ended with its backend
--- a/entry/internal/forwarder/crash_test.go
+++ b/entry/internal/forwarder/crash_test.go
@@ -10,6 +10,7 @@
 
 	"bamboohill/core/viewer"
 	"bamboohill/platform/rig"
+	"bamboohill/wire"
 
 	"github.com/matryer/is"
 )
@@ -119,6 +120,34 @@
 	}
 }
 
+// fingerprintOf returns the fingerprint under which a request is suspected.
+func fingerprintOf(t *testing.T, method, path, body string) string {
+	t.Helper()
+	b := newBench(t, 1, 1)
+	b.crash(b.request(method, path, body))
+	return b.screener.Accusations()[0].GetFingerprint()
+}
+
+// TestBlockedWhileRunning blocks a request while an entry waits for a server's
+// answer to it: it must not be sent to another server.
+func TestBlockedWhileRunning(t *testing.T) {
+	is := is.New(t)
+	f := fingerprintOf(t, "GET", "/read/x", "")
+	b := newBench(t, 0, 2)
+	b.fault(rig.FaultNoAnswer)
+	go func() {
+		waitFor(t, func() bool { return len(b.runs()) == 1 })
+		for _, server := range []string{"p-8", "p-9"} {
+			b.screener.Record(&wire.Accusation{Fingerprint: f, Server: server})
+		}
+	}()
+	answer, _, err := b.do(b.request("GET", "/read/x", ""))
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusBadGateway) // it may have run
+	is.Equal(len(b.runs()), 1)
+	is.Equal(len(b.loads.OwnLoads(time.Now())), 0)
+}
+
 // TestCrashIsConfirmedLate guards against a crash that is confirmed only once another
 // request is placed on the server or its registration expires.
 func TestCrashIsConfirmedLate(t *testing.T) {
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -151,8 +151,8 @@
 	if status, cause := x.readBody(c.Limits); status != 0 {
 		return status, cause
 	}
-	if status, cause := x.checkBlocked(); status != 0 {
-		return status, cause
+	if x.isBlocked() {
+		return http.StatusServiceUnavailable, causeBlocked
 	}
 	return x.selectService()
 }
@@ -254,6 +254,11 @@
 			x.fail(err.Error())
 			return
 		}
+		if x.isBlocked() {
+			f.Loads.RecordEnd(x.call.Attempt, time.Now())
+			x.fail(causeBlocked)
+			return
+		}
 		result := x.send(ctx, p)
 		x.history.remaining = time.Until(x.deadline)
 		x.history.started = x.relay.started
