Repeat new accusations sooner, and those that block a request each second

Cause: a new accusation was repeated after 250 ms only, and the datagrams that repair a loss gave every accusation the same turn. With hundreds of requests that crashed one server, those of a request to block came round after many seconds. Change: copies after 20, 40 and 290 ms. Half of each page goes to accusations against blocked requests first. Result: TestPageBlockedFirst failed (Isolated), passes; TestUrgentRepeats follows the new times and checks when the next copy is due as well.

--- a/core/screener/screener.go
+++ b/core/screener/screener.go
@@ -33,13 +33,14 @@
 type Screener struct {
 	now func() time.Time
 
-	mu         sync.Mutex
-	suspects   *quarantiner.Quarantiner
-	pardoned   map[string]uint64 // version of the newest pardon row applied, by fingerprint
-	lastExpiry time.Time
-	outbox     []urgent
-	cursor     int // index of the accusation with which the next Page begins
-	changed    chan struct{}
+	mu            sync.Mutex
+	suspects      *quarantiner.Quarantiner
+	pardoned      map[string]uint64 // version of the newest pardon row applied, by fingerprint
+	lastExpiry    time.Time
+	outbox        []urgent
+	cursor        cursor // of accusations against isolated requests
+	blockedCursor cursor
+	changed       chan struct{}
 }
 
 // New returns a Screener without suspects.
--- a/core/screener/screener_test.go
+++ b/core/screener/screener_test.go
@@ -16,26 +16,31 @@
 	return &wire.Accusation{Fingerprint: fingerprint, Server: server, Boot: 1}
 }
 
-// TestUrgentRepeats checks that a new accusation is due at once and twice later,
-// with its age, and that one of another process is not due.
+// TestUrgentRepeats checks that a new accusation is due at once and three times
+// later, with its age, and that one of another process is not due.
 func TestUrgentRepeats(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	s := screener.New(screener.Config{Now: func() time.Time { return now }})
 	is.True(s.Record(accuse("f", "i-1")))
-	is.Equal(len(s.Urgent(9)), 0)
+	due, next := s.Urgent(9)
+	is.Equal(len(due), 0)
+	is.Equal(next, time.Duration(0))
 	is.True(s.Accuse(accuse("g", "i-1")))
 	is.True(!s.Accuse(accuse("g", "i-1"))) // known
 	<-s.Changed()
 	var ages []int64
 	for range 100 {
-		for _, a := range s.Urgent(9) {
+		due, next = s.Urgent(9)
+		for _, a := range due {
 			is.Equal(a.GetFingerprint(), "g")
 			ages = append(ages, a.GetAgeMs())
 		}
-		now = now.Add(50 * time.Millisecond)
+		is.True(next <= 250*time.Millisecond)
+		now = now.Add(10 * time.Millisecond)
 	}
-	is.Equal(ages, []int64{0, 250, 500})
+	is.Equal(ages, []int64{0, 20, 40, 290})
+	is.Equal(next, time.Duration(0))
 }
 
 // TestUrgentBeyondLimit queues more accusations than one call returns.
@@ -47,8 +52,9 @@
 	}
 	known := map[string]bool{}
 	for range 3 {
-		<-s.Changed()
-		for _, a := range s.Urgent(4) {
+		due, next := s.Urgent(4)
+		is.True(next > 0)
+		for _, a := range due {
 			known[a.GetFingerprint()] = true
 		}
 	}
@@ -81,3 +87,20 @@
 		})
 	}
 }
+
+// TestPageBlockedFirst guards against accusations that would block a request but wait
+// for their turn among many that block none.
+func TestPageBlockedFirst(t *testing.T) {
+	is := is.New(t)
+	s, other := screener.New(screener.Config{}), screener.New(screener.Config{})
+	for i := range 500 {
+		is.True(s.Record(accuse(fmt.Sprint("f", i), "i-0")))
+	}
+	is.True(s.Record(accuse("z", "i-1")))
+	is.True(s.Record(accuse("z", "i-2")))
+	for _, a := range s.Page(64) {
+		other.Record(a)
+	}
+	is.Equal(other.Decide("z").Mode, quarantiner.Blocked)
+	is.Equal(len(other.Accusations()), 64)
+}
--- a/entry/internal/exchanger/accusations.go
+++ b/entry/internal/exchanger/accusations.go
@@ -20,9 +20,10 @@
 	Accusations() []*wire.Accusation
 	// Page returns some of the accusations; successive calls return all in turn.
 	Page(n int) []*wire.Accusation
-	// Urgent returns accusations that all other entries need now. Changed returns
-	// a channel that receives a value when there are new ones.
-	Urgent(n int) []*wire.Accusation
+	// Urgent returns accusations that all other entries need now, and when to call
+	// it again. Changed returns a channel that receives a value when there are new
+	// ones.
+	Urgent(n int) (due []*wire.Accusation, next time.Duration)
 	Changed() <-chan struct{}
 }
 
@@ -49,18 +50,22 @@
 	if e.config.Screener == nil {
 		return
 	}
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(heartbeatInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		case <-e.config.Screener.Changed():
 		}
-		if urgent := e.config.Screener.Urgent(maxAccusations); len(urgent) > 0 {
+		urgent, next := e.config.Screener.Urgent(maxAccusations)
+		if len(urgent) > 0 {
 			e.sendAccusations(urgent, e.peerAddresses())
 		}
+		if next > 0 {
+			timer.Reset(next)
+		}
 	}
 }
 
