Notice a server that ends under an open connection

Copies of a request that crashed a server silently (its connections stay open) ran on others for up to ten seconds. Cause: a send was examined when it ended. Where a host falls silent, that is when the caller leaves or the time is up, seconds after the registration has expired. Change: sends under way are examined as well: their server is silent for a second, and refuses connections or is off the list. A send that finishes after all clears what was reported of it. A caller that leaves while its server still answers is no sign of a crash that follows. Result: TestServerEndsUnderOpenConnection fails with running sends left out of Examine (no accusation) and passes; TestRunning (8 cases), TestExamine: pass.

--- a/core/connector/send.go
+++ b/core/connector/send.go
@@ -22,6 +22,8 @@
 	// MaxIdle is the number of idle connections that the server can take from this
 	// process; no more are kept after the request. 0 means Config.MaxIdle.
 	MaxIdle int
+	// Sent, if not nil, is called before the first byte is sent.
+	Sent func()
 	// Matches reports whether an answer with the given header belongs to this
 	// request.
 	Matches func(http.Header) bool
@@ -56,6 +58,9 @@
 		a.Close()
 		return nil, &Error{Address: address, Phase: "write", Err: err}
 	}
+	if r.Sent != nil {
+		r.Sent()
+	}
 	if err := a.write(encode(r)); err != nil {
 		a.Close()
 		return nil, &Error{Address: address, Sent: true, Phase: "write", Err: err}
--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -22,6 +22,14 @@
 	registrationTransit = 2 * time.Second // two reads of the list of servers, and a slow store
 )
 
+// endedSilence is the time without an answer, before a caller left or the time was
+// up, from which the server may have crashed before that.
+const endedSilence = 200 * time.Millisecond
+
+// aliveSilence is the time without a sign of life after which a running send counts
+// as silent.
+const aliveSilence = time.Second
+
 // probeInterval is the shortest time between two probes of a server.
 const probeInterval = 500 * time.Millisecond
 
@@ -41,6 +49,18 @@
 	Fingerprint string
 	Runs        []Run // of the server that the request was sent to, then of its helpers
 	At          time.Time
+	Trial       bool // it was a trial of a blocked request
+	Ended       bool // the caller left or the time was up; the connection did not break
+}
+
+// Running is a send that is under way.
+type Running struct {
+	Attempt     string
+	Fingerprint func() string
+	Runs        []Run
+	Trial       bool
+
+	refused map[viewer.ServerID]time.Time // when a server last refused a connection
 }
 
 // Evidence is the reason of a verdict.
@@ -85,10 +105,31 @@
 	pending []pending // oldest first
 	dropped []Break   // because of maxBroken, not yet reported
 	probed  map[viewer.ServerID]time.Time
+	running map[*Running]bool
 }
 
 // New returns a Detector without broken sends.
-func New() *Detector { return &Detector{probed: map[viewer.ServerID]time.Time{}} }
+func New() *Detector {
+	return &Detector{probed: map[viewer.ServerID]time.Time{}, running: map[*Running]bool{}}
+}
+
+// RecordStart records that a send begins.
+func (d *Detector) RecordStart(r *Running) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r.refused = map[viewer.ServerID]time.Time{}
+	d.running[r] = true
+}
+
+// RecordEnd records that a send has ended, and reports whether a crash under it was
+// not reported before. RecordBreak should be called only then.
+func (d *Detector) RecordEnd(r *Running) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	unreported := d.running[r]
+	delete(d.running, r)
+	return unreported
+}
 
 // RecordBreak records that a send broke off.
 func (d *Detector) RecordBreak(b Break) {
@@ -110,6 +151,9 @@
 			b.refused[server] = true
 		}
 	}
+	for r := range d.running {
+		r.refused[server] = now
+	}
 }
 
 // BeginProbe reports whether a server should be probed for a refused connection
@@ -124,7 +168,9 @@
 	return true
 }
 
-// Examine returns a verdict on each break that has one, and forgets these breaks.
+// Examine returns a verdict on each break that has one, and forgets these breaks. It
+// also returns a verdict on each send that is under way at a server that has crashed,
+// since a connection to a server that is gone may stay open until the caller leaves.
 func (d *Detector) Examine(o Observations, now time.Time) []Verdict {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -138,6 +184,12 @@
 		verdicts = append(verdicts, Verdict{Break: b, Evidence: Overflow, Age: now.Sub(b.At)})
 	}
 	d.dropped = nil
+	for r := range d.running {
+		if v, crashed := r.examine(o, now); crashed {
+			verdicts = append(verdicts, v)
+			delete(d.running, r)
+		}
+	}
 	d.pending = slices.DeleteFunc(d.pending, func(b pending) bool {
 		v := b.examine(o, now)
 		if v.Evidence != "" {
@@ -148,6 +200,29 @@
 	return verdicts
 }
 
+// examine returns a verdict if a server has crashed under a running send: it is
+// silent, and refuses connections or is off the list.
+func (r *Running) examine(o Observations, now time.Time) (Verdict, bool) {
+	for _, run := range r.Runs {
+		listed, found := o.Servers[run.Server]
+		evidence := Evidence("")
+		switch {
+		case o.AnsweredSince(run.Server, now.Add(-aliveSilence)):
+		case now.Sub(r.refused[run.Server]) <= refusalWindow:
+			evidence = Refused
+		case !found:
+			evidence = Expired
+		case listed.StartMillis != run.StartMillis:
+			evidence = Restarted
+		}
+		if evidence != "" {
+			b := Break{Attempt: r.Attempt, Fingerprint: r.Fingerprint(), Runs: r.Runs, At: now, Trial: r.Trial}
+			return Verdict{Break: b, Evidence: evidence, Crashed: run}, true
+		}
+	}
+	return Verdict{}, false
+}
+
 // examine returns the verdict on a break. Its Evidence is "" while there is none.
 func (b pending) examine(o Observations, now time.Time) Verdict {
 	v := Verdict{Break: b.Break, Age: now.Sub(b.At)}
@@ -178,6 +253,8 @@
 	switch {
 	case o.AnsweredSince(r.Server, b.At.Add(answerTransit)):
 		return Alive
+	case b.Ended && o.AnsweredSince(r.Server, b.At.Add(-endedSilence)):
+		return Alive
 	case b.refused[r.Server]:
 		return Refused
 	case !found:
--- a/core/detector/detector_test.go
+++ b/core/detector/detector_test.go
@@ -18,6 +18,7 @@
 	first, helper := detector.Run{Server: "i-1", StartMillis: 7}, detector.Run{Server: "i-2", StartMillis: 8}
 	tests := map[string]struct {
 		helped   bool          // the request had a helper, i-2
+		ended    bool          // the caller left
 		refused  time.Duration // when i-1 refused a connection; 0 if never
 		answered time.Duration // when i-1 last sent a part of an answer; 0 if never
 		list     []*viewer.Server
@@ -34,6 +35,9 @@
 		"renewal under way at the break":   {list: []*viewer.Server{server("i-1", 7, time.Second)}, at: 3 * time.Second},
 		"answers others, then refuses":     {answered: time.Second, refused: 1500 * time.Millisecond, at: 2 * time.Second, want: detector.Alive},
 		"answer under way at the break":    {answered: 100 * time.Millisecond, at: 4 * time.Second, want: detector.Expired, crashed: first},
+		"answers, then caller leaves":      {ended: true, answered: -50 * time.Millisecond, at: 4 * time.Second, want: detector.Alive},
+		"answers, then connection breaks":  {answered: -50 * time.Millisecond, at: 4 * time.Second, want: detector.Expired, crashed: first},
+		"silent, then caller leaves":       {ended: true, answered: -time.Second, at: 4 * time.Second, want: detector.Expired, crashed: first},
 		"list not renewed for 20 s":        {list: []*viewer.Server{server("i-1", 7, 0)}, at: 20 * time.Second},
 		"list not renewed, retention over": {list: []*viewer.Server{server("i-1", 7, 0)}, at: 40 * time.Second, want: detector.Unconfirmed},
 		"helper expired":                   {helped: true, list: []*viewer.Server{server("i-1", 7, 3*time.Second)}, at: 4 * time.Second, want: detector.Expired, crashed: helper},
@@ -47,7 +51,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			d := detector.New()
-			b := detector.Break{Attempt: "a", Fingerprint: "f", Runs: []detector.Run{first}, At: start}
+			b := detector.Break{Attempt: "a", Fingerprint: "f", Runs: []detector.Run{first}, At: start, Ended: test.ended}
 			if test.helped {
 				b.Runs = append(b.Runs, helper)
 			}
@@ -56,7 +60,7 @@
 				d.RecordRefused("i-1", start.Add(test.refused))
 			}
 			o := detector.Observations{Servers: map[viewer.ServerID]*viewer.Server{}, AnsweredSince: func(id viewer.ServerID, at time.Time) bool {
-				return id == "i-1" && test.answered > 0 && start.Add(test.answered).After(at)
+				return id == "i-1" && test.answered != 0 && start.Add(test.answered).After(at)
 			}}
 			for _, s := range test.list {
 				o.Servers[s.ID] = s
@@ -75,6 +79,54 @@
 
 func never(viewer.ServerID, time.Time) bool { return false }
 
+// TestRunning examines a send that is under way: it must be reported once if its
+// server has ended, and not while the server lives, though it may be off the list.
+func TestRunning(t *testing.T) {
+	start := time.Unix(1000, 0)
+	run := detector.Run{Server: "i-1", StartMillis: 7}
+	list := func(startMillis int64) map[viewer.ServerID]*viewer.Server {
+		return map[viewer.ServerID]*viewer.Server{"i-1": {ID: "i-1", StartMillis: startMillis}}
+	}
+	tests := map[string]struct {
+		servers  map[viewer.ServerID]*viewer.Server
+		refused  time.Duration // before the examination; 0 if never
+		answered time.Duration // before the examination; 0 if never
+		want     detector.Evidence
+	}{
+		"on the list":               {servers: list(7)},
+		"expired":                   {want: detector.Expired},
+		"expired, still answers":    {answered: 100 * time.Millisecond},
+		"expired, was answering":    {answered: 2 * time.Second, want: detector.Expired},
+		"restarted":                 {servers: list(8), want: detector.Restarted},
+		"refuses":                   {servers: list(7), refused: time.Second, want: detector.Refused},
+		"refuses, still answers":    {servers: list(7), refused: time.Second, answered: 100 * time.Millisecond},
+		"refused long ago, is back": {servers: list(7), refused: 5 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := detector.New()
+			r := &detector.Running{Attempt: "a", Fingerprint: func() string { return "f" }, Runs: []detector.Run{run}}
+			d.RecordStart(r)
+			if test.refused > 0 {
+				d.RecordRefused("i-1", start.Add(-test.refused))
+			}
+			o := detector.Observations{Servers: test.servers, AnsweredSince: func(_ viewer.ServerID, at time.Time) bool {
+				return test.answered > 0 && start.Add(-test.answered).After(at)
+			}}
+			verdicts := d.Examine(o, start)
+			is.Equal(len(verdicts) == 1, test.want != "")
+			for _, v := range verdicts {
+				is.Equal(v.Crashed, run)
+				is.Equal(v.Evidence, test.want)
+				is.Equal(v.Fingerprint, "f")
+			}
+			is.Equal(len(d.Examine(o, start)), 0)
+			is.Equal(d.RecordEnd(r), test.want == "") // the end needs no report if there was one
+		})
+	}
+}
+
 // TestMaxBroken checks that the oldest broken sends are dropped beyond the limit,
 // each with a verdict.
 func TestMaxBroken(t *testing.T) {
--- a/entry/internal/forwarder/crash.go
+++ b/entry/internal/forwarder/crash.go
@@ -15,17 +15,13 @@
 	"bamboohill/wire"
 )
 
-// fingerprint identifies the request by its account, method, path and body. A
+// computeFingerprint identifies the request by its account, method, path and body. A
 // request that crashes backend servers is typically sent again unchanged.
-func (x *exchange) fingerprint() string {
-	if x.print != "" {
-		return x.print
-	}
+func (x *exchange) computeFingerprint() string {
 	d := sha256.New()
 	fmt.Fprintf(d, "%s %s ", x.r.Method, x.r.RequestURI)
 	d.Write(x.body)
-	x.print = quarantiner.Fingerprint(x.account, d.Sum(nil))
-	return x.print
+	return quarantiner.Fingerprint(x.account, d.Sum(nil))
 }
 
 // causeBlocked is the reason that callers of a blocked request get.
@@ -47,7 +43,7 @@
 		return false
 	}
 	d := x.forwarder.Screener.Admit(x.fingerprint())
-	if d.Mode == quarantiner.Trial {
+	if x.trial = d.Mode == quarantiner.Trial; x.trial {
 		x.forwarder.Meter.Add("trials", 1)
 		x.forwarder.Log.Info().Str("event", "trial").Str("id", x.call.Attempt).Str("request", x.fingerprint()).Msg("")
 	}
@@ -66,44 +62,77 @@
 	return true
 }
 
-// recordFinish clears the request if it is suspected and has run to its end: it
-// does not crash every server that runs it.
-func (x *exchange) recordFinish(p placement, result sendResult) {
+// examineSend passes the result of a send to the detector and the screener.
+func (x *exchange) examineSend(p placement, result sendResult) {
+	reported := x.running != nil && !x.forwarder.Detector.RecordEnd(x.running)
+	x.running = nil
+	switch {
+	case (result == sendDone || result == sendFailed) && !x.unframed:
+		x.recordFinish(p, reported)
+	case result == sendBroken || result == sendCanceled || x.unframed:
+		x.recordUnfinished(p, result, reported)
+	}
+}
+
+// recordFinish clears the request if it is suspected, as it has run to its end: it
+// does not crash every server that runs it. If a crash under this run was reported,
+// that was wrong.
+func (x *exchange) recordFinish(p placement, reported bool) {
 	f := x.forwarder
-	if result != sendDone && result != sendFailed || x.unframed || f.Screener.Empty() {
+	if f.Screener.Empty() {
 		return
 	}
-	if f.Screener.Accuse(&wire.Accusation{Fingerprint: x.fingerprint(), Cleared: true, AgeMs: time.Since(p.attempted).Milliseconds()}) {
+	began := time.Since(p.attempted)
+	if reported {
+		began = 0
+	}
+	if f.Screener.Accuse(&wire.Accusation{Fingerprint: x.fingerprint(), Cleared: true, AgeMs: began.Milliseconds()}) {
 		f.Meter.Add("cleared", 1)
 		f.Log.Info().Str("event", "suspicion-cleared").Str("id", x.call.Attempt).Str("request", x.fingerprint()).
 			Str("server", string(p.server.ID)).Msg("")
 	}
 }
 
-// examineSend passes a send to the detector if it may have ended with its backend
-// server or a helper: it broke off, or the caller left or the time was up while the
-// server was silent.
-func (x *exchange) examineSend(p placement, result sendResult) {
-	if result != sendBroken && result != sendCanceled && !x.unframed {
+// recordUnfinished passes a send to the detector that may have ended with its
+// backend server or a helper: it broke off, or the caller left or the time was up
+// while the server was silent.
+func (x *exchange) recordUnfinished(p placement, result sendResult, reported bool) {
+	x.forwarder.Log.Info().Str("event", "send-broken").Str("id", x.call.Attempt).Str("request", x.fingerprint()).
+		Str("server", string(p.server.ID)).Int("helpers", len(p.helpers)).Str("outcome", result.String()).Bool("reported", reported).Msg("")
+	if reported {
 		return
 	}
 	servers := append([]*viewer.Server{p.server}, p.helpers...)
-	x.recordBreak(servers)
+	x.recordBreak(servers, result == sendCanceled || time.Until(x.deadline) <= 0)
 	if result == sendBroken {
 		x.forwarder.probe(servers)
 	}
-	x.forwarder.Log.Info().Str("event", "send-broken").Str("id", x.call.Attempt).Str("request", x.fingerprint()).
-		Str("server", string(p.server.ID)).Int("helpers", len(p.helpers)).Str("outcome", result.String()).Msg("")
 }
 
-// recordBreak records that a send ended, possibly because one of the given backend
-// servers, on which it ran, has crashed.
-func (x *exchange) recordBreak(servers []*viewer.Server) {
-	b := detector.Break{Attempt: x.call.Attempt, Fingerprint: x.fingerprint(), At: time.Now()}
-	for _, s := range servers {
-		b.Runs = append(b.Runs, detector.RunOf(s))
+// recordStart tells the detector that the request is being sent.
+func (x *exchange) recordStart(p placement) {
+	x.running = &detector.Running{
+		Attempt: x.call.Attempt, Fingerprint: x.fingerprint, Trial: x.trial,
+		Runs: runsOf(append([]*viewer.Server{p.server}, p.helpers...)),
+	}
+	x.forwarder.Detector.RecordStart(x.running)
+}
+
+func runsOf(servers []*viewer.Server) []detector.Run {
+	runs := make([]detector.Run, len(servers))
+	for i, s := range servers {
+		runs[i] = detector.RunOf(s)
 	}
-	x.forwarder.Detector.RecordBreak(b)
+	return runs
+}
+
+// recordBreak records that a send ended, possibly because one of the given backend
+// servers, on which it ran, has crashed. Ended is set if the caller or the deadline
+// ended it.
+func (x *exchange) recordBreak(servers []*viewer.Server, ended bool) {
+	x.forwarder.Detector.RecordBreak(detector.Break{
+		Attempt: x.call.Attempt, Fingerprint: x.fingerprint(), Runs: runsOf(servers), At: time.Now(), Trial: x.trial, Ended: ended,
+	})
 }
 
 // probe opens connections to the backend servers of a send that broke off. A crashed
@@ -169,6 +198,6 @@
 		})
 		f.Meter.Add("accused", 1)
 		f.Log.Info().Str("event", "crash-suspected").Str("id", v.Attempt).Str("request", v.Fingerprint).Str("server", string(v.Crashed.Server)).
-			Int64("born", v.Crashed.StartMillis).Float64("age_ms", millis(v.Age)).Bool("new", isNew).Str("evidence", string(v.Evidence)).Msg("")
+			Int64("born", v.Crashed.StartMillis).Float64("age_ms", millis(v.Age)).Bool("new", isNew).Str("evidence", string(v.Evidence)).Bool("trial", v.Trial).Msg("")
 	}
 }
--- a/entry/internal/forwarder/crash_test.go
+++ b/entry/internal/forwarder/crash_test.go
@@ -160,6 +160,30 @@
 	}
 }
 
+// TestServerEndsUnderOpenConnection removes a server from the list while a request to
+// it hangs: the request must be suspected though neither the connection breaks nor
+// the caller leaves, and not once more when it leaves.
+func TestServerEndsUnderOpenConnection(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 0, 2)
+	b.fault(rig.FaultNoAnswer)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _, _ = http.DefaultClient.Do(b.request("POST", "/book/x", "poison").WithContext(ctx)) }() //nolint:bodyclose // it is never answered
+	waitFor(t, func() bool { return len(b.runs()) == 1 })
+	list := maps.Clone(b.view.Load().Servers)
+	server := b.runs()[0].Header.Get("Expect-Instance")
+	delete(list, viewer.ServerID(server))
+	b.view.SetServers(list)
+	b.entry.RecordCrashes(time.Now())
+	is.Equal(len(b.screener.Accusations()), 1)
+	is.Equal(b.screener.Accusations()[0].GetServer(), server)
+	cancel()
+	waitFor(t, func() bool { return len(b.loads.OwnLoads(time.Now())) == 0 })
+	b.entry.RecordCrashes(time.Now())
+	is.Equal(len(b.screener.Accusations()), 1)
+}
+
 // fingerprintOf returns the fingerprint under which a request is suspected.
 func fingerprintOf(t *testing.T, method, path, body string) string {
 	t.Helper()
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,7 +81,8 @@
 	account      string
 	call         translator.Call
 	body         []byte
-	print        string // cached fingerprint, "" until it is needed
+	fingerprint  func() string     // computed at the first call
+	running      *detector.Running // the current send, from when its first byte is sent
 	received     time.Time
 	deadline     time.Time
 	history      history
@@ -90,6 +92,7 @@
 	cause        string      // why the last send failed
 	full         bool        // the request was not sent because all backend servers are full
 	blockedUntil time.Time   // when the block of this request ends; zero if it is not blocked
+	trial        bool        // the current send is a trial of a blocked request
 	unframed     bool        // the end of the last answer can't be distinguished from a crash
 	retryPaid    atomic.Bool // the next send has already been taken from the retry budget
 }
@@ -107,6 +110,7 @@
 		forwarder: f, w: w, r: r, view: f.Viewer.Load(), received: time.Now(),
 		call: f.Dialect.Decode(r.Header), tried: map[viewer.ServerID]bool{},
 	}
+	x.fingerprint = sync.OnceValue(x.computeFingerprint)
 	f.Meter.Add("requests", 1)
 	if status, cause := x.admit(); status != 0 {
 		x.refuse(status, cause)
@@ -264,7 +268,6 @@
 		x.history.started = x.relay.started
 		x.recordGrade(p, result)
 		x.examineSend(p, result)
-		x.recordFinish(p, result)
 		x.logSend(p, result)
 		if result == sendDone {
 			x.end("answered", http.StatusOK, "")
--- a/entry/internal/forwarder/send.go
+++ b/entry/internal/forwarder/send.go
@@ -79,6 +79,7 @@
 	answer, err := f.Connector.Send(guard.ctx, p.server.Address, connector.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: f.Dialect.Encode(x.r.Header, metadata), Body: x.body,
+		Sent:  func() { x.recordStart(p) },
 		Fresh: !x.history.repeatable, MaxIdle: x.service.MaxIdle(f.Entries()),
 		Matches: func(h http.Header) bool { return f.Dialect.Matches(h, attempt) },
 	})
@@ -148,7 +149,7 @@
 	for _, h := range p.helpers {
 		if h.Address == v.FaultyServer {
 			if x.wasAlive(p, h) {
-				x.recordBreak([]*viewer.Server{h})
+				x.recordBreak([]*viewer.Server{h}, false)
 			}
 			x.forwarder.Ejector.RecordFailure(h.ID, time.Now())
 			delete(x.tried, p.server.ID) // the failure is that of the helper
