Soak with requests that crash engines; read the suspects less often

Change: TestCrashSoak, four entries as processes and engines that crash under poison, one in three silently, and in waves, while entries are killed, paused and stopped and lose the store. It checks the users' rule (3 late runs) by what engines ran. The rig's servers can crash and renew their registration with one start time.

--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,7 @@
 SEEDS ?= 20
 FIRST ?= 1
 soak-direct:
-	go test -count=1 -v -run TestSoak ./prover -soak.seeds $(SEEDS) -soak.first $(FIRST)
+	go test -count=1 -v -timeout 2h -run 'TestSoak|TestCrashSoak' ./prover -soak.seeds $(SEEDS) -soak.first $(FIRST) -crash.seeds $(SEEDS) -crash.first $(FIRST)
 
 capacity: build
 	@bench/capacity
--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -45,9 +45,9 @@
 
 // Timing of the calls. Each call to the store is charged for.
 const (
-	feedWait   = 8 * time.Second // keep-alive probes detect a dead connection sooner
-	backoffMin = 100 * time.Millisecond
-	backoffMax = 500 * time.Millisecond
+	defaultWait    = 8 * time.Second // keep-alive probes detect a dead connection sooner
+	backoffMin     = 100 * time.Millisecond
+	defaultBackoff = 500 * time.Millisecond
 )
 
 // Config describes a Follower. Applied and Failed may be nil.
@@ -55,6 +55,8 @@
 	Source   Source
 	Table    string
 	Interval time.Duration   // delay between two successful calls
+	Wait     time.Duration   // longest time that the store may delay an answer; 8 s if 0
+	Backoff  time.Duration   // longest delay after a failed call; 500 ms if 0
 	Changed  func(Row)       // called for each row that is newer than its copy
 	Applied  func()          // called after the rows of one answer
 	Failed   func(time.Time) // called after each failed call
@@ -72,7 +74,15 @@
 }
 
 // New returns a follower with an empty copy.
-func New(config Config) *Follower { return &Follower{config: config, rows: map[string]Row{}} }
+func New(config Config) *Follower {
+	if config.Wait <= 0 {
+		config.Wait = defaultWait
+	}
+	if config.Backoff <= 0 {
+		config.Backoff = defaultBackoff
+	}
+	return &Follower{config: config, rows: map[string]Row{}}
+}
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
@@ -96,7 +106,7 @@
 		f.recordHealth(ctx, err)
 		if err != nil {
 			sleep(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
-			backoff = min(2*backoff, backoffMax)
+			backoff = min(2*backoff, f.config.Backoff)
 			continue
 		}
 		if loaded {
@@ -112,7 +122,7 @@
 // changes returns the changes after a version and the version to continue from,
 // which is the old one after an error.
 func (f *Follower) changes(ctx context.Context, after int64) ([]Row, int64, error) {
-	rows, next, err := f.config.Source.Changes(ctx, f.config.Table, after, feedWait)
+	rows, next, err := f.config.Source.Changes(ctx, f.config.Table, after, f.config.Wait)
 	if err != nil {
 		return nil, after, err
 	}
