--- a/entry/internal/forwarder/crash.go
+++ b/entry/internal/forwarder/crash.go
@@ -73,7 +73,7 @@
 	x.blockedUntil = d.Until
 	x.forwarder.Meter.Add("convicted", 1)
 	x.forwarder.Log.Info().Str("event", "refused-as-suspect").Str("id", x.call.Attempt).Str("request", x.fingerprint()).
-		Float64("for_s", time.Until(d.Until).Seconds()).Msg("")
+		Float64("for_s", cents(time.Until(d.Until).Seconds())).Msg("")
 	return true
 }
 
