--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -237,7 +237,7 @@
 			own = t.at
 		}
 	}
-	return !slices.ContainsFunc(s.trials, func(t trial) bool { return t.claimant < claimant && own.Sub(t.at).Abs() < sameTrial })
+	return !own.IsZero() && !slices.ContainsFunc(s.trials, func(t trial) bool { return t.claimant < claimant && own.Sub(t.at).Abs() < sameTrial })
 }
 
 // clear makes crashes ignored, because the request has since finished, and reports
@@ -363,17 +363,19 @@
 	maps.DeleteFunc(c.suspects, func(_ string, s *suspect) bool { return !now.Before(s.last.Add(c.config.BlockTime)) })
 }
 
-// makeRoom drops the oldest suspects while MaxSuspects are held.
+// makeRoom drops suspects while MaxSuspects are held: the oldest that are not
+// blocked, then the oldest.
 func (c *Quarantiner) makeRoom(now time.Time) {
 	if len(c.suspects) < c.config.MaxSuspects {
 		return
 	}
 	c.Expire(now)
 	for len(c.suspects) >= c.config.MaxSuspects {
-		oldest := ""
+		oldest, oldestBlocked := "", false
 		for f, s := range c.suspects {
-			if oldest == "" || s.last.Before(c.suspects[oldest].last) {
-				oldest = f
+			blocked := c.count(s) >= crashesToBlock
+			if oldest == "" || oldestBlocked && !blocked || blocked == oldestBlocked && s.last.Before(c.suspects[oldest].last) {
+				oldest, oldestBlocked = f, blocked
 			}
 		}
 		delete(c.suspects, oldest)
--- a/core/quarantiner/quarantiner_test.go
+++ b/core/quarantiner/quarantiner_test.go
@@ -160,6 +160,41 @@
 	is.Equal(c.Decide("c", now).Mode, Isolated)
 }
 
+// TestMaxSuspectsKeepsBlocked guards against a blocked request that is forgotten
+// because many others are suspected after it.
+func TestMaxSuspectsKeepsBlocked(t *testing.T) {
+	is := is.New(t)
+	c := New(Config{MaxSuspects: 8})
+	now := time.Unix(1000, 0)
+	c.Record(accuse("a", "x", 1), now)
+	c.Record(accuse("a", "y", 1), now)
+	for i := range 50 {
+		now = now.Add(time.Second)
+		c.Record(accuse(string(rune('b'+i)), "x", 1), now)
+	}
+	is.Equal(c.Decide("a", now).Mode, Blocked)
+	is.Equal(c.Len(), 8)
+}
+
+// TestWins lets several processes begin a trial of one request.
+func TestWins(t *testing.T) {
+	is := is.New(t)
+	c := New(Config{TrialInterval: 10 * time.Second})
+	now := time.Unix(1000, 0)
+	c.Record(accuse("a", "x", 1), now)
+	begin := func(claimant uint64) { c.Record(&wire.Accusation{Fingerprint: "a", Trial: true, Boot: claimant}, now) }
+	is.True(!c.Wins("a", 7)) // it began none
+	begin(7)
+	is.True(c.Wins("a", 7))
+	now = now.Add(30 * time.Millisecond)
+	begin(5)
+	is.True(!c.Wins("a", 7))
+	is.True(c.Wins("a", 5))
+	now = now.Add(20 * time.Second)
+	begin(7)
+	is.True(c.Wins("a", 7)) // the trial of 5 was another one
+}
+
 func TestServerFor(t *testing.T) {
 	is := is.New(t)
 	_, found := ServerFor("a", nil)
--- a/core/screener/screener.go
+++ b/core/screener/screener.go
@@ -59,7 +59,8 @@
 	}
 }
 
-// Record adds an accusation or a clearance of another process and reports whether it was new.
+// Record adds an accusation or a clearance of another process and reports whether
+// it was new.
 func (s *Screener) Record(accusation *wire.Accusation) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
