--- a/core/screener/crash_test.go
+++ b/core/screener/crash_test.go
@@ -28,6 +28,12 @@
 	crashFirst = flag.Uint64("crash.first", 1, "first seed")
 )
 
+// failedSeeds failed with former rules of trials, entries that missed accusations, or
+// sends examined only at their end.
+var failedSeeds = []uint64{
+	71, 137, 156, 175, 184, 206, 216, 227, 256, 272, 274, 282, 318, 328, 331, 355, 357, 410, 416, 430, 437, 443, 475, 485, 492, 521, 553, 556, 730, 840,
+}
+
 // Times of the simulation. The contact time and the number of sends come from the
 // users' rules: a request that has crashed three servers is sent at most three times
 // later than that by entries that were undisturbed all the while.
@@ -511,8 +517,11 @@
 // sent on, and against innocent requests that are refused with it, while entries
 // are killed and cut off, the store is unavailable and servers crash in waves.
 func TestCrashingRequestIsStopped(t *testing.T) {
+	seeds := slices.Clone(failedSeeds)
 	for i := range *crashSeeds {
-		seed := *crashFirst + uint64(i)
+		seeds = append(seeds, *crashFirst+uint64(i))
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			is := is.New(t)
 			s := newSimulation(seed, 4+int(seed%5), 14)
