--- a/core/refresher/refresher.go
+++ b/core/refresher/refresher.go
@@ -121,6 +121,14 @@
 	return r.long && now.Sub(r.confirmation()) > r.config.Limit
 }
 
+// Relies reports whether this entry's last read waits, or waited, on the confirmations of
+// others.
+func (r *Refresher) Relies() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.long
+}
+
 // Confirmed returns when the store is last known to have confirmed this entry's copy, to
 // whichever entry. It returns zero if it has confirmed none.
 func (r *Refresher) Confirmed() time.Time {
