--- a/core/gauger/gauge.go
+++ b/core/gauger/gauge.go
@@ -8,9 +8,6 @@
 	"bamboohill/core/viewer"
 )
 
-// ringSize is the number of samples kept of one run.
-const ringSize = 64
-
 type sample struct {
 	ratio float64
 	at    time.Time
@@ -21,8 +18,8 @@
 	service  viewer.ServiceName
 	kind     *kind
 	hash     uint32
-	ring     [ringSize]sample
-	count    int       // samples ever recorded; the newest is at (count-1) % ringSize
+	ring     [maxSamples]sample
+	count    int       // samples ever recorded; the newest is at (count-1) % maxSamples
 	raw      float64   // quantile of the last samples; 0 if none
 	samples  float64   // that raw is computed from
 	shown    time.Time // when the newest of them was recorded
@@ -30,7 +27,7 @@
 }
 
 func (m *gauge) add(ratio float64, now time.Time) {
-	m.ring[m.count%ringSize] = sample{ratio: ratio, at: now}
+	m.ring[m.count%maxSamples] = sample{ratio: ratio, at: now}
 	m.count++
 }
 
@@ -39,25 +36,28 @@
 	if m.count == 0 {
 		return time.Time{}
 	}
-	return m.ring[(m.count-1)%ringSize].at
+	return m.ring[(m.count-1)%maxSamples].at
 }
 
-// refresh computes raw from the samples in the window. If they are too few it keeps
-// the previous result, which loses weight.
+// refresh computes raw from the newest samples: those in the window, or as few as make an
+// estimate, as a slow server shows few. Without these it keeps the previous result, which
+// loses weight.
 func (m *gauge) refresh(now time.Time) {
-	var buffer [ringSize]float64
+	var buffer [maxSamples]float64
 	recent := buffer[:0]
-	for _, s := range m.ring[:min(m.count, ringSize)] {
-		if now.Sub(s.at) <= m.kind.window {
-			recent = append(recent, s.ratio)
+	for i := range min(m.count, maxSamples) {
+		s := m.ring[(m.count-1-i)%maxSamples]
+		if age := now.Sub(s.at); age > m.kind.longest || age > m.kind.window && len(recent) >= m.kind.own {
+			break
 		}
+		recent = append(recent, s.ratio)
 	}
-	if len(recent) == 0 || m.kind == passes && float64(len(recent)) < m.kind.minimum {
+	if len(recent) < m.kind.own {
 		return
 	}
 	slices.Sort(recent)
 	m.raw = recent[int(m.kind.quantile*float64(len(recent)-1))]
-	m.samples = min(maxSamples, float64(len(recent)))
+	m.samples = float64(len(recent))
 	m.shown = m.last()
 }
 
--- a/core/gauger/merge.go
+++ b/core/gauger/merge.go
@@ -69,7 +69,7 @@
 	service viewer.ServiceName
 }
 
-// merge returns the weighted median of what the entries know about each run. The
+// merge returns a quantile of what the entries know about each run, by their samples. The
 // service of runs that this entry has not used itself is unknown; they count as engines,
 // as each entry knows the few servers of a plain service.
 func (g *Gauger) merge(now time.Time) map[uint32]merged {
@@ -93,11 +93,11 @@
 	plain := map[viewer.ServiceName][]float64{}
 	for hash, o := range opinions {
 		e := merged{kind: passes}
-		e.slowdown, e.samples = weightedMedian(o)
-		e.entries = len(o)
 		if m := known[hash]; m != nil {
 			e.kind, e.service = m.kind, m.service
 		}
+		e.slowdown, e.samples = weightedQuantile(o, e.kind.merged)
+		e.entries = len(o)
 		if e.kind == calls {
 			plain[e.service] = append(plain[e.service], e.slowdown)
 		}
@@ -116,8 +116,9 @@
 // lowerMedian returns the median of sorted values, the lower one of two.
 func lowerMedian(sorted []float64) float64 { return sorted[(len(sorted)-1)/2] }
 
-// weightedMedian returns the median speed by the number of samples, and that number.
-func weightedMedian(all []opinion) (slowdown, samples float64) {
+// weightedQuantile returns a quantile of the speeds by the number of samples, and that
+// number.
+func weightedQuantile(all []opinion, quantile float64) (slowdown, samples float64) {
 	slices.SortFunc(all, func(a, b opinion) int {
 		switch {
 		case a.slowdown < b.slowdown:
@@ -132,7 +133,7 @@
 	}
 	sum := 0.0
 	for _, o := range all {
-		if sum += o.samples; sum >= samples/2 {
+		if sum += o.samples; sum >= quantile*samples {
 			return o.slowdown, samples
 		}
 	}
--- a/entry/internal/forwarder/place.go
+++ b/entry/internal/forwarder/place.go
@@ -192,8 +192,9 @@
 	for i, s := range servers {
 		candidates[i] = assigner.Candidate{
 			ID: s.ID, Engine: x.service.Engine, Load: x.forwarder.Loads.Load(s.ID, now), EntryRank: assigner.EntryRank(x.forwarder.RankSeed, s.ID),
-			NoHelper: x.forwarder.Permitter.NeedsPermit(s, now), Slowdown: x.slowdown(s, now),
+			NoHelper: x.forwarder.Permitter.NeedsPermit(s, now),
 		}
+		x.applySlowdown(&candidates[i], s, now)
 		byID[s.ID] = s
 	}
 	_, demand := x.forwarder.Loads.PrefillDemand(now)
--- a/entry/internal/forwarder/speed.go
+++ b/entry/internal/forwarder/speed.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"bamboohill/core/assigner"
 	"bamboohill/core/gauger"
-	"bamboohill/core/loadtracker"
 	"bamboohill/core/predictor"
 	"bamboohill/core/viewer"
 )
@@ -29,8 +29,8 @@
 }
 
 // observe records the pass that ended with the events that were read now. It leaves out
-// reads of several events, which were late, and the pause after them, and passes in
-// which the engine prefilled a prompt.
+// reads of several events, which were late, and the pause after them, and passes
+// beside which the engine is known to prefill for longer than they take.
 func (o *passObserver) observe(now time.Time) {
 	x := o.exchange
 	previous, late := o.last, x.relay.splitter.Events() != o.events+1
@@ -44,23 +44,14 @@
 		return
 	}
 	load := x.forwarder.Loads.Load(o.server.ID, now)
-	if prefills(load) {
+	predicted := x.service.Engine.PassTime(predictor.Batch{Decoding: load.DecodingTotal(), Context: load.ContextTokens})
+	if load.Prefill >= predicted {
 		o.last = time.Time{}
 		return
 	}
-	predicted := x.service.Engine.PassTime(predictor.Batch{Decoding: load.DecodingTotal(), Context: load.ContextTokens})
 	x.forwarder.Gauger.RecordPass(x.service.Name, run, now.Sub(previous), predicted, now)
 }
 
-// prefills reports whether an engine is known to prefill a prompt.
-func prefills(l loadtracker.Load) bool {
-	waiting := l.HelperPrefills
-	for _, n := range l.Prefilling {
-		waiting += n
-	}
-	return waiting > 0 || l.Prefill > 0
-}
-
 // gaugeCall records the duration of a successful call of a plain service that had a free
 // slot.
 func (x *exchange) gaugeCall(p placement, result sendResult) {
@@ -75,3 +66,12 @@
 func (x *exchange) slowdown(s *viewer.Server, now time.Time) float64 {
 	return x.forwarder.Gauger.Slowdown(gauger.RunOf(s), now)
 }
+
+// applySlowdown sets the slowdown of a candidate. A slow one comes last in the entry's order,
+// which is meant for engines that are alike.
+func (x *exchange) applySlowdown(c *assigner.Candidate, s *viewer.Server, now time.Time) {
+	c.Slowdown = x.slowdown(s, now)
+	if c.Slowdown > 1 {
+		c.EntryRank = 1
+	}
+}
