--- a/core/gauger/gauge.go
+++ b/core/gauger/gauge.go
@@ -13,6 +13,9 @@
 	at    time.Time
 }
 
+// longWeight is the most that a pass counts for if it is longer than predicted.
+const longWeight = 2
+
 // gauge holds the samples of this entry on one run of a server.
 type gauge struct {
 	service  viewer.ServiceName
@@ -21,7 +24,7 @@
 	ring     [maxSamples]sample
 	count    int       // samples ever recorded; the newest is at (count-1) % maxSamples
 	raw      float64   // quantile of the last samples; 0 if none
-	samples  float64   // that raw is computed from
+	samples  float64   // that raw is computed from; a long pass counts for more, as a slow engine shows fewer
 	shown    time.Time // when the newest of them was recorded
 	relative float64   // raw, relative to the reference of this entry; 0 if unknown
 }
@@ -57,7 +60,10 @@
 	}
 	slices.Sort(recent)
 	m.raw = recent[int(m.kind.quantile*float64(len(recent)-1))]
-	m.samples = float64(len(recent))
+	m.samples = min(maxSamples, float64(len(recent)))
+	if m.kind == passes {
+		m.samples = min(maxSamples, m.samples*min(longWeight, max(1, m.raw)))
+	}
 	m.shown = m.last()
 }
 
