Gauger: a slow server without requests stays slow for 15 s

Slow engines come last in the order, so that they are used, and measured, whenever others are full.

Change: half-life 5 s, memory 15 s; a server stays slow on fewer samples than it is found by.

--- a/core/gauger/merge.go
+++ b/core/gauger/merge.go
@@ -21,11 +21,10 @@
 	merged := g.merge(now)
 	slow := make(map[uint32]estimate)
 	for hash, e := range merged {
-		limit := deadBand
-		if _, before := g.slow[hash]; before {
-			limit = recovered
-		}
-		if e.samples >= e.kind.minimum && e.kind.deviates(e.slowdown, e.samples, limit, errorFactor) {
+		_, before := g.slow[hash]
+		found := e.samples >= e.kind.minimum && e.kind.deviates(e.slowdown, e.samples, deadBand, errorFactor)
+		stays := before && e.samples >= 1 && e.kind.deviates(e.slowdown, e.samples, recovered, tellFactor)
+		if found || stays {
 			slow[hash] = estimate{slowdown: min(MaxSlowdown, e.slowdown), samples: e.samples, entries: e.entries}
 		}
 	}
--- a/core/gauger/run.go
+++ b/core/gauger/run.go
@@ -47,7 +47,7 @@
 	longest  time.Duration // the same of as few samples as make an estimate of one entry
 	merged   float64       // quantile of the estimates of entries that is used
 	own      int           // samples of one entry below which it has no estimate
-	minimum  float64       // samples of all entries below which an estimate has no effect
+	minimum  float64       // samples of all entries from which a server may be found slow
 	halfLife time.Duration // of the weight of an estimate without new samples
 	memory   time.Duration // after which an estimate without new samples is dropped
 }
@@ -55,8 +55,8 @@
 // Prefill lengthens passes and nothing shortens them, so that the shortest ones are the
 // closest to the speed of the engine. Calls of one route differ in their work.
 var (
-	passes = &kind{spread: 0.15, quantile: 0.1, merged: 0.5, window: 800 * time.Millisecond, longest: 4 * time.Second, own: 3, minimum: 7, halfLife: 2 * time.Second, memory: 6 * time.Second}
-	calls  = &kind{spread: 0.6, quantile: 0.5, merged: 0.5, window: 5 * time.Second, longest: 5 * time.Second, own: 1, minimum: 8, halfLife: 5 * time.Second, memory: 10 * time.Second}
+	passes = &kind{spread: 0.15, quantile: 0.1, merged: 0.5, window: 800 * time.Millisecond, longest: 4 * time.Second, own: 3, minimum: 7, halfLife: 5 * time.Second, memory: 15 * time.Second}
+	calls  = &kind{spread: 0.6, quantile: 0.5, merged: 0.5, window: 5 * time.Second, longest: 5 * time.Second, own: 1, minimum: 8, halfLife: 5 * time.Second, memory: 15 * time.Second}
 )
 
 // deviates reports whether a slowdown that a number of samples shows exceeds a limit by
