--- a/core/emulator/emulator.go
+++ b/core/emulator/emulator.go
@@ -29,6 +29,9 @@
 type Config struct {
 	Engines int
 	Engine  predictor.Engine
+	// Slowdown returns the duration of the work of an engine at a time, relative to Engine.
+	// A pass keeps that of its begin. nil means that no engine is slow.
+	Slowdown func(engine int, at time.Duration) float64
 }
 
 // Job is one prompt and its answer.
@@ -82,8 +85,8 @@
 // New returns an Emulator with idle engines at time zero.
 func New(config Config) *Emulator {
 	e := &Emulator{config: config}
-	for range config.Engines {
-		e.engines = append(e.engines, &engine{emulator: e})
+	for i := range config.Engines {
+		e.engines = append(e.engines, &engine{emulator: e, index: i})
 	}
 	return e
 }
--- a/core/emulator/emulator_test.go
+++ b/core/emulator/emulator_test.go
@@ -124,3 +124,28 @@
 		})
 	}
 }
+
+// TestSlowdown checks that an engine may be slow for a while, and others are not affected.
+func TestSlowdown(t *testing.T) {
+	is := is.New(t)
+	slow := func(engine int, at time.Duration) float64 {
+		if engine == 1 && at < 10*time.Second {
+			return 3
+		}
+		return 1
+	}
+	first := func(config emulator.Config, engine int, at time.Duration) time.Duration {
+		e := emulator.New(config)
+		var got time.Duration
+		e.Schedule(at, func() {
+			e.Submit(emulator.Job{Engine: engine, Tokens: 50_000, Events: 2, OnFirst: func(now time.Duration) { got = now - at }})
+		})
+		e.Run(time.Minute)
+		return got
+	}
+	alike, unlike := emulator.Config{Engines: 2, Engine: engine()}, emulator.Config{Engines: 2, Engine: engine(), Slowdown: slow}
+	normal := first(alike, 1, 0)
+	is.Equal(first(unlike, 0, 0), normal)
+	is.Equal(first(unlike, 1, 0), 3*normal)
+	is.Equal(first(unlike, 1, 11*time.Second), normal)
+}
--- a/core/emulator/engine.go
+++ b/core/emulator/engine.go
@@ -20,6 +20,7 @@
 // engine is one model engine.
 type engine struct {
 	emulator      *Emulator
+	index         int
 	queue         []*task // not yet admitted
 	splitParts    []*part // parts of split prompts, the newest last
 	wholePrompts  []*part // prompts that are not split, the oldest first
@@ -71,7 +72,15 @@
 	}
 	prefill, completed := g.prefill(steps * c.ChunkTokens)
 	decoding := g.decoding
-	g.emulator.Schedule(g.emulator.now+length+prefill, func() { g.endPass(decoding, completed) })
+	g.emulator.Schedule(g.emulator.now+g.slowed(length+prefill), func() { g.endPass(decoding, completed) })
+}
+
+// slowed returns how long the engine takes now for work that takes d on one that is not slow.
+func (g *engine) slowed(d time.Duration) time.Duration {
+	if g.emulator.config.Slowdown == nil {
+		return d
+	}
+	return time.Duration(max(1, g.emulator.config.Slowdown(g.index, g.emulator.now)) * float64(d))
 }
 
 // prefill processes up to the given number of tokens of the pending parts. It
--- a/load/internal/replayer/load.go
+++ b/load/internal/replayer/load.go
@@ -48,7 +48,8 @@
 	Engine      predictor.Engine
 	Classes     []Class
 	Phases      []Phase
-	Length      time.Duration // duration of the arrivals; answers may end later
+	Length      time.Duration                              // duration of the arrivals; answers may end later
+	Slowdown    func(engine int, at time.Duration) float64 // of the work of an engine; nil if all are as described
 }
 
 // defaultEngine returns the engine parameters of the users' deployment sheets.
--- a/load/internal/replayer/replayer.go
+++ b/load/internal/replayer/replayer.go
@@ -7,6 +7,7 @@
 
 	"bamboohill/core/assigner"
 	"bamboohill/core/emulator"
+	"bamboohill/core/gauger"
 	"bamboohill/core/loadtracker"
 	"bamboohill/core/viewer"
 )
@@ -16,6 +17,7 @@
 	Load   Load
 	Policy assigner.Policy
 	Seed   uint64
+	Speeds Speeds // what entries know about the speed of engines
 }
 
 // Delays in a replay.
@@ -39,7 +41,8 @@
 	random    *rand.Rand
 	emulator  *emulator.Emulator
 	trackers  []*loadtracker.Tracker
-	rankSeeds []uint64 // for the engine ranking of each entry
+	rankSeeds []uint64         // for the engine ranking of each entry
+	gaugers   []*gauger.Gauger // of each entry; nil if speeds are not estimated
 	ids       []viewer.ServerID
 	attempts  int
 	result    *Result
@@ -61,13 +64,14 @@
 func Replay(c Config) *Result {
 	r := &replay{
 		config: c, random: rand.New(rand.NewPCG(c.Seed, 7)),
-		emulator: emulator.New(emulator.Config{Engines: c.Load.Engines, Engine: c.Load.Engine}),
+		emulator: emulator.New(emulator.Config{Engines: c.Load.Engines, Engine: c.Load.Engine, Slowdown: c.Load.Slowdown}),
 		result:   newResult(c.Load),
 	}
 	for range c.Load.Entries {
 		r.trackers = append(r.trackers, loadtracker.New())
 		r.rankSeeds = append(r.rankSeeds, r.random.Uint64())
 	}
+	r.startGauging()
 	for i := range c.Load.Engines {
 		r.ids = append(r.ids, viewer.ServerID(strconv.Itoa(i)))
 	}
@@ -112,6 +116,7 @@
 // exchangeLoads updates every entry with the running requests of the others.
 func (r *replay) exchangeLoads() {
 	now := epoch.Add(r.emulator.Now())
+	r.exchangeSpeeds(now)
 	for i, b := range r.trackers {
 		loads := map[uint32]loadtracker.Load{}
 		for id, l := range b.OwnLoads(now) {
@@ -141,6 +146,7 @@
 		all[i] = assigner.Candidate{
 			ID: id, Engine: &r.config.Load.Engine, Load: tracker.Load(id, now), EntryRank: assigner.EntryRank(r.rankSeeds[entry], id),
 		}
+		r.applySlowdown(&all[i], entry, i)
 	}
 	_, demand := tracker.PrefillDemand(now)
 	prompt := assigner.Prompt{
@@ -149,7 +155,7 @@
 	}
 	switch plan, decision := r.config.Policy.Choose(prompt, all); decision {
 	case assigner.Serve:
-		r.submit(q, tracker, prompt, plan)
+		r.submit(q, entry, prompt, plan)
 	case assigner.Wait:
 		r.emulator.Schedule(r.emulator.Now()+waitInterval, func() { r.place(q, entry, arrival) })
 	case assigner.Refuse:
@@ -169,7 +175,8 @@
 }
 
 // submit sends a request to the engines of its plan.
-func (r *replay) submit(q *request, tracker *loadtracker.Tracker, p assigner.Prompt, plan assigner.Plan) {
+func (r *replay) submit(q *request, entry int, p assigner.Prompt, plan assigner.Plan) {
+	tracker := r.trackers[entry]
 	c := r.config.Load.Classes[q.class]
 	r.attempts++
 	attempt := strconv.Itoa(r.attempts)
@@ -187,6 +194,7 @@
 		tracker.RecordFirstEvent(attempt, clock())
 	}
 	j.OnNext = func(now time.Duration) {
+		r.recordPass(entry, plan.Server, now-q.lastEvent)
 		q.gapExceeded = q.gapExceeded || now-q.lastEvent > c.Gap
 		q.lastEvent = now
 	}
