--- a/prover/soak_test.go
+++ b/prover/soak_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -53,6 +54,7 @@
 	for n := range cap(results) {
 		callers.Go(func() { results <- d.call(rand.New(rand.NewPCG(seed, uint64(n))), end) })
 	}
+	callers.Go(func() { d.slowServers(rand.New(rand.NewPCG(seed, 2000)), end) })
 	faults := d.injectFaults(rand.New(rand.NewPCG(seed, 1000)), end)
 	callers.Wait()
 	close(results)
@@ -202,6 +204,18 @@
 	return n
 }
 
+// slowServers makes one backend server after the other several times slower for a while,
+// until end.
+func (d *deployment) slowServers(random *rand.Rand, end time.Time) {
+	all := append(slices.Clone(d.engines), d.plain...)
+	for time.Now().Before(end) {
+		s := all[random.IntN(len(all))]
+		s.Slow(time.Duration(10+random.IntN(40)) * time.Millisecond)
+		time.Sleep(time.Duration(200+random.IntN(1300)) * time.Millisecond)
+		s.Slow(0)
+	}
+}
+
 // awaitRecovery ends the remaining faults and waits until every entry serves again.
 func (d *deployment) awaitRecovery(t *testing.T) {
 	t.Helper()
