Connector: bodies without a copy, writes that are counted, a bounded send buffer

Cause: each send copied its body, and the kernel held up to 4 MB of a body that an engine does not read, unseen by the entry.

Change: a body of 8 KiB or more is written beside its head (writev); Writing and Written tell its size; SO_SNDBUF of connections to servers is 32 KiB.

--- a/core/connector/connector.go
+++ b/core/connector/connector.go
@@ -26,6 +26,11 @@
 	maxUnacked    = 2 * time.Second
 )
 
+// kernelBytes is the size of the kernel's send buffer of a connection, which Linux doubles.
+// It counts towards the memory of the process's VM, and what a server does not take beyond
+// it stays in Send's write, where the process can tell.
+const kernelBytes = 32 << 10
+
 // tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT, which package
 // syscall does not define.
 const tcpUserTimeout = 0x12
@@ -86,17 +91,20 @@
 	c.dialer = net.Dialer{
 		Timeout:         config.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
-		Control:         setUserTimeout,
+		Control:         setOptions,
 	}
 	return c
 }
 
-// setUserTimeout limits how long sent bytes may stay unacknowledged before the
-// kernel closes the connection.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// setOptions limits how long sent bytes may stay unacknowledged before the kernel closes the
+// connection, and how many bytes the kernel holds that the server does not take.
+func setOptions(_, _ string, raw syscall.RawConn) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
 		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(maxUnacked.Milliseconds()))
+		if failed == nil {
+			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, kernelBytes)
+		}
 	})
 	if err != nil {
 		return err
--- a/core/connector/send.go
+++ b/core/connector/send.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -24,6 +25,10 @@
 	MaxIdle int
 	// Sent, if not nil, is called before the first byte is sent.
 	Sent func()
+	// Writing and Written, if not nil, are called before a request of at least
+	// AsyncWriteBytes is written, and once its write has ended, with its size. Written is
+	// called from another goroutine.
+	Writing, Written func(n int)
 	// Matches reports whether an answer with the given header belongs to this
 	// request.
 	Matches func(http.Header) bool
@@ -37,10 +42,13 @@
 	maxUnmatchedBytes   = 1 << 20 // body of one skipped answer
 )
 
-// asyncWriteBytes is the size from which a request is written in the background
+// headBytes is the expected size of the head of a request.
+const headBytes = 512
+
+// AsyncWriteBytes is the size from which the body of a request is written in the background
 // while the answer is awaited, because a server may answer before it has read
 // the whole request.
-const asyncWriteBytes = 8 << 10
+const AsyncWriteBytes = 8 << 10
 
 // errUnmatched is returned if no answer to the request arrives within the limits,
 // or if the end of another request's answer cannot be determined.
@@ -63,7 +71,7 @@
 	if r.Sent != nil {
 		r.Sent()
 	}
-	if err := a.write(encode(r)); err != nil {
+	if err := a.write(encode(r), r); err != nil {
 		a.Close()
 		return nil, &Error{Address: address, Sent: true, Phase: "write", Err: err}
 	}
@@ -74,10 +82,14 @@
 	return a, nil
 }
 
-// encode returns the request in HTTP/1.1 wire format.
+// encode returns the head of a request in HTTP/1.1 wire format, followed by its body if the
+// request is to be sent at once.
 func encode(r Request) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	together := len(r.Body) < AsyncWriteBytes
+	if b.Grow(headBytes); together {
+		b.Grow(headBytes + len(r.Body))
+	}
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for name, values := range r.Header {
 		for _, v := range values {
@@ -88,20 +100,30 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
+	if together {
+		b.Write(r.Body)
+	}
 	return b.Bytes()
 }
 
-// write sends the request; one of at least asyncWriteBytes is sent in the
-// background.
-func (a *Answer) write(text []byte) error {
-	if len(text) < asyncWriteBytes {
+// write sends the request; one with a body of at least AsyncWriteBytes is sent in the
+// background, without a copy of the body.
+func (a *Answer) write(text []byte, r Request) error {
+	if len(r.Body) < AsyncWriteBytes {
 		_, err := a.conn.Write(text)
 		a.written <- nil
 		return err
 	}
+	size := len(text) + len(r.Body)
+	if r.Writing != nil {
+		r.Writing(size)
+	}
 	go func() {
-		_, err := a.conn.Write(text)
+		parts := net.Buffers{text, r.Body}
+		_, err := parts.WriteTo(a.conn.Conn)
+		if r.Written != nil {
+			r.Written(size)
+		}
 		a.written <- err
 	}()
 	return nil
