--- a/entry/internal/director/director.go
+++ b/entry/internal/director/director.go
@@ -165,12 +165,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory<<20)))
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	callers := &http.Server{
-		Handler: d.idle.handler(d.forwarder), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
-		ConnState: d.idle.setState, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return spooler.WithConn(withConnection(ctx, c), c)
-		},
-	}
+	callers := newCallersServer(d.forwarder, d.idle)
 	servers := map[string]*http.Server{
 		s.Listen.Callers: callers,
 		s.Listen.Ready:   {Handler: http.HandlerFunc(d.ready), ReadHeaderTimeout: headerTimeout},
@@ -212,6 +207,16 @@
 	return d.stop(background, callers)
 }
 
+// newCallersServer returns the server for callers, whose idle connections are in idle.
+func newCallersServer(h http.Handler, idle *idleTracker) *http.Server {
+	return &http.Server{
+		Handler: idle.handler(h), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, ConnState: idle.setState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return spooler.WithConn(withConnection(ctx, c), c)
+		},
+	}
+}
+
 // Limits of reading a request header. Those of the configuration apply once it is read, and
 // can't allow more.
 const (
--- a/entry/internal/director/director_test.go
+++ b/entry/internal/director/director_test.go
@@ -6,10 +6,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"bamboohill/core/checker/examiner"
+	"bamboohill/core/tallier"
+	"bamboohill/entry/internal/spooler"
 
 	"github.com/matryer/is"
 )
@@ -127,3 +130,67 @@
 	i.setState(c, http.StateClosed)
 	is.Equal(len(i.since)+len(i.closed), 0)
 }
+
+// TestHeaderSize checks that headers which a configuration may allow reach the handler, that
+// larger ones are answered with 431, and that both is so on spooled connections.
+func TestHeaderSize(t *testing.T) {
+	tests := map[string]struct{ bytes, status int }{
+		"small":                    {bytes: 1 << 10, status: http.StatusOK},
+		"allowed by configuration": {bytes: 100 << 10, status: http.StatusOK},
+		"beyond any":               {bytes: 300 << 10, status: http.StatusRequestHeaderFieldsTooLarge},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var spooled bool
+			server := httptest.NewUnstartedServer(nil)
+			server.Config = newCallersServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { spooled = spooler.From(r.Context()) != nil }), newIdleTracker())
+			server.Listener = spooler.Listen(server.Listener, spooler.Config{Tallier: tallier.New(tallier.Config{})})
+			server.Start()
+			defer server.Close()
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, nil)
+			is.NoErr(err)
+			r.Header.Set("Long", strings.Repeat("x", test.bytes))
+			answer, err := http.DefaultClient.Do(r)
+			is.NoErr(err)
+			defer answer.Body.Close()
+			is.Equal(answer.StatusCode, test.status)
+			is.Equal(spooled, test.status == http.StatusOK)
+		})
+	}
+}
+
+// TestIdleOnSpooledConnections checks that idle callers are closed after the configured time
+// and no sooner, and that callers who reuse connections before don't notice it.
+func TestIdleOnSpooledConnections(t *testing.T) {
+	is := is.New(t)
+	idle := newIdleTracker()
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = newCallersServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.WriteString(w, r.RemoteAddr)
+		is.NoErr(err)
+	}), idle)
+	server.Listener = spooler.Listen(server.Listener, spooler.Config{Tallier: tallier.New(tallier.Config{})})
+	server.Start()
+	defer server.Close()
+	client := &http.Client{Transport: &http.Transport{}}
+	ask := func() string { // returns the client's end of the connection
+		answer, err := client.Get(server.URL) //nolint:noctx // it ends with the test
+		is.NoErr(err)
+		defer answer.Body.Close()
+		text, err := io.ReadAll(answer.Body)
+		is.NoErr(err)
+		return string(text)
+	}
+	const timeout = 500 * time.Millisecond
+	first := ask()
+	for range 3 {
+		time.Sleep(timeout * 4 / 5)
+		idle.expire(time.Now(), timeout)
+		is.Equal(ask(), first)
+	}
+	time.Sleep(timeout + 50*time.Millisecond)
+	idle.expire(time.Now(), timeout)
+	time.Sleep(50 * time.Millisecond)
+	is.True(ask() != first)
+}
--- a/entry/internal/forwarder/bytes_test.go
+++ b/entry/internal/forwarder/bytes_test.go
@@ -27,6 +27,16 @@
 	longEventBytes = 10_000 // so that the kernel's buffers don't hold the stream
 )
 
+// eventBytes pads the events of all streams but those of short prompts.
+func eventBytes(n int) func(string) int {
+	return func(body string) int {
+		if body == "short" {
+			return 0
+		}
+		return n
+	}
+}
+
 // slowClient returns a client whose connections have a small receive buffer.
 func slowClient() *http.Client {
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -60,7 +70,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			b := startBench(t, 1, 0, 0, 0, rig.ServerConfig{Events: slowEvents, EventBytes: longEventBytes, Cutoff: 2 * time.Second})
+			b := startBench(t, 1, 0, 0, 0, rig.ServerConfig{Events: slowEvents, EventBytes: eventBytes(longEventBytes), Cutoff: 2 * time.Second})
 			answer, err := b.ask(slowClient(), "pauses", path, "hello")
 			is.NoErr(err)
 			defer answer.Body.Close()
@@ -113,7 +123,7 @@
 func TestManySlowCallers(t *testing.T) {
 	is := is.New(t)
 	const bound, callers = 184 << 20 / 4, 200
-	b := startBench(t, 8, 0, 0, bound, rig.ServerConfig{Events: slowEvents, EventBytes: slowEventBytes, Cutoff: 2 * time.Second})
+	b := startBench(t, 8, 0, 0, bound, rig.ServerConfig{Events: slowEvents, EventBytes: eventBytes(slowEventBytes), Cutoff: 2 * time.Second})
 	before, failed := b.wave("before", 50*time.Millisecond, time.Second)
 	is.Equal(failed, int64(0))
 	release, client := make(chan struct{}), slowClient()
--- a/prover/direct_test.go
+++ b/prover/direct_test.go
@@ -98,7 +98,7 @@
 		d.entries = append(d.entries, d.newEntry(n, entries))
 	}
 	start := func(id, service string) *rig.Server {
-		s, err := rig.StartServer(rig.ServerConfig{ID: id, Service: service, Store: d.store, Relay: d.relay, Events: 20, EventInterval: 10 * time.Millisecond})
+		s, err := rig.StartServer(rig.ServerConfig{ID: id, Service: service, Store: d.store, Relay: d.relay, Events: 20, EventInterval: 10 * time.Millisecond, EventBytes: padding})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -263,11 +263,24 @@
 func chat(body string) string {
 	var all strings.Builder
 	for n := 1; n <= 20; n++ {
-		all.WriteString(rig.Event(n, body))
+		all.WriteString(rig.Padding(padding(body)) + rig.Event(n, body))
 	}
 	return all.String()
 }
 
+// longBody is the begin of the bodies of requests whose streams don't fit into the kernel's
+// buffers of a connection.
+const longBody = "long "
+
+// padding returns the size of the comment before each event of the stream that answers a
+// request.
+func padding(body string) int {
+	if strings.HasPrefix(body, longBody) {
+		return 16 << 10
+	}
+	return 0
+}
+
 // checkServes checks that an entry answers both kinds of request.
 func (e *directEntry) checkServes(is *is.I) {
 	is.Helper()
--- a/prover/soak_test.go
+++ b/prover/soak_test.go
@@ -25,10 +25,14 @@
 	soakDuration = flag.Duration("soak.length", 6*time.Second, "time during which faults are injected, for each seed")
 )
 
+// slowShare is the number of prompts of which one has a caller that reads slowly.
+const slowShare = 5
+
 // attempt is one request of a soak test and the answer that its caller received.
 type attempt struct {
 	id, path, body string
-	parts          string // of the prompt, as a header; "" for none
+	parts          string        // of the prompt, as a header; "" for none
+	pause          time.Duration // for which the caller reads nothing after the head of the answer
 	status         int
 	text           string
 	err            error
@@ -85,6 +89,9 @@
 		if random.IntN(2) == 0 {
 			a.path = "/chat/x"
 		}
+		if a.path == "/chat/x" && random.IntN(slowShare) == 0 {
+			a.body, a.pause = longBody+a.body, time.Duration(random.IntN(1500))*time.Millisecond
+		}
 		d.send(client, d.entries[random.IntN(len(d.entries))], &a)
 		all = append(all, a)
 		if a.err != nil {
@@ -118,6 +125,7 @@
 		return
 	}
 	defer response.Body.Close()
+	time.Sleep(a.pause)
 	text, err := io.ReadAll(response.Body)
 	a.status, a.text, a.err = response.StatusCode, string(text), err
 }
