Gauger: a wider error for few samples

Change: standard deviation of a sample 0.2 instead of 0.15, so that few samples must show more than 1.57.

--- a/core/gauger/run.go
+++ b/core/gauger/run.go
@@ -55,7 +55,7 @@
 // Prefill lengthens passes and nothing shortens them, so that the shortest ones are the
 // closest to the speed of the engine. Calls of one route differ in their work.
 var (
-	passes = &kind{spread: 0.15, quantile: 0.1, merged: 0.5, window: 800 * time.Millisecond, longest: 4 * time.Second, own: 3, minimum: 7, halfLife: 5 * time.Second, memory: 15 * time.Second}
+	passes = &kind{spread: 0.2, quantile: 0.1, merged: 0.5, window: 800 * time.Millisecond, longest: 4 * time.Second, own: 3, minimum: 7, halfLife: 5 * time.Second, memory: 15 * time.Second}
 	calls  = &kind{spread: 0.6, quantile: 0.5, merged: 0.5, window: 5 * time.Second, longest: 5 * time.Second, own: 1, minimum: 8, halfLife: 5 * time.Second, memory: 15 * time.Second}
 )
 
