Take servers that the returned store lacks as gone after 2.3 s

Its row, absent in the new era, may be one that the store has lost, and was withheld for four heartbeats (4.8 s), though one that lives is back within about two seconds.

Change: follower.Config.SettleAbsent, for absent rows only (0: as others). The table is read again when it ends; a waiting call and a pause end then. The time counts from the first answer of the era, and anew after a failed or late call, and as long as no row has been written in the era. A deletion made so counts as written in the era, so that the row does not come back from a process that still withholds it, and that process takes it. Config.Keeps lets the platform keep the last server of a service until Settle.

--- a/core/enroller/enroller.go
+++ b/core/enroller/enroller.go
@@ -22,10 +22,10 @@
 	"bamboohill/core/viewer"
 )
 
-// reregistrationTime is how long servers that expired during an outage of the store
+// ReregistrationTime is how long servers that expired during an outage of the store
 // have to register again after its end. The platform guarantees about two
 // seconds.
-const reregistrationTime = 2300 * time.Millisecond
+const ReregistrationTime = 2300 * time.Millisecond
 
 // Enroller holds the list. It is not safe for concurrent use.
 type Enroller struct {
@@ -66,9 +66,9 @@
 	if !found {
 		return true
 	}
-	if !e.outage.IsZero() && now.Sub(e.outage) < reregistrationTime && !s.Draining && !e.renewed[id] {
+	if !e.outage.IsZero() && now.Sub(e.outage) < ReregistrationTime && !s.Draining && !e.renewed[id] {
 		if _, recorded := e.missing[id]; !recorded {
-			e.missing[id] = e.outage.Add(reregistrationTime)
+			e.missing[id] = e.outage.Add(ReregistrationTime)
 		}
 		return false
 	}
@@ -99,7 +99,7 @@
 func (e *Enroller) Expire(now time.Time) []viewer.ServerID {
 	var removed []viewer.ServerID
 	for id, deadline := range e.missing {
-		if deadline = maxTime(deadline, e.outage.Add(reregistrationTime)); now.Before(deadline) {
+		if deadline = maxTime(deadline, e.outage.Add(ReregistrationTime)); now.Before(deadline) {
 			continue
 		}
 		delete(e.missing, id)
@@ -117,6 +117,23 @@
 	return b
 }
 
+// IsLast reports whether no other server of the service of a server is on the list that is
+// neither draining nor missing. It is false for a server that is draining or not on the
+// list.
+func (e *Enroller) IsLast(id viewer.ServerID) bool {
+	s, found := e.servers[id]
+	if !found || s.Draining {
+		return false
+	}
+	for other, o := range e.servers {
+		_, missing := e.missing[other]
+		if other != id && o.Service == s.Service && !o.Draining && !missing {
+			return false
+		}
+	}
+	return true
+}
+
 // PendingExpiry returns the number of missing servers that are still on the list.
 func (e *Enroller) PendingExpiry() int { return len(e.missing) }
 
--- a/core/enroller/enroller_test.go
+++ b/core/enroller/enroller_test.go
@@ -86,3 +86,19 @@
 	e.RecordOutage(after(6)) // another outage
 	is.True(!e.Remove("b", after(6.1)))
 }
+
+// TestIsLast checks which servers are the last of their service.
+func TestIsLast(t *testing.T) {
+	is := is.New(t)
+	e := enroller.New()
+	for _, s := range []*viewer.Server{{ID: "a", Service: "pool"}, {ID: "b", Service: "pool"}, {ID: "c", Service: "plain"}, {ID: "d", Service: "plain", Draining: true}} {
+		e.Put(s)
+	}
+	is.True(!e.IsLast("a"))
+	is.True(e.IsLast("c"))
+	is.True(!e.IsLast("d"))
+	is.True(!e.IsLast("unknown"))
+	e.RecordOutage(after(1))
+	is.True(!e.Remove("b", after(1.1))) // missing
+	is.True(e.IsLast("a"))
+}
--- a/core/follower/doc.go
+++ b/core/follower/doc.go
@@ -10,7 +10,8 @@
 //
 // A store may return from an older copy and give out the same versions again. Each
 // return begins an era, and versions are compared within an era only. What the store
-// has lost is kept until it is written again or Config.Settle has passed.
+// has lost is kept until it is written again or Config.Settle has passed. A row that is
+// absent from the store may be kept for less, Config.SettleAbsent.
 //
 // The store implements the interface Source. The package does not interpret the
 // values of rows.
--- a/core/follower/era.go
+++ b/core/follower/era.go
@@ -10,6 +10,8 @@
 	settles  time.Time // when the store has everything again
 	settled  bool      // the store's rows are taken as they are
 	withheld int       // rows that were withheld, at least
+	answers  time.Time // since when the store has answered each call; zero if the last one failed or none was made
+	absent   int       // rows withheld as the store has none, since the table was last read
 	read     bool      // the whole table has been read in this era
 	start    int64     // version at which it was first read; later ones were written in this era
 	before   int64     // version up to which the table was read before this era
@@ -23,6 +25,7 @@
 	if !f.era.settles.IsZero() {
 		f.config.Log.Warn().Str("event", "store-returned").Str("table", f.config.Table).Int64("era", number).Int64("before", f.era.number).
 			Int64("version", f.newest).Msg("")
+		f.wake()
 	}
 	before := f.era.before
 	if f.era.read {
@@ -40,6 +43,9 @@
 	if !f.era.read {
 		return true
 	}
+	if due := f.absentDue(); !due.IsZero() && !now.Before(due) {
+		return true
+	}
 	if f.era.settled || now.Before(f.era.settles) {
 		return false
 	}
@@ -64,7 +70,11 @@
 		// The store has no row up to the position that is not in the copy.
 		return fromStore || !f.era.read || r.Version > f.position.Version
 	case !found:
-		return f.withhold(r.Version > f.era.start)
+		lacks := f.withhold(r.Version > f.era.start)
+		if lacks && !r.Deleted {
+			f.era.absent++
+		}
+		return lacks
 	case r.Era == old.Era:
 		return r.Version > old.Version
 	case r.Era > old.Era:
--- a/core/follower/era_test.go
+++ b/core/follower/era_test.go
@@ -277,12 +277,15 @@
 func TestReturnedStoreSeeds(t *testing.T) {
 	for seed := range uint64(200) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { returnAtRandom(t, rand.New(rand.NewPCG(seed, 21))) })
+			synctest.Test(t, func(t *testing.T) { returnAtRandom(t, rand.New(rand.NewPCG(seed, 21)), 0) })
+		})
+		t.Run(fmt.Sprint("seed ", seed, " absent rows sooner"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { returnAtRandom(t, rand.New(rand.NewPCG(seed, 21)), settleAbsent) })
 		})
 	}
 }
 
-func returnAtRandom(t *testing.T, random *rand.Rand) {
+func returnAtRandom(t *testing.T, random *rand.Rand, absent time.Duration) {
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	s := newTable()
@@ -294,7 +297,7 @@
 	start := func() {
 		c := &countCheck{t: t, last: map[string]int{}}
 		f := follower.New(follower.Config{
-			Source: s, Table: "servers", Wait: 800 * time.Millisecond, Timeout: 700 * time.Millisecond, Settle: settle,
+			Source: s, Table: "servers", Wait: 800 * time.Millisecond, Timeout: 700 * time.Millisecond, Settle: settle, SettleAbsent: absent,
 			Changed: c.change, Log: &log.Logger{Writer: &log.IOWriter{Writer: &c.log}},
 		})
 		all, seen = append(all, f), append(seen, c)
--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -55,7 +55,7 @@
 type Config struct {
 	Source   Source
 	Table    string
-	Interval time.Duration // shortest time between the begins of two successful calls
+	Interval time.Duration // shortest time between the begins of two successful calls, unless SettleAbsent ends
 	Wait     time.Duration // longest time that the store may delay an answer; 8 s if 0
 	Timeout  time.Duration // time beyond Wait after which a call for changes has failed; 1.5 s if 0
 	Backoff  time.Duration // longest delay after a failed call; 500 ms if 0
@@ -64,6 +64,12 @@
 	// Settle is the time within which other processes have written again what the
 	// store lost when it returned from an older copy.
 	Settle time.Duration
+	// SettleAbsent is the same for rows that are absent from the store, if it has answered
+	// each call in that time. It is shorter than Settle; if 0, they are as others.
+	SettleAbsent time.Duration
+	// Keeps reports whether a row that is absent after SettleAbsent is kept until Settle.
+	// If nil, none is.
+	Keeps func(copied Row) bool
 	// Prefers reports whether a row replaces its copy of an earlier era even if the row
 	// may be older. If nil, none does.
 	Prefers func(copied, row Row) bool
@@ -90,6 +96,7 @@
 	newest      int64          // largest version of the rows of the era
 	position    Position       // of the last answer
 	waiting     waiting
+	pausing     pausing
 	era         era
 	unreachable bool      // the last call failed
 	answered    time.Time // when the last call that the store answered began; zero if none was
@@ -142,7 +149,7 @@
 		}
 		f.recordHealth(ctx, began, err)
 		if err != nil {
-			sleep(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
+			f.pause(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
 			backoff = min(2*backoff, f.config.Backoff)
 			if errors.Is(err, context.DeadlineExceeded) {
 				timeout = max(f.config.Timeout, min(2*timeout, maxTimeout))
@@ -153,7 +160,7 @@
 		if f.config.Answered != nil {
 			f.config.Answered(f.lastPosition(), f.Position(), began)
 		}
-		sleep(ctx, interval-time.Since(began))
+		f.pause(ctx, interval-time.Since(began))
 	}
 }
 
@@ -161,11 +168,12 @@
 // whole table. The timeout is that of reading a whole table, or that beyond the wait.
 func (f *Follower) read(ctx context.Context, changes bool, wait, timeout time.Duration) error {
 	if !changes {
+		began := time.Now()
 		rows, at, err := f.config.Source.ReadAll(ctx, f.config.Table, timeout)
 		if err != nil {
 			return err
 		}
-		return f.reset(rows, at)
+		return f.reset(rows, at, began)
 	}
 	f.mu.Lock()
 	after := f.position
@@ -177,18 +185,6 @@
 	return f.advance(rows, after, at)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // recordHealth records whether the store answered a call that began at the given
 // time, and logs each change.
 func (f *Follower) recordHealth(ctx context.Context, began time.Time, err error) {
@@ -201,8 +197,11 @@
 	if err == nil {
 		f.answered = began
 	}
-	if err != nil && f.config.Failed != nil {
-		f.config.Failed(began)
+	if err != nil {
+		f.era.answers = time.Time{}
+		if f.config.Failed != nil {
+			f.config.Failed(began)
+		}
 	}
 	if f.unreachable == (err != nil) {
 		return
@@ -233,10 +232,10 @@
 	return now.Sub(f.answered)
 }
 
-// reset replaces the copy by a whole table: rows that are absent from it were deleted.
-// While the store may lack what it has lost, the rows that may be older than their copy
+// reset replaces the copy by a whole table, which was read by a call that began at the
+// given time: rows that are absent from it were deleted. While the store may lack what it has lost, the rows that may be older than their copy
 // are withheld.
-func (f *Follower) reset(rows []Row, at Position) error {
+func (f *Follower) reset(rows []Row, at Position, began time.Time) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if at.Era < f.era.number {
@@ -244,6 +243,8 @@
 	}
 	now := time.Now()
 	f.enter(at.Era, now)
+	f.pausing.skip = false // this call has read the era
+	f.recordAnswer(now)
 	if !now.Before(f.era.settles) {
 		f.era.settled = true
 	}
@@ -251,24 +252,28 @@
 		f.era.read, f.era.start = true, at.Version
 	}
 	present := make(map[string]bool, len(rows))
-	kept := int64(0) // largest version that the store is known to have kept
+	kept, written := int64(0), false // largest version that the store is known to have kept
 	for i := range rows {
 		rows[i].Era, rows[i].Written = at.Era, rows[i].Version > f.era.start
 		present[rows[i].Key] = true
+		written = written || rows[i].Written
 		if f.rows[rows[i].Key].equal(rows[i]) {
 			kept = max(kept, rows[i].Version)
 		}
 	}
+	var absent []Row
 	for key, r := range f.rows {
 		switch {
 		case present[key] || r.Deleted:
 		case r.Era < at.Era && !f.era.settled && r.Version > kept:
 			f.era.withheld++
+			absent = append(absent, r)
 		default:
 			f.set(Row{Key: key, Deleted: true, Era: at.Era, Version: at.Version})
 		}
 	}
 	f.apply(rows, true)
+	f.settleAbsent(absent, written, at, began)
 	f.position = at
 	f.notifyApplied()
 	return nil
@@ -285,6 +290,7 @@
 	case at.Era != after.Era:
 		return &HistoryError{Table: f.config.Table, After: after}
 	}
+	f.recordAnswer(time.Now())
 	for i := range rows {
 		rows[i].Era, rows[i].Written = at.Era, true
 	}
--- a/core/follower/follower_test.go
+++ b/core/follower/follower_test.go
@@ -124,6 +124,7 @@
 	seen     map[string]int64
 	applied  int
 	failed   int
+	removed  int
 	log      bytes.Buffer
 }
 
@@ -135,6 +136,7 @@
 	}
 	c.seen[r.Key] = r.Version
 	if r.Deleted {
+		c.removed++
 		delete(c.rows, r.Key)
 		return
 	}
--- a/core/follower/nudge.go
+++ b/core/follower/nudge.go
@@ -55,7 +55,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.mu.Lock()
-	nudged := f.waiting.nudged
+	wait, nudged := f.untilAbsentDue(wait), f.waiting.nudged
 	if nudged {
 		wait = 0
 	}
@@ -66,10 +66,14 @@
 	f.mu.Unlock()
 	limited, stop := context.WithTimeout(ctx, wait+timeout)
 	defer stop()
+	began := time.Now()
 	rows, at, err := f.config.Source.Changes(limited, f.config.Table, after, wait)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.waiting.cancel = nil
+	if time.Since(began) > wait+minReadTimeout {
+		f.era.answers = time.Time{} // the store was silent
+	}
 	if err != nil && ctx.Err() != nil && f.waiting.nudged {
 		err = errNudged
 	}
