Read the servers' table beside a read that a silent store has lost

What the store has kept is judged by copies of earlier eras only. SettleAbsent begins anew only while the store has no rows at all.

--- a/core/follower/absent.go
+++ b/core/follower/absent.go
@@ -30,16 +30,15 @@
 
 // settleAbsent deletes rows that are absent from the whole table of a call that began at
 // the given time, if that is late enough. They count as written in this era, so that those
-// of a process that still withholds them do not come back. As long as no row has been
-// written in this era, the writers may not reach the store, and the time begins anew. The
-// caller holds the lock.
-func (f *Follower) settleAbsent(absent []Row, written bool, at Position, began time.Time) {
+// of a process that still withholds them do not come back. As long as the table has no rows,
+// the writers may not reach the store, and the time begins anew. The caller holds the lock.
+func (f *Follower) settleAbsent(absent []Row, present bool, at Position, began time.Time) {
 	f.era.absent = len(absent)
 	due := f.absentDue()
 	if due.IsZero() || began.Before(due) {
 		return
 	}
-	if !written {
+	if !present {
 		f.era.answers = time.Now()
 		return
 	}
--- a/core/follower/absent_test.go
+++ b/core/follower/absent_test.go
@@ -21,7 +21,7 @@
 func followAbsent(s follower.Source, c *callbacks, keeps func(follower.Row) bool) *follower.Follower {
 	return follower.New(follower.Config{
 		Source: s, Table: "servers", Interval: 600 * time.Millisecond, Wait: 900 * time.Millisecond, Timeout: 600 * time.Millisecond,
-		Settle: 3 * settle, SettleAbsent: settleAbsent, Keeps: keeps,
+		Hedge: 300 * time.Millisecond, Settle: 3 * settle, SettleAbsent: settleAbsent, Keeps: keeps,
 		Changed: c.change, Log: &log.Logger{Writer: &log.IOWriter{Writer: &c.log}},
 	})
 }
@@ -54,9 +54,19 @@
 		later  []string // 5.5 s
 		last   []string // after Settle
 	}{
-		"one is written again":         {again: writeOne, before: all, after: one, later: one, last: one},
-		"one is written and one kept":  {again: writeOne, keeps: func(r follower.Row) bool { return r.Key == "c" }, before: all, after: []string{"a", "c"}, later: []string{"a", "c"}, last: one},
-		"all are written again":        {again: func(s *lateStore) { s.write("c", "1", false); s.write("b", "1", false); s.write("a", "1", false) }, before: all, after: all, later: all, last: all},
+		"one is written again":        {again: writeOne, before: all, after: one, later: one, last: one},
+		"one is written and one kept": {again: writeOne, keeps: func(r follower.Row) bool { return r.Key == "c" }, before: all, after: []string{"a", "c"}, later: []string{"a", "c"}, last: one},
+		"all are written again":       {again: func(s *lateStore) { s.write("c", "1", false); s.write("b", "1", false); s.write("a", "1", false) }, before: all, after: all, later: all, last: all},
+		"the table is read in between": {again: func(s *lateStore) {
+			for range 5 { // a version that is higher than those of the absent rows
+				writeOne(s)
+			}
+			time.Sleep(600 * time.Millisecond)
+			s.mu.Lock()
+			s.version++ // a change of another table
+			s.mu.Unlock()
+			s.dropHistory()
+		}, before: all, after: one, later: one, last: one},
 		"nobody writes":                {again: func(*lateStore) {}, before: all, after: all, later: all, last: []string{}},
 		"the store falls silent again": {again: func(s *lateStore) { s.setUnreachable(true) }, before: all, after: all, later: all, last: all},
 		"an answer is late":            {again: func(s *lateStore) { s.late.Store(true); time.Sleep(time.Second); writeOne(s) }, before: all, after: all, later: one, last: one},
--- a/core/follower/era.go
+++ b/core/follower/era.go
@@ -14,6 +14,7 @@
 	absent   int       // rows withheld as the store has none, since the table was last read
 	read     bool      // the whole table has been read in this era
 	start    int64     // version at which it was first read; later ones were written in this era
+	kept     int64     // largest version that the store is known to have kept
 	before   int64     // version up to which the table was read before this era
 }
 
--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -59,6 +59,10 @@
 	Wait     time.Duration // longest time that the store may delay an answer; 8 s if 0
 	Timeout  time.Duration // time beyond Wait after which a call for changes has failed; 1.5 s if 0
 	Backoff  time.Duration // longest delay after a failed call; 500 ms if 0
+	// Hedge is the time beyond Wait after which another call for changes is made beside one
+	// that is not answered, and again each time it has passed, at most five times. It should be longer than an
+	// answer of a slow store takes. If 0, none is made.
+	Hedge time.Duration
 	// Pace returns Wait and Interval of the next call for changes; if nil, they are constant.
 	Pace func(now time.Time) (wait, interval time.Duration)
 	// Settle is the time within which other processes have written again what the
@@ -117,11 +121,12 @@
 }
 
 // Run follows the table until ctx ends. A call for changes that gets no answer within
-// Wait and Timeout is repeated: the store may have lost it. Timeout doubles with every
-// such call in a row, up to 3 s, for a store that is slow. A call for the whole table is
-// repeated sooner, as a process that starts knows nothing until it is answered.
+// Wait and Timeout is repeated, without waiting if Hedge is given: the store may have lost
+// it. Timeout doubles with every such call in a row, up to 3 s, for a
+// store that is slow. A call for the whole table is repeated sooner, as a process that
+// starts knows nothing until it is answered.
 func (f *Follower) Run(ctx context.Context) {
-	loaded := false
+	loaded, lost := false, false // lost: the last call got no answer
 	backoff, timeout, readTimeout := backoffMin, f.config.Timeout, minReadTimeout
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -130,15 +135,18 @@
 		if f.config.Pace != nil && loaded {
 			wait, interval = f.config.Pace(began)
 		}
+		if lost && f.config.Hedge > 0 {
+			wait = 0 // for an answer as soon as the store is back
+		}
 		limit := timeout
 		if !loaded {
 			limit = readTimeout
 			readTimeout = min(readTimeout+readTimeout/readGrowth, maxTimeout)
 		}
-		err := f.read(ctx, loaded, wait, limit)
-		var lost *HistoryError
-		if errors.As(err, &lost) {
-			f.config.Log.Info().Str("event", "history-lost").Str("table", f.config.Table).Int64("after", lost.After.Version).Int64("era", lost.After.Era).Msg("")
+		began, err := f.read(ctx, loaded, wait, limit)
+		var gone *HistoryError
+		if errors.As(err, &gone) {
+			f.config.Log.Info().Str("event", "history-lost").Str("table", f.config.Table).Int64("after", gone.After.Version).Int64("era", gone.After.Era).Msg("")
 			loaded = false
 			f.recordHealth(ctx, began, nil)
 			continue
@@ -151,12 +159,12 @@
 		if err != nil {
 			f.pause(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
 			backoff = min(2*backoff, f.config.Backoff)
-			if errors.Is(err, context.DeadlineExceeded) {
+			if lost = errors.Is(err, context.DeadlineExceeded); lost {
 				timeout = max(f.config.Timeout, min(2*timeout, maxTimeout))
 			}
 			continue
 		}
-		loaded, backoff, timeout, readTimeout = true, backoffMin, f.config.Timeout, minReadTimeout
+		loaded, lost, backoff, timeout, readTimeout = true, false, backoffMin, f.config.Timeout, minReadTimeout
 		if f.config.Answered != nil {
 			f.config.Answered(f.lastPosition(), f.Position(), began)
 		}
@@ -165,24 +173,25 @@
 }
 
 // read makes one call: for the changes since the last one, for which it waits, or for the
-// whole table. The timeout is that of reading a whole table, or that beyond the wait.
-func (f *Follower) read(ctx context.Context, changes bool, wait, timeout time.Duration) error {
+// whole table. The timeout is that of reading a whole table, or that beyond the wait. It
+// returns the begin of the call, or of the one beside it that was answered.
+func (f *Follower) read(ctx context.Context, changes bool, wait, timeout time.Duration) (began time.Time, err error) {
+	began = time.Now()
 	if !changes {
-		began := time.Now()
 		rows, at, err := f.config.Source.ReadAll(ctx, f.config.Table, timeout)
 		if err != nil {
-			return err
+			return began, err
 		}
-		return f.reset(rows, at, began)
+		return began, f.reset(rows, at, began)
 	}
 	f.mu.Lock()
 	after := f.position
 	f.mu.Unlock()
-	rows, at, err := f.waitForChanges(ctx, after, wait, timeout)
-	if err != nil {
-		return err
+	a := f.waitForChanges(ctx, after, wait, timeout)
+	if a.err != nil {
+		return began, a.err
 	}
-	return f.advance(rows, after, at)
+	return a.began, f.advance(a.rows, after, a.at)
 }
 
 // recordHealth records whether the store answered a call that began at the given
@@ -252,20 +261,18 @@
 		f.era.read, f.era.start = true, at.Version
 	}
 	present := make(map[string]bool, len(rows))
-	kept, written := int64(0), false // largest version that the store is known to have kept
 	for i := range rows {
 		rows[i].Era, rows[i].Written = at.Era, rows[i].Version > f.era.start
 		present[rows[i].Key] = true
-		written = written || rows[i].Written
-		if f.rows[rows[i].Key].equal(rows[i]) {
-			kept = max(kept, rows[i].Version)
+		if old := f.rows[rows[i].Key]; old.Era < at.Era && old.equal(rows[i]) {
+			f.era.kept = max(f.era.kept, rows[i].Version)
 		}
 	}
 	var absent []Row
 	for key, r := range f.rows {
 		switch {
 		case present[key] || r.Deleted:
-		case r.Era < at.Era && !f.era.settled && r.Version > kept:
+		case r.Era < at.Era && !f.era.settled && r.Version > f.era.kept:
 			f.era.withheld++
 			absent = append(absent, r)
 		default:
@@ -273,7 +280,7 @@
 		}
 	}
 	f.apply(rows, true)
-	f.settleAbsent(absent, written, at, began)
+	f.settleAbsent(absent, len(rows) > 0, at, began)
 	f.position = at
 	f.notifyApplied()
 	return nil
--- a/core/follower/nudge.go
+++ b/core/follower/nudge.go
@@ -50,8 +50,8 @@
 	return f.era.read && (f.position.Era < at.Era || f.position.Era == at.Era && f.position.Version < at.Version)
 }
 
-// waitForChanges calls Source.Changes. It returns errNudged if Nudge ends the call.
-func (f *Follower) waitForChanges(ctx context.Context, after Position, wait, timeout time.Duration) ([]Row, Position, error) {
+// waitForChanges calls Source.Changes. The error is errNudged if Nudge ends the call.
+func (f *Follower) waitForChanges(ctx context.Context, after Position, wait, timeout time.Duration) answer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.mu.Lock()
@@ -64,18 +64,16 @@
 		f.waiting.cancel = cancel
 	}
 	f.mu.Unlock()
-	limited, stop := context.WithTimeout(ctx, wait+timeout)
-	defer stop()
 	began := time.Now()
-	rows, at, err := f.config.Source.Changes(limited, f.config.Table, after, wait)
+	a, hedged := f.callChanges(ctx, after, wait, timeout)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.waiting.cancel = nil
-	if time.Since(began) > wait+minReadTimeout {
+	if hedged || time.Since(began) > wait+minReadTimeout {
 		f.era.answers = time.Time{} // the store was silent
 	}
-	if err != nil && ctx.Err() != nil && f.waiting.nudged {
-		err = errNudged
+	if a.err != nil && ctx.Err() != nil && f.waiting.nudged {
+		a.err = errNudged
 	}
-	return rows, at, err
+	return a
 }
