Kinds of requests from the configuration and from traffic

Cause: core/loadtracker sorted routes into three classes by pauses of 250 and 600 ms, and core/assigner held limits, targets, values and times of one mix of requests.

Change: core/profiler owns the kinds of a configuration (at most 16, the nearest merged), estimates of their sizes, rates and slot times over all entries, and derives the parameters of the cost model. Loads count by kind; datagrams carry the kinds, so that entries on two configurations read them alike. The value of an answer is a setting.

--- a/load/replay.go
+++ b/load/replay.go
@@ -7,13 +7,17 @@
 	"path/filepath"
 
 	"bamboohill/core/assigner"
+	"bamboohill/core/profiler"
 	"bamboohill/load/internal/replayer"
 
 	"github.com/urfave/cli/v3"
 )
 
 // loads maps the values of --load to the loads.
-var loads = map[string]func() replayer.Load{"waves": replayer.Waves, "flood": replayer.Flood, "crowd": replayer.Crowd}
+var loads = map[string]func() replayer.Load{
+	"waves": replayer.Waves, "flood": replayer.Flood, "crowd": replayer.Crowd,
+	"kinds-1": func() replayer.Load { return replayer.Mixed(1) }, "kinds-2": func() replayer.Load { return replayer.Mixed(2) }, "kinds-3": func() replayer.Load { return replayer.Mixed(3) },
+}
 
 // replayCommand returns the command that replays a load on entries that call
 // engines directly.
@@ -22,8 +26,9 @@
 		Name:  "replay",
 		Usage: "replay a load of prompts on emulated engines with a simulated clock",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "load", Value: "waves", Usage: "waves (alternating bursts of short and long prompts), flood (more prompts than the engines can serve) or crowd (a burst over many entries)"},
-			&cli.StringSliceFlag{Name: "policy", Value: []string{"priced", "least", "random"}, Usage: "policies to compare: " + assigner.PolicyUsage},
+			&cli.StringFlag{Name: "load", Value: "waves", Usage: "waves (alternating bursts of short and long prompts), flood (more prompts than the engines can serve) crowd (a burst over many entries) or kinds-1 to kinds-3 (waves of five kinds with drawn limits)"},
+			&cli.StringSliceFlag{Name: "policy", Value: []string{"priced", "least", "random"}, Usage: "policies to compare: " + assigner.PolicyUsage + "; or reference, priced with fixed parameters"},
+			&cli.StringFlag{Name: "valuing", Value: "size", Usage: "what the value of an answer depends on: " + profiler.ValuingUsage},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "random seed of the arrivals"},
 			&cli.StringFlag{Name: "plots", Usage: "write a plot for each policy to this directory"},
 		},
@@ -34,14 +39,23 @@
 func replay(_ context.Context, c *cli.Command) error {
 	load, found := loads[c.String("load")]
 	if !found {
-		return fmt.Errorf("load: --load must be waves, flood or crowd, not %q", c.String("load"))
+		return fmt.Errorf("load: --load must be waves, flood, crowd, kinds-1, kinds-2 or kinds-3, not %q", c.String("load"))
+	}
+	valuing, found := profiler.ParseValuing(c.String("valuing"))
+	if !found {
+		return fmt.Errorf("load: --valuing must be %s, not %q", profiler.ValuingUsage, c.String("valuing"))
 	}
 	for _, name := range c.StringSlice("policy") {
+		config := replayer.Config{Load: load(), Seed: c.Uint64("seed"), Valuing: valuing}
 		policy, known := assigner.ParsePolicy(name)
+		if name == "reference" {
+			policy, known, config.Terms = assigner.CostBased{}, true, replayer.Reference
+		}
+		config.Policy = policy
 		if !known {
 			return fmt.Errorf("load: --policy must be %s, not %q", assigner.PolicyUsage, name)
 		}
-		result := replayer.Replay(replayer.Config{Load: load(), Policy: policy, Seed: c.Uint64("seed")})
+		result := replayer.Replay(config)
 		fmt.Printf("load=%s policy=%s seed=%d\n", c.String("load"), name, c.Uint64("seed"))
 		if err := result.Write(os.Stdout); err != nil {
 			return err
