--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -45,6 +45,7 @@
 	Value         float64              // of an answer in time, in units of the smallest one
 	Terms         *profiler.Parameters // of the kinds that Load counts; never nil
 	disabled      Features             // features of the policy
+	tuning        *Tuning              // of the cost model; nil for the default
 }
 
 // Candidate is an engine that could serve the prompt.
@@ -77,42 +78,20 @@
 // the cost differs little in between.
 var partCounts = [...]int{1, 2, 3, 4, 5, 6, 8, 10, 13, MaxHelpers + 1}
 
-// Parameters of the cost model. Costs and values are in units of the smallest answer.
-const (
-	// minPartTokens is the smallest part of a prompt to send to a helper. For a
-	// smaller one a pass costs more than the prefill.
-	minPartTokens = 4_096
-	// riskCenter and riskWidth are the parameters of the logistic function that
-	// estimates the probability of exceeding a limit. Of the predictions at 0.95
-	// of a limit half are late, at 0.8 of it one in ten.
-	riskCenter, riskWidth = 0.95, 0.06
-	// openingCost is the cost of placing a request with a tight pause limit on an
-	// engine that decodes no such request, since the engine then can't prefill long
-	// prompts until such requests end. It is in values of the answers of least value.
-	openingCost = 0.35 / 1.5
-	// latencyWeight weights the expected time to the first event, so that of two
-	// plans that meet the target the faster one is preferred.
-	latencyWeight = 0.08
-	// overtakeWeight weights the delay of requests whose prefill is overtaken, since
-	// each of them is overtaken more than once.
-	overtakeWeight = 2
-	// burstFactor is how much faster than at the mean rate slots are taken at the start
-	// of a burst. It estimates the slots that other entries take before this entry
-	// learns of it.
-	burstFactor = 2
-	// rankCost is the largest difference in cost between equal engines due to
-	// EntryRank, in values of the answers of least value. It is about that of one, so
-	// that each entry fills its own preferred engines first, and uses those of others
-	// before its prompts are late.
-	rankCost = 4.0 / 3
-	// Engines become scarce as the share of time that they prefill rises from scarceFrom
-	// to scarceTo. Above the latter too little is left for decoding.
-	scarceFrom, scarceTo = 0.3, 0.8
-	// memoryShare is the share of an engine's memory that may be allocated, and
-	// decoderShare the share of that which a split prompt uses on the engine that
-	// decodes.
-	memoryShare, decoderShare = 0.95, 0.8
-)
+// maxParts returns the number of engines among which a prompt may be split.
+func maxParts(p Prompt, all []Candidate) int {
+	if len(all) == 0 || !p.enabled(Helpers) {
+		return min(1, len(all))
+	}
+	helpers := 0
+	for i := range all {
+		if !all[i].NoHelper {
+			helpers++
+		}
+	}
+	least := max(1, int(p.tuning.MinPartChunks*float64(all[0].Engine.ChunkTokens)))
+	return min(len(all), max(1, helpers), MaxHelpers+1, max(1, p.Tokens/least))
+}
 
 // unknown are the parameters without kinds.
 var unknown = &profiler.Parameters{LeastValue: 1}
@@ -122,6 +101,9 @@
 	if p.Terms == nil {
 		p.Terms = unknown
 	}
+	if p.tuning == nil {
+		p.tuning = &defaultTuning
+	}
 	if p.Value <= 0 {
 		p.Value = p.Terms.Value(0, 0, p.Tokens)
 	}
@@ -134,18 +116,14 @@
 	p = p.complete()
 	var best Plan
 	found := false
-	helpers := 0
 	engines := make([]engine, len(all))
 	for i := range all {
 		engines[i] = newEngine(p, &all[i])
-		if !all[i].NoHelper {
-			helpers++
-		}
 	}
 	scored := make([]score, 0, len(all))
-	most := min(len(all), max(1, helpers), MaxHelpers+1, max(1, p.Tokens/minPartTokens))
+	most := maxParts(p, all)
 	for _, parts := range partCounts {
-		if parts > most || parts > 1 && !p.enabled(Helpers) {
+		if parts > most {
 			break
 		}
 		plan := bestPlan(p, engines, scored, parts)
@@ -164,7 +142,7 @@
 	if !p.enabled(PrefillScarcity) {
 		return 0
 	}
-	scarcity := min(1, max(0, (p.PrefillLoad-scarceFrom)/(scarceTo-scarceFrom)))
+	scarcity := min(1, max(0, (p.PrefillLoad-p.tuning.ScarceFrom)/(p.tuning.ScarceTo-p.tuning.ScarceFrom)))
 	work := plan.PrefillTime.Seconds() * float64(1+len(plan.Helpers))
 	return p.Terms.PrefillValue * scarcity * work
 }
--- a/core/assigner/decide.go
+++ b/core/assigner/decide.go
@@ -41,9 +41,9 @@
 
 // maxWait returns how long a prompt may wait at the entry.
 func maxWait(p Prompt) time.Duration {
-	most := time.Duration(maxWaitShare * float64(p.Target-p.Terms.ServeReserve))
+	most := time.Duration(p.tuning.MaxWaitShare * float64(p.Target-p.Terms.ServeReserve))
 	if p.CallerTimeout > 0 {
-		most = min(most, time.Duration(maxTimeoutShare*float64(p.CallerTimeout)))
+		most = min(most, time.Duration(p.tuning.MaxTimeoutShare*float64(p.CallerTimeout)))
 	}
 	return most
 }
@@ -51,7 +51,7 @@
 // acceptable reports whether the prompt should be served without further waiting:
 // it is expected in time, at a cost well below its value.
 func acceptable(p Prompt, plan Plan, all []Candidate) bool {
-	return plan.Cost+plan.OpportunityCost <= maxCostShare*p.Value && onTime(p, plan, all)
+	return plan.Cost+plan.OpportunityCost <= p.tuning.MaxCostShare*p.Value && onTime(p, plan, all)
 }
 
 // onTime reports whether a prompt is expected about in time, or about as soon as on
@@ -62,7 +62,7 @@
 	}
 	engine := all[0].Engine // all engines of a service are of the same kind
 	alone := engine.FirstToken(predictor.Batch{}, engine.PrefillTime(p.Tokens))
-	most := max(maxLateness*float64(p.Target), maxIdleFactor*float64(alone))
+	most := max(p.tuning.MaxLateness*float64(p.Target), p.tuning.MaxIdleFactor*float64(alone))
 	return float64(p.Waited+plan.Expected) <= most
 }
 
@@ -75,17 +75,5 @@
 		slots += all[i].Engine.Slots
 		taken += all[i].Load.Running
 	}
-	return float64(taken) < idleShare*float64(slots) && p.PrefillLoad < scarceFrom
+	return float64(taken) < p.tuning.IdleShare*float64(slots) && p.PrefillLoad < p.tuning.ScarceFrom
 }
-
-// Limits used by Decide. The error of predictions is about a fifth.
-const (
-	maxLateness     = 1.2 // maximum time to the first event, as a factor of the target
-	maxIdleFactor   = 1.5 // maximum time to the first event, as a factor of that on an idle engine
-	maxWaitShare    = 0.5 // maximum wait at the entry, as a share of the target less Terms.ServeReserve
-	maxTimeoutShare = 0.2 // maximum wait at the entry, as a share of CallerTimeout
-	maxCostShare    = 0.5 // maximum cost to serve without waiting, as a share of the value
-	// idleShare is the share of slots below which engines count as idle:
-	// prompts that arrive then are a short burst, not an overload.
-	idleShare = 0.5
-)
--- a/core/assigner/memory.go
+++ b/core/assigner/memory.go
@@ -2,8 +2,8 @@
 
 // freeTokens returns the number of tokens that an engine can still hold, less a
 // reserve for answers that grow.
-func freeTokens(c *Candidate) int {
-	return max(0, int(memoryShare*float64(c.Engine.Capacity))-c.Load.ContextTokens)
+func freeTokens(t *Tuning, c *Candidate) int {
+	return max(0, int(t.MemoryShare*float64(c.Engine.Capacity))-c.Load.ContextTokens)
 }
 
 // allocateMemory sets where the context of a prompt is held: on the engine that
@@ -25,7 +25,7 @@
 	if need > own+sum {
 		return false
 	}
-	rest := need - int(decoderShare*float64(own)*min(1, float64(need)/float64(own+sum)))
+	rest := need - int(p.tuning.DecoderShare*float64(own)*min(1, float64(need)/float64(own+sum)))
 	plan.Context = need
 	for i, m := range members {
 		if i == decoder {
--- a/core/assigner/plan.go
+++ b/core/assigner/plan.go
@@ -23,7 +23,7 @@
 
 func newEngine(p Prompt, c *Candidate) engine {
 	e := engine{
-		Candidate: c, prefill: c.Engine.PrefillTime(p.Tokens), free: freeTokens(c),
+		Candidate: c, prefill: c.Engine.PrefillTime(p.Tokens), free: freeTokens(p.tuning, c),
 		batch: predictor.Batch{Decoding: c.Load.DecodingTotal(), Context: c.Load.ContextTokens, Prefill: c.Load.Prefill},
 	}
 	e.slotDelay = time.Duration(max(0, c.Load.Running+1-c.Engine.Slots)) * p.Terms.SlotWait
@@ -32,7 +32,7 @@
 		pass := slowed(c, c.Engine.PassTime(e.batch))
 		for i := range p.Terms.Kinds {
 			if c.Load.Decoding[i] != 0 {
-				e.before[i] = risk(pass, p.Terms.Kinds[i].Pause)
+				e.before[i] = p.tuning.risk(pass, p.Terms.Kinds[i].Pause)
 			}
 		}
 	}
@@ -77,7 +77,7 @@
 		plan.Expected += p.Terms.AnswerTime // until memory becomes free
 		plan.Cost += p.Value
 	}
-	plan.Cost += p.Value * (risk(p.Waited+plan.Expected, p.Target) + latencyWeight*ratio(plan.Expected, p.Target))
+	plan.Cost += p.Value * (p.tuning.risk(p.Waited+plan.Expected, p.Target) + p.tuning.LatencyWeight*ratio(plan.Expected, p.Target))
 	plan.Cost += members[decoder].decoderCost
 	return plan
 }
@@ -87,7 +87,7 @@
 	s := score{engine: e, expected: firstEventTime(e, prefill, parts > 1), interference: interference(p, e, prefill)}
 	wait := s.expected
 	if p.enabled(EntryRanks) {
-		s.score = rankCost * p.Terms.LeastValue * e.EntryRank
+		s.score = p.tuning.RankCost * p.Terms.LeastValue * e.EntryRank
 	}
 	if parts == 1 {
 		wait += e.slotDelay
@@ -96,7 +96,7 @@
 			s.score += p.Value
 		}
 	}
-	s.score += s.interference + p.Value*(risk(p.Waited+wait, p.Target)+latencyWeight*ratio(wait, p.Target))
+	s.score += s.interference + p.Value*(p.tuning.risk(p.Waited+wait, p.Target)+p.tuning.LatencyWeight*ratio(wait, p.Target))
 	return s
 }
 
@@ -119,9 +119,9 @@
 func decoderCost(p Prompt, e *engine) float64 {
 	b := e.batch
 	b.Decoding++
-	cost := p.Value * risk(slowed(e.Candidate, e.Engine.PassTime(b)), p.Gap)
+	cost := p.Value * p.tuning.risk(slowed(e.Candidate, e.Engine.PassTime(b)), p.Gap)
 	if p.enabled(Packing) && p.Terms.Tight(p.Gap) && !decodesTight(p.Terms, e) {
-		cost += openingCost * p.Terms.LeastValue
+		cost += p.tuning.OpeningCost * p.Terms.LeastValue
 	}
 	if p.enabled(UnseenPlacements) {
 		cost += p.Value * occupancyRisk(p, e.Candidate)
@@ -148,7 +148,7 @@
 	if freeSlots <= 0 {
 		return 1
 	}
-	mean := burstFactor * float64(c.Load.PeerRunning) * ratio(p.UpdateDelay, p.Terms.AnswerTime)
+	mean := p.tuning.BurstFactor * float64(c.Load.PeerRunning) * ratio(p.UpdateDelay, p.Terms.AnswerTime)
 	if mean == 0 {
 		return 0
 	}
@@ -182,7 +182,7 @@
 		after := slowed(e.Candidate, e.Engine.PassTime(b))
 		for i := range p.Terms.Kinds {
 			if n := e.Load.Decoding[i]; n != 0 {
-				sum += float64(n) * p.Terms.Kinds[i].Value * (risk(after, p.Terms.Kinds[i].Pause) - e.before[i])
+				sum += float64(n) * p.Terms.Kinds[i].Value * (p.tuning.risk(after, p.Terms.Kinds[i].Pause) - e.before[i])
 			}
 		}
 	}
@@ -192,7 +192,7 @@
 	// A part of a split prompt is prefilled before the prompts that wait here.
 	for i := range p.Terms.Kinds {
 		if n := e.Load.Prefilling[i]; n != 0 {
-			sum += float64(n) * p.Terms.Kinds[i].Value * min(1, overtakeWeight*ratio(prefill, p.Terms.Kinds[i].Target))
+			sum += float64(n) * p.Terms.Kinds[i].Value * min(1, p.tuning.OvertakeWeight*ratio(prefill, p.Terms.Kinds[i].Target))
 		}
 	}
 	return sum
@@ -215,9 +215,9 @@
 }
 
 // risk returns the probability that a time predicted as d exceeds its limit.
-func risk(d, limit time.Duration) float64 {
+func (t *Tuning) risk(d, limit time.Duration) float64 {
 	if limit <= 0 {
 		return 0
 	}
-	return 1 / (1 + math.Exp(-(ratio(d, limit)-riskCenter)/riskWidth))
+	return 1 / (1 + math.Exp(-(ratio(d, limit)-t.RiskCenter)/t.RiskWidth))
 }
--- a/core/assigner/policy.go
+++ b/core/assigner/policy.go
@@ -33,11 +33,14 @@
 
 // CostBased is the policy used in production: it minimizes expected cost.
 // Features in Disabled are off.
-type CostBased struct{ Disabled Features }
+type CostBased struct {
+	Disabled Features
+	Tuning   *Tuning // nil for DefaultTuning
+}
 
 // Choose implements Policy.
 func (p CostBased) Choose(prompt Prompt, all []Candidate) (Plan, Decision) {
-	prompt.disabled = p.Disabled
+	prompt.disabled, prompt.tuning = p.Disabled, p.Tuning
 	prompt = prompt.complete()
 	plan, found := Choose(prompt, all)
 	if !found {
--- /dev/null
+++ b/core/loadtracker/kinds_test.go
@@ -0,0 +1,165 @@
+package loadtracker_test
+
+import (
+	"math"
+	"strconv"
+	"testing"
+	"time"
+
+	"bamboohill/core/loadtracker"
+	"bamboohill/core/profiler"
+	"bamboohill/core/viewer"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// tell passes the report of one tracker to another.
+func tell(from, to *loadtracker.Tracker, name string, now time.Time) {
+	r, loads := from.Report(now)
+	r.Loads = map[uint32]loadtracker.Load{}
+	for id, l := range loads {
+		r.Loads[loadtracker.Hash(id)] = l
+	}
+	to.ApplyPeerReport(name, r, now)
+}
+
+// TestKindVanishes checks that requests are counted as the nearest kind when theirs is no
+// longer in the configuration, and as theirs when it is back.
+func TestKindVanishes(t *testing.T) {
+	is := is.New(t)
+	a, b := newTracker(), newTracker()
+	a.RecordPlacement("1", loadtracker.Work{Server: "1", Kind: medium}, start)
+	a.RecordPlacement("2", loadtracker.Work{Server: "1", Kind: long}, start)
+	a.RecordFirstEvent("2", start)
+	tell(a, b, "a", start)
+	for _, tracker := range []*loadtracker.Tracker{a, b} {
+		is.Equal(tracker.Load("1", start).Prefilling, loadtracker.Counts{1: 1})
+		is.Equal(tracker.Load("1", start).Decoding, loadtracker.Counts{2: 1})
+		tracker.Configure(configuration(short, long))
+		is.Equal(tracker.Load("1", start).Prefilling, loadtracker.Counts{1: 1}) // as long
+		is.Equal(tracker.Load("1", start).Decoding, loadtracker.Counts{1: 1})
+		tracker.Configure(configuration(short, long, medium))
+		is.Equal(tracker.Load("1", start).Prefilling, loadtracker.Counts{1: 1})
+		is.Equal(tracker.Load("1", start).Decoding, loadtracker.Counts{2: 1})
+	}
+	a.Configure(configuration(short))
+	a.RecordEnd("1", start)
+	a.RecordEnd("2", start)
+	is.Equal(a.Load("1", start), loadtracker.Load{})
+}
+
+// TestRollingChange changes the kinds of three entries one after the other in the middle of
+// a burst: at any time each entry counts every request of all entries once, as the kind of
+// its own configuration that is nearest to the limits of the request.
+func TestRollingChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		drawKinds := func() []profiler.Kind {
+			all := make([]profiler.Kind, rapid.IntRange(1, 6).Draw(t, "kinds"))
+			for i := range all {
+				// Limits apart by factors, so that the nearest kind is not a matter of rounding.
+				all[i] = kindOf(time.Duration(math.Pow(2, float64(rapid.IntRange(4, 10).Draw(t, "pause")))), time.Duration(100*rapid.IntRange(1, 9).Draw(t, "target")))
+			}
+			return all
+		}
+		before, after := drawKinds(), drawKinds()
+		entries := make([]*loadtracker.Tracker, 3)
+		current := make([][]profiler.Kind, len(entries))
+		for i := range entries {
+			entries[i] = loadtracker.New()
+			entries[i].Configure(configuration(before...))
+			current[i] = before
+		}
+		placed := map[string]profiler.Kind{}
+		owner := map[string]int{}
+		now := start
+		for step := range 40 {
+			now = now.Add(5 * time.Millisecond)
+			if step == 10 || step == 20 || step == 30 {
+				i := step/10 - 1
+				entries[i].Configure(configuration(after...))
+				current[i] = after
+			}
+			i := rapid.IntRange(0, len(entries)-1).Draw(t, "entry")
+			name := strconv.Itoa(rapid.IntRange(0, 30).Draw(t, "attempt"))
+			if _, found := placed[name]; found {
+				entries[owner[name]].RecordEnd(name, now)
+				delete(placed, name)
+			} else {
+				placed[name], owner[name] = rapid.SampledFrom(current[i]).Draw(t, "kind"), i
+				entries[i].RecordPlacement(name, loadtracker.Work{Server: "s", Kind: placed[name]}, now)
+			}
+			for from := range entries {
+				for to := range entries {
+					if from != to {
+						tell(entries[from], entries[to], strconv.Itoa(from), now)
+					}
+				}
+			}
+			for i, e := range entries {
+				own := profiler.NewKinds(configuration(current[i]...))
+				var want loadtracker.Counts
+				for name, k := range placed {
+					// What another entry tells is the kind as which it counts the request.
+					teller := profiler.NewKinds(configuration(current[owner[name]]...))
+					want[own.Index(teller.At(teller.Index(k)))]++
+				}
+				l := e.Load("s", now)
+				if l.Prefilling != want || l.Running != len(placed) {
+					t.Fatalf("step %d, entry %d: %v of %d running, want %v of %d", step, i, l.Prefilling, l.Running, want, len(placed))
+				}
+			}
+		}
+	})
+}
+
+// TestRestart checks that an entry that has just started knows the kinds from others.
+func TestRestart(t *testing.T) {
+	is := is.New(t)
+	a, b := newTracker(), newTracker()
+	now := start
+	for i := range 60 {
+		now = now.Add(20 * time.Millisecond)
+		name := strconv.Itoa(i)
+		a.RecordPlacement(name, loadtracker.Work{Server: "1", Kind: short, Prompt: 5_000}, now)
+		a.RecordEnd(name, now.Add(2*time.Second))
+	}
+	tell(a, b, "a", now)
+	p, own := b.Parameters("pool", 14, now), a.Parameters("pool", 14, now)
+	is.True(math.Abs(p.Kinds[0].Value-1.5) < 0.1)
+	is.True(math.Abs(own.Kinds[0].Value-p.Kinds[0].Value) < 0.01)
+	is.Equal(newTracker().Parameters("pool", 14, now).Kinds[0].Value, 2.3) // by the usual size
+}
+
+// TestConfigureIsCheap checks that setting a configuration with as many routes as operators
+// add at once, again and again, costs a request next to nothing.
+func TestConfigureIsCheap(t *testing.T) {
+	is := is.New(t)
+	var all []profiler.Kind
+	for i := range 1400 {
+		all = append(all, kindOf(time.Duration(200+i), time.Duration(300+i)))
+	}
+	c := configuration(all...)
+	tracker := loadtracker.New()
+	tracker.Configure(c)
+	is.Equal(testing.AllocsPerRun(1000, func() { tracker.Configure(c) }), 0.0)
+}
+
+// BenchmarkLoad reads the loads of 60 engines at which 25 entries have work.
+func BenchmarkLoad(b *testing.B) {
+	t := newTracker()
+	loads := map[uint32]loadtracker.Load{}
+	var ids []viewer.ServerID
+	for i := range 60 {
+		ids = append(ids, viewer.ServerID(strconv.Itoa(i)))
+		loads[loadtracker.Hash(ids[i])] = loadtracker.Load{Running: 2, Decoding: loadtracker.Counts{1, 1}}
+	}
+	for i := range 25 {
+		t.ApplyPeerReport(strconv.Itoa(i), loadtracker.Report{Loads: loads}, start)
+	}
+	for b.Loop() {
+		for _, id := range ids {
+			t.Load(id, start)
+		}
+	}
+}
--- a/core/profiler/parameters.go
+++ b/core/profiler/parameters.go
@@ -27,6 +27,7 @@
 	LeastValue   float64       // value of a mean answer of the kind with the least
 	PrefillValue float64       // value that an engine earns per second
 	Valuing      Valuing
+	PerValue     float64   // prompt tokens that add one to the value of an answer by size; TokensPerValue if 0
 	sizes        []float64 // mean prompt of each kind, in tokens
 	lowest       int       // rank of the least urgent kind
 }
--- a/core/profiler/valuing.go
+++ b/core/profiler/valuing.go
@@ -42,14 +42,14 @@
 
 // Value returns the value of an answer in time to a prompt of a kind, by its index.
 func (p *Parameters) Value(kind, rank, tokens int) float64 {
-	if p == nil || kind >= len(p.Kinds) {
-		return bySize(float64(tokens))
+	if p == nil || kind >= len(p.sizes) {
+		return p.bySize(float64(tokens))
 	}
 	return p.valueAt(kind, float64(tokens), rank)
 }
 
 func (p *Parameters) valueAt(kind int, tokens float64, rank int) float64 {
-	size := bySize(tokens)
+	size := p.bySize(tokens)
 	urgency := math.Pow(rankFactor, float64(max(0, p.lowest-rank)))
 	switch p.Valuing {
 	case ByKind:
@@ -66,12 +66,17 @@
 // urgent rank.
 func (p *Parameters) meanValue(tokens float64) float64 {
 	if p.Valuing == BySize || p.Valuing == BySizeAndRank {
-		return bySize(tokens)
+		return p.bySize(tokens)
 	}
 	return 1
 }
 
-func bySize(tokens float64) float64 { return 1 + tokens/TokensPerValue }
+func (p *Parameters) bySize(tokens float64) float64 {
+	if p == nil || p.PerValue <= 0 {
+		return 1 + tokens/TokensPerValue
+	}
+	return 1 + tokens/p.PerValue
+}
 
 // byKind is half by the request and half by its tokens, so that the mean is one.
 func byKind(tokens, mean float64) float64 {
--- a/load/internal/replayer/reference.go
+++ b/load/internal/replayer/reference.go
@@ -9,7 +9,7 @@
 // Reference returns fixed parameters of the cost model: three kinds of requests, told
 // apart by their pauses, with one set of limits, values and times. It is a baseline for
 // comparison with parameters that are derived from the configuration and the load.
-func Reference(kinds *profiler.Kinds) *profiler.Parameters {
+func Reference(kinds *profiler.Kinds, _ *profiler.Parameters) *profiler.Parameters {
 	p := &profiler.Parameters{
 		Count: kinds.Len(), TightPause: 250 * time.Millisecond, SlotWait: 250 * time.Millisecond, AnswerTime: 2 * time.Second,
 		ServeReserve: 250 * time.Millisecond, LeastValue: 1.5, PrefillValue: 4,
--- a/load/internal/replayer/replayer.go
+++ b/load/internal/replayer/replayer.go
@@ -19,7 +19,7 @@
 	Seed   uint64
 	// Terms replaces the parameters of the cost model that are derived from the load, if
 	// it is not nil.
-	Terms   func(kinds *profiler.Kinds) *profiler.Parameters
+	Terms   func(kinds *profiler.Kinds, derived *profiler.Parameters) *profiler.Parameters
 	Valuing profiler.Valuing
 }
 
@@ -158,12 +158,11 @@
 		Tokens: q.tokens, Answer: q.events * tokensPerEvent, Target: c.Target, Gap: c.Gap,
 		Waited: r.emulator.Now() - arrival, CallerTimeout: q.arrival + c.CallerTimeout - arrival, PrefillLoad: demand / float64(len(all)), UpdateDelay: r.config.Load.UpdateDelay,
 	}
+	prompt.Terms = tracker.Parameters(service, len(all), now)
 	if r.config.Terms != nil {
-		prompt.Terms = r.config.Terms(tracker.Kinds())
-	} else {
-		prompt.Terms = tracker.Parameters(service, len(all), now)
-		prompt.Value = prompt.Terms.Value(tracker.Kinds().Index(r.kinds[q.class]), r.kinds[q.class].Rank, q.tokens)
+		prompt.Terms = r.config.Terms(tracker.Kinds(), prompt.Terms)
 	}
+	prompt.Value = prompt.Terms.Value(tracker.Kinds().Index(r.kinds[q.class]), r.kinds[q.class].Rank, q.tokens)
 	switch plan, decision := r.config.Policy.Choose(prompt, all); decision {
 	case assigner.Serve:
 		r.submit(q, tracker, prompt, plan)
