Tests of a rolling change of kinds: smaller functions

Change: a type for the fleet of the test; limits are drawn finer. Measured: go test ./core/loadtracker passes.

--- a/core/loadtracker/kinds_test.go
+++ b/core/loadtracker/kinds_test.go
@@ -49,6 +49,60 @@
 	is.Equal(a.Load("1", start), loadtracker.Load{})
 }
 
+// fleet is a number of entries that tell each other their loads.
+type fleet struct {
+	entries []*loadtracker.Tracker
+	current []*profiler.Kinds // of each entry's configuration
+	placed  map[string]profiler.Kind
+	owner   map[string]int // entry that placed it
+}
+
+func newFleet(n int, kinds []profiler.Kind) *fleet {
+	f := &fleet{entries: make([]*loadtracker.Tracker, n), current: make([]*profiler.Kinds, n), placed: map[string]profiler.Kind{}, owner: map[string]int{}}
+	for i := range f.entries {
+		f.entries[i] = loadtracker.New()
+		f.configure(i, kinds)
+	}
+	return f
+}
+
+func (f *fleet) configure(i int, kinds []profiler.Kind) {
+	f.current[i] = profiler.NewKinds(configuration(kinds...))
+	f.entries[i].Configure(configuration(kinds...))
+}
+
+// toggle ends an attempt that runs, or places it at an entry as one of its kinds.
+func (f *fleet) toggle(name string, entry, kind int, now time.Time) {
+	if _, found := f.placed[name]; found {
+		f.entries[f.owner[name]].RecordEnd(name, now)
+		delete(f.placed, name)
+		return
+	}
+	f.placed[name], f.owner[name] = f.current[entry].At(kind%f.current[entry].Len()), entry
+	f.entries[entry].RecordPlacement(name, loadtracker.Work{Server: "s", Kind: f.placed[name]}, now)
+}
+
+func (f *fleet) exchange(now time.Time) {
+	for from := range f.entries {
+		for to := range f.entries {
+			if from != to {
+				tell(f.entries[from], f.entries[to], strconv.Itoa(from), now)
+			}
+		}
+	}
+}
+
+// want returns the counts that an entry should have: of each request as the nearest own
+// kind to that as which its owner counts it.
+func (f *fleet) want(entry int) loadtracker.Counts {
+	var c loadtracker.Counts
+	for name, k := range f.placed {
+		owner := f.current[f.owner[name]]
+		c[f.current[entry].Index(owner.At(owner.Index(k)))]++
+	}
+	return c
+}
+
 // TestRollingChange changes the kinds of three entries one after the other in the middle of
 // a burst: at any time each entry counts every request of all entries once, as the kind of
 // its own configuration that is nearest to the limits of the request.
@@ -57,56 +111,24 @@
 		drawKinds := func() []profiler.Kind {
 			all := make([]profiler.Kind, rapid.IntRange(1, 6).Draw(t, "kinds"))
 			for i := range all {
-				// Limits apart by factors, so that the nearest kind is not a matter of rounding.
-				all[i] = kindOf(time.Duration(math.Pow(2, float64(rapid.IntRange(4, 10).Draw(t, "pause")))), time.Duration(100*rapid.IntRange(1, 9).Draw(t, "target")))
+				all[i] = kindOf(time.Duration(rapid.IntRange(50, 2000).Draw(t, "pause")), time.Duration(rapid.IntRange(100, 9000).Draw(t, "target")))
 			}
 			return all
 		}
-		before, after := drawKinds(), drawKinds()
-		entries := make([]*loadtracker.Tracker, 3)
-		current := make([][]profiler.Kind, len(entries))
-		for i := range entries {
-			entries[i] = loadtracker.New()
-			entries[i].Configure(configuration(before...))
-			current[i] = before
-		}
-		placed := map[string]profiler.Kind{}
-		owner := map[string]int{}
+		const entries, interval = 3, 10
+		f, after := newFleet(entries, drawKinds()), drawKinds()
 		now := start
-		for step := range 40 {
+		for step := range (entries + 1) * interval {
 			now = now.Add(5 * time.Millisecond)
-			if step == 10 || step == 20 || step == 30 {
-				i := step/10 - 1
-				entries[i].Configure(configuration(after...))
-				current[i] = after
+			if i := step/interval - 1; i >= 0 && step%interval == 0 {
+				f.configure(i, after)
 			}
-			i := rapid.IntRange(0, len(entries)-1).Draw(t, "entry")
 			name := strconv.Itoa(rapid.IntRange(0, 30).Draw(t, "attempt"))
-			if _, found := placed[name]; found {
-				entries[owner[name]].RecordEnd(name, now)
-				delete(placed, name)
-			} else {
-				placed[name], owner[name] = rapid.SampledFrom(current[i]).Draw(t, "kind"), i
-				entries[i].RecordPlacement(name, loadtracker.Work{Server: "s", Kind: placed[name]}, now)
-			}
-			for from := range entries {
-				for to := range entries {
-					if from != to {
-						tell(entries[from], entries[to], strconv.Itoa(from), now)
-					}
-				}
-			}
-			for i, e := range entries {
-				own := profiler.NewKinds(configuration(current[i]...))
-				var want loadtracker.Counts
-				for name, k := range placed {
-					// What another entry tells is the kind as which it counts the request.
-					teller := profiler.NewKinds(configuration(current[owner[name]]...))
-					want[own.Index(teller.At(teller.Index(k)))]++
-				}
-				l := e.Load("s", now)
-				if l.Prefilling != want || l.Running != len(placed) {
-					t.Fatalf("step %d, entry %d: %v of %d running, want %v of %d", step, i, l.Prefilling, l.Running, want, len(placed))
+			f.toggle(name, rapid.IntRange(0, entries-1).Draw(t, "entry"), rapid.IntRange(0, 5).Draw(t, "kind"), now)
+			f.exchange(now)
+			for i, e := range f.entries {
+				if l := e.Load("s", now); l.Prefilling != f.want(i) || l.Running != len(f.placed) {
+					t.Fatalf("step %d, entry %d: %v of %d running, want %v of %d", step, i, l.Prefilling, l.Running, f.want(i), len(f.placed))
 				}
 			}
 		}
--- a/core/profiler/valuing.go
+++ b/core/profiler/valuing.go
@@ -49,7 +49,6 @@
 }
 
 func (p *Parameters) valueAt(kind int, tokens float64, rank int) float64 {
-	size := p.bySize(tokens)
 	urgency := math.Pow(rankFactor, float64(max(0, p.lowest-rank)))
 	switch p.Valuing {
 	case ByKind:
@@ -57,9 +56,10 @@
 	case ByRank:
 		return urgency
 	case BySizeAndRank:
-		return size * urgency
+		return p.bySize(tokens) * urgency
+	case BySize:
 	}
-	return size
+	return p.bySize(tokens)
 }
 
 // meanValue returns the value of an answer to a prompt of the usual size, of the least
