--- a/core/loadtracker/kinds.go
+++ b/core/loadtracker/kinds.go
@@ -36,11 +36,12 @@
 
 // Configure sets the kinds of requests to those of a configuration. It costs little if
 // the configuration is the one that was set last. Requests that run are counted as the
-// nearest new kinds from then on, those of other entries too.
+// nearest new kinds from then on, those of other entries too. An older configuration than
+// the last one is ignored: a caller may have read it before it was replaced.
 func (t *Tracker) Configure(c *viewer.Configuration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if c == t.configuration {
+	if c == t.configuration || t.configuration != nil && c.Era == t.configuration.Era && c.Revision < t.configuration.Revision {
 		return
 	}
 	kinds := profiler.NewKinds(c)
--- a/core/loadtracker/kinds_test.go
+++ b/core/loadtracker/kinds_test.go
@@ -135,6 +135,21 @@
 	})
 }
 
+// TestOlderConfiguration checks that an older configuration does not replace the last one,
+// unless the store has begun a new era.
+func TestOlderConfiguration(t *testing.T) {
+	is := is.New(t)
+	older, last, again := configuration(short), configuration(short, medium), configuration(short)
+	older.Revision, last.Revision = 6, 7
+	again.Era, again.Revision = 1, 2
+	tracker := loadtracker.New()
+	tracker.Configure(last)
+	tracker.Configure(older)
+	is.Equal(tracker.Kinds().Len(), 2)
+	tracker.Configure(again)
+	is.Equal(tracker.Kinds().Len(), 1)
+}
+
 // TestRestart checks that an entry that has just started knows the kinds from others.
 func TestRestart(t *testing.T) {
 	is := is.New(t)
--- a/entry/internal/forwarder/kinds.go
+++ b/entry/internal/forwarder/kinds.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"bamboohill/core/profiler"
@@ -33,7 +34,7 @@
 	for i := range kinds.Len() {
 		k := kinds.At(i)
 		s := traffic[k]
-		set := func(name string, n float64) { f.Meter.Set(fmt.Sprintf("kind_%d_%s", i, name), int64(n)) }
+		set := func(name string, n float64) { f.Meter.Set(fmt.Sprintf("kind_%d_%s", i, name), int64(math.Round(n))) }
 		set("pause_ms", millis(k.Pause))
 		set("target_ms", millis(k.Target))
 		set("rank", float64(k.Rank))
