--- a/entry/internal/forwarder/send.go
+++ b/entry/internal/forwarder/send.go
@@ -31,9 +31,10 @@
 type relay struct {
 	started    bool
 	splitter   splitter.Splitter
-	firstDelay time.Duration // time from the request until the first event
-	lastWrite  time.Time     // when the last events were sent to the caller
-	maxPause   time.Duration // longest time between two events, over all sends
+	firstDelay time.Duration       // time from the request until the first event
+	lastWrite  time.Time           // when the last events were sent to the caller
+	maxPause   time.Duration       // longest time between two events, over all sends
+	observe    func(now time.Time) // measures the passes of the engine; nil if it is not measured
 }
 
 // recordEvents records that events are sent to the caller now.
@@ -42,6 +43,9 @@
 		r.maxPause = max(r.maxPause, now.Sub(r.lastWrite))
 	}
 	r.lastWrite = now
+	if r.observe != nil {
+		r.observe(now)
+	}
 }
 
 // lateness returns which target of its route an answer exceeded: "answer" for
@@ -74,6 +78,7 @@
 	if last := x.relay.splitter.LastID(); last != "" {
 		metadata.LastEvent = last
 	}
+	x.relay.observe = x.observePasses(p)
 	guard := x.watch(ctx, p)
 	defer guard.stop()
 	f.unanswered.add(x, guard.cancel)
@@ -93,8 +98,10 @@
 	answer, err := f.Connector.Send(guard.ctx, p.server.Address, connector.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: f.Dialect.Encode(x.r.Header, metadata), Body: x.body,
-		Sent:  func() { x.recordStart(p) },
-		Fresh: !x.history.repeatable, MaxIdle: x.service.MaxIdle(f.Entries()),
+		Sent:    func() { x.recordStart(p) },
+		Writing: func(n int) { f.Bytes.RecordWrite(string(p.server.ID), int64(n)) },
+		Written: func(n int) { f.Bytes.RecordWritten(string(p.server.ID), int64(n)) },
+		Fresh:   !x.history.repeatable, MaxIdle: x.service.MaxIdle(f.Entries()),
 		Matches: func(h http.Header) bool { return f.Dialect.Matches(h, attempt) },
 		Skipped: func(h http.Header) { f.hear(p.server, f.Dialect.Classify(http.StatusOK, h), time.Time{}, attempt) },
 	})
@@ -190,7 +197,12 @@
 func (x *exchange) relayWhole(p placement, answer *connector.Answer) sendResult {
 	f := x.forwarder
 	header := f.Dialect.Reply(answer.Header)
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
+	body, err := x.readAnswer(answer)
+	noMemory := errors.Is(err, errNoMemory)
+	if noMemory {
+		f.Meter.Add("answers_not_held", 1)
+		err = nil
+	}
 	switch {
 	case err != nil:
 		x.cause = "answer: " + err.Error()
@@ -204,14 +216,14 @@
 		return sendBroken
 	case answer.Status/100 == 2:
 		f.Ejector.RecordAnswer(p.server.ID, time.Now())
-		if len(body) > maxBufferedBytes {
+		if noMemory || len(body) > maxBufferedBytes {
 			return x.relayRest(answer, header, body)
 		}
 		x.write(answer.Status, header, body)
 		return sendDone
 	}
 	x.cause = "answered " + http.StatusText(answer.Status)
-	if len(body) <= maxBufferedBytes && !meansNotRun(answer.Status) && !x.relay.started {
+	if !noMemory && len(body) <= maxBufferedBytes && !meansNotRun(answer.Status) && !x.relay.started {
 		x.failure = &failure{status: answer.Status, header: header, body: body}
 	}
 	if answer.Status/100 == 4 && x.failure != nil { // another server would return the same
--- a/load/internal/replayer/replayer.go
+++ b/load/internal/replayer/replayer.go
@@ -7,6 +7,7 @@
 
 	"bamboohill/core/assigner"
 	"bamboohill/core/emulator"
+	"bamboohill/core/gauger"
 	"bamboohill/core/loadtracker"
 	"bamboohill/core/profiler"
 	"bamboohill/core/viewer"
@@ -21,6 +22,7 @@
 	// it is not nil.
 	Terms   func(kinds *profiler.Kinds, derived *profiler.Parameters) *profiler.Parameters
 	Valuing profiler.Valuing
+	Speeds  Speeds // what entries know about the speed of engines
 }
 
 // Delays in a replay.
@@ -44,8 +46,9 @@
 	random    *rand.Rand
 	emulator  *emulator.Emulator
 	trackers  []*loadtracker.Tracker
-	rankSeeds []uint64        // for the engine ranking of each entry
-	kinds     []profiler.Kind // of each class
+	rankSeeds []uint64         // for the engine ranking of each entry
+	kinds     []profiler.Kind  // of each class
+	gaugers   []*gauger.Gauger // of each entry; nil if speeds are not estimated
 	ids       []viewer.ServerID
 	attempts  int
 	result    *Result
@@ -67,7 +70,7 @@
 func Replay(c Config) *Result {
 	r := &replay{
 		config: c, random: rand.New(rand.NewPCG(c.Seed, 7)),
-		emulator: emulator.New(emulator.Config{Engines: c.Load.Engines, Engine: c.Load.Engine}),
+		emulator: emulator.New(emulator.Config{Engines: c.Load.Engines, Engine: c.Load.Engine, Slowdown: c.Load.Slowdown}),
 		result:   newResult(c.Load),
 	}
 	configuration := c.Load.configuration()
@@ -79,6 +82,7 @@
 		r.trackers = append(r.trackers, tracker)
 		r.rankSeeds = append(r.rankSeeds, r.random.Uint64())
 	}
+	r.startGauging()
 	for i := range c.Load.Engines {
 		r.ids = append(r.ids, viewer.ServerID(strconv.Itoa(i)))
 	}
@@ -123,6 +127,7 @@
 // exchangeLoads updates every entry with the running requests of the others.
 func (r *replay) exchangeLoads() {
 	now := epoch.Add(r.emulator.Now())
+	r.exchangeSpeeds(now)
 	for i, b := range r.trackers {
 		report, loads := b.Report(now)
 		report.Loads = make(map[uint32]loadtracker.Load, len(loads))
@@ -152,6 +157,7 @@
 		all[i] = assigner.Candidate{
 			ID: id, Engine: &r.config.Load.Engine, Load: tracker.Load(id, now), EntryRank: assigner.EntryRank(r.rankSeeds[entry], id),
 		}
+		r.applySlowdown(&all[i], entry, i)
 	}
 	_, demand := tracker.PrefillDemand(now)
 	prompt := assigner.Prompt{
@@ -165,7 +171,7 @@
 	prompt.Value = prompt.Terms.Value(tracker.Kinds().Index(r.kinds[q.class]), r.kinds[q.class].Rank, q.tokens)
 	switch plan, decision := r.config.Policy.Choose(prompt, all); decision {
 	case assigner.Serve:
-		r.submit(q, tracker, prompt, plan)
+		r.submit(q, entry, prompt, plan)
 	case assigner.Wait:
 		r.emulator.Schedule(r.emulator.Now()+waitInterval, func() { r.place(q, entry, arrival) })
 	case assigner.Refuse:
@@ -185,7 +191,8 @@
 }
 
 // submit sends a request to the engines of its plan.
-func (r *replay) submit(q *request, tracker *loadtracker.Tracker, p assigner.Prompt, plan assigner.Plan) {
+func (r *replay) submit(q *request, entry int, p assigner.Prompt, plan assigner.Plan) {
+	tracker := r.trackers[entry]
 	c := r.config.Load.Classes[q.class]
 	r.attempts++
 	attempt := strconv.Itoa(r.attempts)
@@ -203,6 +210,7 @@
 		tracker.RecordFirstEvent(attempt, clock())
 	}
 	j.OnNext = func(now time.Duration) {
+		r.recordPass(entry, plan.Server, now-q.lastEvent)
 		q.gapExceeded = q.gapExceeded || now-q.lastEvent > c.Gap
 		q.lastEvent = now
 	}
