--- a/core/follower/nudge.go
+++ b/core/follower/nudge.go
@@ -50,12 +50,12 @@
 	return f.era.read && (f.position.Era < at.Era || f.position.Era == at.Era && f.position.Version < at.Version)
 }
 
-// waitForChanges calls Source.Changes. It returns errNudged if Nudge ends the call.
-func (f *Follower) waitForChanges(ctx context.Context, after Position, wait, timeout time.Duration) ([]Row, Position, error) {
+// waitForChanges calls Source.Changes. The error is errNudged if Nudge ends the call.
+func (f *Follower) waitForChanges(ctx context.Context, after Position, wait, timeout time.Duration) answer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.mu.Lock()
-	nudged := f.waiting.nudged
+	wait, nudged := f.untilAbsentDue(wait), f.waiting.nudged
 	if nudged {
 		wait = 0
 	}
@@ -64,14 +64,16 @@
 		f.waiting.cancel = cancel
 	}
 	f.mu.Unlock()
-	limited, stop := context.WithTimeout(ctx, wait+timeout)
-	defer stop()
-	rows, at, err := f.config.Source.Changes(limited, f.config.Table, after, wait)
+	began := time.Now()
+	a, hedged := f.callChanges(ctx, after, wait, timeout)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.waiting.cancel = nil
-	if err != nil && ctx.Err() != nil && f.waiting.nudged {
-		err = errNudged
+	if hedged || time.Since(began) > wait+minReadTimeout {
+		f.era.answers = time.Time{} // the store was silent
 	}
-	return rows, at, err
+	if a.err != nil && ctx.Err() != nil && f.waiting.nudged {
+		a.err = errNudged
+	}
+	return a
 }
