Assigner: count the slowdown of an engine's prefill once

Cause: the prefill of a plan was slowed before the time to the first event and the pass, which are slowed as a whole; a slow engine looked twice as slow as it is, and its plans too late. Change: prefill is at normal speed until then.

--- a/core/assigner/assigner_test.go
+++ b/core/assigner/assigner_test.go
@@ -243,3 +243,16 @@
 		})
 	}
 }
+
+// TestSlowdown checks that the whole time to the first event on a slow engine counts once as
+// slowed, and that its prefill delays others by its own time.
+func TestSlowdown(t *testing.T) {
+	is := is.New(t)
+	p := long(100_000)
+	normal := candidates(loadtracker.Load{})
+	slow := candidates(loadtracker.Load{})
+	slow[0].Slowdown = 2
+	before, _ := assigner.Choose(p, normal)
+	after, _ := assigner.Choose(p, slow)
+	is.Equal(after.Expected, 2*before.Expected)
+}
--- a/core/assigner/plan.go
+++ b/core/assigner/plan.go
@@ -83,7 +83,7 @@
 }
 
 func newScore(p Prompt, e *engine, parts int) score {
-	prefill := slowed(e.Candidate, e.prefill/time.Duration(parts))
+	prefill := e.prefill / time.Duration(parts)
 	s := score{engine: e, expected: firstEventTime(e, prefill, parts > 1), interference: interference(p, e, prefill)}
 	wait := s.expected
 	if p.enabled(EntryRanks) {
@@ -161,8 +161,8 @@
 	return max(0, 1-atMost)
 }
 
-// firstEventTime returns the time until an engine has completed its prefill and has
-// generated the first event. split says that the prompt is split: its parts are
+// firstEventTime returns the time until an engine has completed its prefill, given at
+// normal speed, and has generated the first event. split says that the prompt is split: its parts are
 // prefilled before all other prompts, the newest first.
 func firstEventTime(e *engine, prefill time.Duration, split bool) time.Duration {
 	b := e.batch
@@ -172,8 +172,8 @@
 	return slowed(e.Candidate, e.Engine.FirstToken(b, prefill))
 }
 
-// interference returns the cost that additional prefill causes to other requests on
-// the engine.
+// interference returns the cost that additional prefill, given at normal speed, causes to
+// other requests on the engine.
 func interference(p Prompt, e *engine, prefill time.Duration) float64 {
 	sum := 0.0
 	if e.batch.Decoding > 0 {
@@ -192,7 +192,7 @@
 	// A part of a split prompt is prefilled before the prompts that wait here.
 	for i := range p.Terms.Kinds {
 		if n := e.Load.Prefilling[i]; n != 0 {
-			sum += float64(n) * p.Terms.Kinds[i].Value * min(1, p.tuning.OvertakeWeight*ratio(prefill, p.Terms.Kinds[i].Target))
+			sum += float64(n) * p.Terms.Kinds[i].Value * min(1, p.tuning.OvertakeWeight*ratio(slowed(e.Candidate, prefill), p.Terms.Kinds[i].Target))
 		}
 	}
 	return sum
