Value answers by size and rank by default

Cause: on services whose routes have different priorities, prompts of a more urgent kind gave way to larger ones of a less urgent kind, which a value by size alone asks for. Change: default of the setting valuing; the same as before where routes have one priority.

--- a/entry/internal/director/settings.go
+++ b/entry/internal/director/settings.go
@@ -76,7 +76,7 @@
 func (s *Settings) Check() []checker.Problem {
 	checker.Default(&s.Level, "info")
 	checker.Default(&s.Placing, "priced")
-	checker.Default(&s.Valuing, "size")
+	checker.Default(&s.Valuing, "size-rank")
 	checker.Default(&s.Memory, defaultMemory)
 	checker.Default(&s.Grace, defaultGrace)
 	checker.Default(&s.Retry.Ratio, defaultRatio)
