--- a/core/queuer/board.go
+++ b/core/queuer/board.go
@@ -39,7 +39,9 @@
 }
 
 // HashService returns the number by which a service is known on a Board.
-func HashService(service viewer.ServiceName) uint32 { return uint32(xxhash.Sum64String(string(service))) }
+func HashService(service viewer.ServiceName) uint32 {
+	return uint32(xxhash.Sum64String(string(service)))
+}
 
 // NewBoard returns an empty board.
 func NewBoard() *Board {
--- a/core/queuer/promises.go
+++ b/core/queuer/promises.go
@@ -98,6 +98,7 @@
 func (p *Promises) Outstanding(now time.Time) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.expire(now)
 	n := 0
 	for _, due := range p.due {
 		if due.After(now) {
--- a/core/queuer/queue.go
+++ b/core/queuer/queue.go
@@ -21,42 +21,49 @@
 	Patience time.Duration // how long it can wait and still be answered in time
 }
 
-// agedShare is the share of its patience after which a request counts as one of the most
-// urgent, so that no rank, account or size starves.
-const agedShare = 0.5
+// agedShare is the share of its patience after which a request is aged: in one of
+// fairPasses passes it goes before all that end their patience later, whatever its rank and
+// account, so that none starves.
+const (
+	agedShare  = 0.5
+	fairPasses = 8
+)
 
-// aged reports whether the request counts as one of the most urgent.
+// aged reports whether the request has waited for long.
 func (r Request) aged(now time.Time) bool {
 	return r.Patience > 0 && now.Sub(r.Arrived) >= time.Duration(agedShare*float64(r.Patience))
 }
 
-// rank returns the rank of the request at a time.
-func (r Request) rank(now time.Time) int {
-	if r.aged(now) {
-		return 0
-	}
-	return r.Rank
-}
+// sizeClass returns the binary logarithm of the size, rounded down, from 1; 0 for size 0.
+func (r Request) sizeClass() int { return bits.Len(uint(max(0, r.Size))) }
 
-// over returns how far the account of the request exceeds its share, at a time.
-func (r Request) over(now time.Time) float64 {
-	if r.aged(now) {
-		return 0
+// key is the place of a request in the order of a pass.
+type key struct {
+	begun    bool
+	rank     int
+	over     float64
+	returned bool
+	end      int64 // of its patience, in nanoseconds after now
+	number   uint64
+}
+
+// key returns the place of a request in a pass that is fair or not.
+func (r Request) key(number uint64, now time.Time, fair bool) key {
+	k := key{
+		begun: r.Begun, rank: r.Rank, over: r.Over, returned: r.Returned,
+		end: int64(r.Arrived.Add(r.Patience).Sub(now)), number: number,
+	}
+	if fair && r.aged(now) {
+		k.rank, k.over, k.returned = 0, 0, true
 	}
-	return r.Over
+	return k
 }
 
-// sizeClass returns the binary logarithm of the size, rounded down, from 1; 0 for size 0.
-func (r Request) sizeClass() int { return bits.Len(uint(max(0, r.Size))) }
-
-// compare orders requests at a time. It returns a negative number if a goes before b.
-func compare(a, b Request, now time.Time) int {
+// compare returns a negative number if a goes before b.
+func (a key) compare(b key) int {
 	return cmp.Or(
-		compareTrue(a.Begun, b.Begun),
-		cmp.Compare(a.rank(now), b.rank(now)),
-		cmp.Compare(a.over(now), b.over(now)),
-		compareTrue(a.Returned, b.Returned),
-		a.Arrived.Add(a.Patience).Compare(b.Arrived.Add(b.Patience)),
+		compareTrue(a.begun, b.begun), cmp.Compare(a.rank, b.rank), cmp.Compare(a.over, b.over),
+		compareTrue(a.returned, b.returned), cmp.Compare(a.end, b.end), cmp.Compare(a.number, b.number),
 	)
 }
 
@@ -92,6 +99,7 @@
 	waiting []*Waiter[T] // in no particular order
 	bytes   int
 	added   uint64
+	passes  uint64
 	reserve reservation
 }
 
@@ -107,8 +115,9 @@
 // Ahead returns the number of waiting requests that go before a new one.
 func (q *Queue[T]) Ahead(r Request, now time.Time) int {
 	n := 0
+	place := r.key(q.added+1, now, false)
 	for _, w := range q.waiting {
-		if compare(w.Request, r, now) <= 0 {
+		if w.key(now).compare(place) < 0 {
 			n++
 		}
 	}
@@ -126,7 +135,7 @@
 	q.waiting = append(q.waiting, added)
 	q.bytes += r.Bytes
 	for q.overflows() {
-		last := slices.MaxFunc(q.waiting, func(a, b *Waiter[T]) int { return order(a, b, now) })
+		last := slices.MaxFunc(q.waiting, func(a, b *Waiter[T]) int { return a.key(now).compare(b.key(now)) })
 		q.Remove(last)
 		rejected = append(rejected, last)
 	}
@@ -137,9 +146,8 @@
 	return q.limits.Requests > 0 && len(q.waiting) > q.limits.Requests || q.limits.Bytes > 0 && q.bytes > q.limits.Bytes
 }
 
-func order[T any](a, b *Waiter[T], now time.Time) int {
-	return cmp.Or(compare(a.Request, b.Request, now), cmp.Compare(a.number, b.number))
-}
+// key returns the place of a waiter in the order of ranks.
+func (w *Waiter[T]) key(now time.Time) key { return w.Request.key(w.number, now, false) }
 
 // Remove removes a waiter. It ignores one that has left the queue.
 func (q *Queue[T]) Remove(w *Waiter[T]) {
@@ -152,8 +160,9 @@
 	q.waiting[len(q.waiting)-1] = nil
 	q.waiting = q.waiting[:len(q.waiting)-1]
 	q.bytes -= w.Bytes
+	q.reserve.end(w.number)
 	if len(q.waiting) == 0 {
-		q.waiting = nil // a burst must not keep its memory
+		q.waiting, q.reserve.last = nil, nil // a burst must not keep its memory
 	}
 }
 
