--- a/core/queuer/board_test.go
+++ b/core/queuer/board_test.go
@@ -100,6 +100,7 @@
 				continue
 			}
 			*free--
+			s.Placed()
 			q.Remove(w)
 			waited[w.Rank] = append(waited[w.Rank], at(ms).Sub(w.Arrived))
 		}
--- a/core/queuer/doc.go
+++ b/core/queuer/doc.go
@@ -24,6 +24,7 @@
 //	s := q.Sweep(now)
 //	for w := s.Next(); w != nil; w = s.Next() {
 //		if tryToPlace(w.Value) {
+//			s.Placed()
 //			q.Remove(w)
 //		} else {
 //			s.Stop()
--- a/core/queuer/queue.go
+++ b/core/queuer/queue.go
@@ -11,6 +11,7 @@
 type Request struct {
 	Rank     int           // 0 is the most urgent
 	Kind     string        // requests of one kind have the same targets
+	Account  string        // empty for none
 	Size     int           // the room that it needs, in tokens of its prompt; 0 for calls
 	Bytes    int           // memory that it takes while it waits
 	Over     float64       // how far its account exceeds its share; 0 if it does not
@@ -22,11 +23,11 @@
 }
 
 // agedShare is the share of its patience after which a request is aged: in one of
-// fairPasses passes it goes before all that end their patience later, whatever its rank and
-// account, so that none starves.
+// fairInterval passes, and for one of as many placements, it goes before all that end their
+// patience later, whatever its rank and account, so that none starves.
 const (
-	agedShare  = 0.5
-	fairPasses = 8
+	agedShare    = 0.5
+	fairInterval = 8
 )
 
 // aged reports whether the request has waited for long.
@@ -99,7 +100,8 @@
 	waiting []*Waiter[T] // in no particular order
 	bytes   int
 	added   uint64
-	passes  uint64
+	passes  int // since the last fair one
+	placed  int // since a fair pass last placed a request
 	reserve reservation
 }
 
@@ -128,20 +130,39 @@
 func (q *Queue[T]) Bytes() int { return q.bytes }
 
 // Add adds a request. It returns the new waiter, and those that no longer fit within the
-// limits: the last in order, which may include the new one. They have left the queue.
+// limits: the last in order, which may include the new one. They have left the queue. The
+// oldest request of each kind and of each account goes last of all, so that none starves.
 func (q *Queue[T]) Add(r Request, value T, now time.Time) (added *Waiter[T], rejected []*Waiter[T]) {
 	q.added++
 	added = &Waiter[T]{Request: r, Value: value, number: q.added, position: len(q.waiting)}
 	q.waiting = append(q.waiting, added)
 	q.bytes += r.Bytes
 	for q.overflows() {
-		last := slices.MaxFunc(q.waiting, func(a, b *Waiter[T]) int { return a.key(now).compare(b.key(now)) })
+		last := q.last(now)
 		q.Remove(last)
 		rejected = append(rejected, last)
 	}
 	return added, rejected
 }
 
+// last returns the waiter that leaves first if there are too many.
+func (q *Queue[T]) last(now time.Time) *Waiter[T] {
+	kinds, accounts := map[string]*Waiter[T]{}, map[string]*Waiter[T]{}
+	note := func(oldest map[string]*Waiter[T], group string, w *Waiter[T]) {
+		if known := oldest[group]; known == nil || w.number < known.number {
+			oldest[group] = w
+		}
+	}
+	for _, w := range q.waiting {
+		note(kinds, w.Kind, w)
+		note(accounts, w.Account, w)
+	}
+	kept := func(w *Waiter[T]) bool { return kinds[w.Kind] == w || accounts[w.Account] == w }
+	return slices.MaxFunc(q.waiting, func(a, b *Waiter[T]) int {
+		return cmp.Or(compareTrue(kept(a), kept(b)), a.key(now).compare(b.key(now)))
+	})
+}
+
 func (q *Queue[T]) overflows() bool {
 	return q.limits.Requests > 0 && len(q.waiting) > q.limits.Requests || q.limits.Bytes > 0 && q.bytes > q.limits.Bytes
 }
--- a/core/queuer/sweep.go
+++ b/core/queuer/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -57,7 +58,7 @@
 type Sweep[T any] struct {
 	queue   *Queue[T]
 	now     time.Time
-	fair    bool // aged requests go first
+	fair    bool // aged requests go first, whatever their rank and account
 	waiters []placed[T]
 	current placed[T]
 	stopped []placed[T] // that can't be placed
@@ -74,7 +75,10 @@
 // Sweep begins a pass.
 func (q *Queue[T]) Sweep(now time.Time) *Sweep[T] {
 	q.passes++
-	s := &Sweep[T]{queue: q, now: now, fair: q.passes%fairPasses == 0, waiters: make([]placed[T], len(q.waiting))}
+	s := &Sweep[T]{queue: q, now: now, fair: max(q.passes, q.placed+1) >= fairInterval, waiters: make([]placed[T], len(q.waiting))}
+	if s.fair {
+		q.passes = 0
+	}
 	for i, w := range q.waiting {
 		s.waiters[i] = placed[T]{Waiter: w, place: w.Request.key(w.number, now, s.fair), first: q.reserve.holds(w.number, now)}
 	}
@@ -88,14 +92,18 @@
 }
 
 // selectReserver puts the aged request first for which room is kept if it can't be placed:
-// one of the kind for which that was longest ago.
+// one of the kind for which that was longest ago, with the most of its patience left. The
+// smallest that wait need no room to be kept.
 func (s *Sweep[T]) selectReserver() {
-	best := -1
+	best, smallest := -1, math.MaxInt
+	for _, w := range s.waiters {
+		smallest = min(smallest, w.sizeClass())
+	}
 	for i, w := range s.waiters {
-		if w.Size == 0 || w.Alone || !w.aged(s.now) {
+		if w.sizeClass() == smallest || w.Alone || !w.aged(s.now) {
 			continue
 		}
-		if best < 0 || cmp.Or(s.queue.reserve.last[w.Kind].Compare(s.queue.reserve.last[s.waiters[best].Kind]), w.place.compare(s.waiters[best].place)) < 0 {
+		if best < 0 || cmp.Or(s.queue.reserve.last[w.Kind].Compare(s.queue.reserve.last[s.waiters[best].Kind]), cmp.Compare(s.waiters[best].place.end, w.place.end)) < 0 {
 			best = i
 		}
 	}
@@ -110,7 +118,7 @@
 	for len(s.waiters) > 0 {
 		w := s.waiters[0]
 		s.waiters = s.waiters[1:]
-		if w.due(s.now) || !s.held && !slices.ContainsFunc(s.stopped, func(p placed[T]) bool { return p.stops(w.Request, w.place) }) {
+		if w.due(s.now) && !s.holdsBack(w) || !s.held && !slices.ContainsFunc(s.stopped, func(p placed[T]) bool { return p.stops(w.Request, w.place) }) {
 			s.current = w
 			return w.Waiter
 		}
@@ -119,6 +127,21 @@
 	return nil
 }
 
+// Placed says that the request that Next returned has been placed. The caller removes it.
+func (s *Sweep[T]) Placed() {
+	s.queue.placed++
+	if s.fair {
+		s.queue.placed = 0
+	}
+}
+
+// holdsBack reports whether room that is kept for another request is kept from one that has
+// ended its patience: it is unless that was shorter than the time for which room is kept, so
+// that the wait at most doubles.
+func (s *Sweep[T]) holdsBack(w placed[T]) bool {
+	return s.held && !w.Begun && !w.Alone && w.Patience >= s.queue.reserve.length
+}
+
 // Stop says that the request that Next returned can't be placed now.
 func (s *Sweep[T]) Stop() {
 	w := s.current
--- a/entry/internal/forwarder/waiting.go
+++ b/entry/internal/forwarder/waiting.go
@@ -235,6 +235,11 @@
 	for w := s.Next(); w != nil; w = s.Next() {
 		if w.Value.decide() {
 			l.remove(w.Value)
+			l.mu.Lock()
+			if w.Value.err == nil {
+				s.Placed()
+			}
+			l.mu.Unlock()
 			continue
 		}
 		l.mu.Lock()
