--- a/core/queuer/estimate.go
+++ b/core/queuer/estimate.go
@@ -14,13 +14,13 @@
 // Bounds of the time at which a refused caller is told to come back.
 const (
 	// minReturn and returnSpread keep callers from coming back at the same time.
-	minReturn    = 400 * time.Millisecond
-	returnSpread = 600 * time.Millisecond
+	minReturn    = 2 * time.Second
+	returnSpread = 2 * time.Second
 	// maxReturnShare is the part of its remaining time for which a caller waits as told.
 	maxReturnShare = 1.0 / 3
 	// cappedSpread is the part of the longest return time over which the returns of
 	// callers that can't be told to come later are spread.
-	cappedSpread = 0.3
+	cappedSpread = 0.1
 	// maxDemand bounds the demand for which an estimate is made: above it the queue does
 	// not drain before the demand falls.
 	maxDemand = 0.9
--- a/core/queuer/queuer_test.go
+++ b/core/queuer/queuer_test.go
@@ -77,11 +77,14 @@
 func TestStopped(t *testing.T) {
 	large := queuer.Request{Rank: 1, Kind: "large", Size: 40_000, Arrived: at(0), Patience: time.Second}
 	tests := map[string]struct {
-		next queuer.Request
-		now  int
-		want bool
+		first queuer.Request // large if its size is 0
+		next  queuer.Request
+		now   int
+		want  bool
 	}{
-		"same kind, as large":         {next: queuer.Request{Rank: 1, Kind: "large", Size: 45_000, Patience: time.Second}},
+		"same kind, as large": {next: queuer.Request{Rank: 1, Kind: "large", Size: 45_000, Patience: time.Second}},
+		"same kind, no time left to the first": {first: queuer.Request{Rank: 1, Kind: "large", Size: 40_000, Patience: 25 * time.Millisecond},
+			next: queuer.Request{Rank: 1, Kind: "large", Size: 45_000, Patience: 26 * time.Millisecond}, want: true},
 		"same kind, small":            {next: queuer.Request{Rank: 1, Kind: "large", Size: 4_000, Patience: time.Second}, want: true},
 		"less urgent, larger":         {next: queuer.Request{Rank: 2, Kind: "other", Size: 300_000, Patience: time.Second}},
 		"less urgent, small":          {next: queuer.Request{Rank: 2, Kind: "other", Size: 4_000, Patience: time.Second}, want: true},
@@ -94,7 +97,11 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			q := queuer.New[string](queuer.Limits{})
-			q.Add(large, "large", at(0))
+			if test.first.Size == 0 {
+				test.first = large
+			}
+			test.first.Arrived = at(0)
+			q.Add(test.first, "large", at(0))
 			test.next.Arrived = at(0)
 			q.Add(test.next, "next", at(0))
 			is.Equal(strings.Contains(tried(q, at(test.now)), "next"), test.want)
--- a/core/queuer/sweep.go
+++ b/core/queuer/sweep.go
@@ -161,10 +161,14 @@
 	return r.Begun || r.Alone || now.Sub(r.Arrived) >= r.Patience
 }
 
+// minStopPatience is the patience from which on a prompt stops others. One with less can
+// often not be placed because it has already waited, while a newer one still can.
+const minStopPatience = 100 * time.Millisecond
+
 // stops reports whether a request that can't be placed stops one behind it: one of its kind
 // that needs as much room, up to a factor of two, or a less urgent one that needs as much.
 func (p placed[T]) stops(next Request, place key) bool {
-	if p.Alone || next.sizeClass() < p.sizeClass() {
+	if p.Alone || next.sizeClass() < p.sizeClass() || p.Size > 0 && p.Patience < minStopPatience {
 		return false
 	}
 	return next.Kind == p.Kind || place.rank > p.place.rank
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -104,13 +104,7 @@
 	route       *viewer.Route
 	service     *viewer.Service
 	account     string
-	rank        int           // 0 is the most urgent
-	lowestRank  bool          // the service has requests of different ranks, and this one of the least urgent rank
-	ranked      bool          // the service has requests of different ranks
-	alone       bool          // the request waits for something that no other request waits for
-	back        bool          // its caller was refused before and has come back
-	returned    bool          // it has come back at the time that it was told
-	returnIn    time.Duration // after which time the caller may come back, if the request is refused for lack of room
+	standing
 	call        translator.Call
 	body        []byte
 	fingerprint func() string     // computed at the first call
--- a/entry/internal/forwarder/rank.go
+++ b/entry/internal/forwarder/rank.go
@@ -29,6 +29,18 @@
 // of a service may use.
 const lowestRetryShare = 2.0 / 3
 
+// standing is what decides the place of a request among those that wait, and what its
+// caller is told if it is refused.
+type standing struct {
+	rank       int           // 0 is the most urgent
+	ranked     bool          // the service has requests of different ranks
+	lowestRank bool          // and this one is of the least urgent
+	alone      bool          // the request waits for something that no other request waits for
+	back       bool          // its caller was refused before and has come back
+	returned   bool          // and it has done so at the time that it was told
+	returnIn   time.Duration // after which time the caller may come back, if the request is refused for lack of room
+}
+
 // setRank sets the rank of the request by the configuration of its view.
 func (x *exchange) setRank() {
 	c := x.view.Configuration
--- a/load/internal/replayer/load.go
+++ b/load/internal/replayer/load.go
@@ -11,6 +11,7 @@
 // Class describes the requests of one class of prompts.
 type Class struct {
 	Name          string
+	Rank          int           // 0 is the most urgent
 	Rate          float64       // requests per second over all entries
 	Tokens        LogNormal     // of the prompt
 	Events        LogNormal     // of the answer
--- a/load/internal/replayer/replayer.go
+++ b/load/internal/replayer/replayer.go
@@ -16,6 +16,9 @@
 	Load   Load
 	Policy assigner.Policy
 	Seed   uint64
+	// Unordered replays entries on which each waiting prompt decides for itself, without
+	// regard for ranks, and which tell refused callers to come back after a fixed time.
+	Unordered bool
 }
 
 // Delays in a replay.
@@ -24,7 +27,8 @@
 	drainTime          = 20 * time.Second      // time for answers to end after the last arrival
 	minRetryDelay      = 2 * time.Second       // shortest delay before a refused caller retries
 	retryJitter        = 2 * time.Second       // longest random delay added to minRetryDelay
-	waitInterval       = 20 * time.Millisecond // until the decision on a waiting prompt is repeated
+	honoredShare       = 1.0 / 3               // part of its remaining time for which a caller waits as it is told
+	waitInterval       = 20 * time.Millisecond // until the decisions on waiting prompts are repeated
 )
 
 // tokensPerEvent is the number of tokens that defaultEngine generates per pass.
@@ -42,6 +46,7 @@
 	rankSeeds []uint64 // for the engine ranking of each entry
 	ids       []viewer.ServerID
 	attempts  int
+	lines     []*line // by entry
 	result    *Result
 }
 
@@ -52,6 +57,7 @@
 	events      int
 	arrival     time.Duration
 	retried     bool
+	returned    bool // its caller has come back when it was told
 	firstEvent  time.Duration
 	lastEvent   time.Duration // latest event
 	gapExceeded bool          // a gap between events exceeded the allowed one
@@ -67,6 +73,7 @@
 	for range c.Load.Entries {
 		r.trackers = append(r.trackers, loadtracker.New())
 		r.rankSeeds = append(r.rankSeeds, r.random.Uint64())
+		r.lines = append(r.lines, newLine())
 	}
 	for i := range c.Load.Engines {
 		r.ids = append(r.ids, viewer.ServerID(strconv.Itoa(i)))
@@ -124,15 +131,30 @@
 			}
 		}
 	}
+	r.exchangeWaiting(now)
 }
 
 // arrive hands a request to a random entry.
 func (r *replay) arrive(q *request, arrival time.Duration) {
-	r.place(q, r.random.IntN(len(r.trackers)), arrival)
+	entry := r.random.IntN(len(r.trackers))
+	if r.config.Unordered {
+		r.place(q, entry, arrival)
+		return
+	}
+	r.enter(q, entry, arrival)
 }
 
-// place makes an entry's decision on a request that arrived at the given time.
+// place makes an entry's decision on a request that arrived at the given time, and repeats
+// it while the request has to wait.
 func (r *replay) place(q *request, entry int, arrival time.Duration) {
+	if r.decide(q, entry, arrival) == assigner.Wait {
+		r.emulator.Schedule(r.emulator.Now()+waitInterval, func() { r.place(q, entry, arrival) })
+	}
+}
+
+// decide makes an entry's decision on a request that arrived at the given time, and carries
+// it out unless the request has to wait.
+func (r *replay) decide(q *request, entry int, arrival time.Duration) assigner.Decision {
 	tracker := r.trackers[entry]
 	c := r.config.Load.Classes[q.class]
 	now := epoch.Add(r.emulator.Now())
@@ -147,24 +169,27 @@
 		Tokens: q.tokens, Answer: q.events * tokensPerEvent, Target: c.Target, Gap: c.Gap,
 		Waited: r.emulator.Now() - arrival, CallerTimeout: q.arrival + c.CallerTimeout - arrival, PrefillLoad: demand / float64(len(all)), UpdateDelay: r.config.Load.UpdateDelay,
 	}
-	switch plan, decision := r.config.Policy.Choose(prompt, all); decision {
+	plan, decision := r.config.Policy.Choose(prompt, all)
+	switch decision {
 	case assigner.Serve:
 		r.submit(q, tracker, prompt, plan)
-	case assigner.Wait:
-		r.emulator.Schedule(r.emulator.Now()+waitInterval, func() { r.place(q, entry, arrival) })
 	case assigner.Refuse:
-		r.refuse(q)
+		r.refuse(q, r.returnIn(q, entry, prompt, plan))
+	case assigner.Wait:
 	}
+	return decision
 }
 
-// refuse ends a try of a request with a refusal; its caller retries once.
-func (r *replay) refuse(q *request) {
+// refuse ends a try of a request with a refusal; its caller retries once, after the given
+// time.
+func (r *replay) refuse(q *request, wait time.Duration) {
 	if q.retried {
 		r.result.recordRefusal(q)
 		return
 	}
-	q.retried = true
-	wait := minRetryDelay + time.Duration(r.random.Float64()*float64(retryJitter))
+	q.retried, q.returned = true, true
+	left := q.arrival + r.config.Load.Classes[q.class].CallerTimeout - r.emulator.Now()
+	wait = min(wait, time.Duration(honoredShare*float64(left)))
 	r.emulator.Schedule(r.emulator.Now()+wait, func() { r.arrive(q, r.emulator.Now()) })
 }
 
@@ -200,7 +225,7 @@
 	}
 	if !r.emulator.Submit(j) {
 		tracker.RecordEnd(attempt, clock())
-		r.refuse(q)
+		r.refuse(q, r.fixedReturn())
 	}
 }
 
