--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -97,13 +97,13 @@
 
 // exchange is the state of one request of a caller.
 type exchange struct {
-	forwarder   *Forwarder
-	w           http.ResponseWriter
-	r           *http.Request
-	view        *viewer.View
-	route       *viewer.Route
-	service     *viewer.Service
-	account     string
+	forwarder *Forwarder
+	w         http.ResponseWriter
+	r         *http.Request
+	view      *viewer.View
+	route     *viewer.Route
+	service   *viewer.Service
+	account   string
 	standing
 	call        translator.Call
 	body        []byte
