Tests of ranks, of the kept part of the retry budget, and of goroutines that decide

Cause: TestCallersLeaveWhileWaiting counted all goroutines of the process; an idle connection to the backend server, which the call leaves behind, failed it once in a whole run of the package.

Change: it counts the goroutines that decide on waiting requests, which must be none.

--- a/core/budgeter/budgeter_test.go
+++ b/core/budgeter/budgeter_test.go
@@ -77,3 +77,21 @@
 	}
 	return n
 }
+
+// TestRetryWithin checks that requests which may use a part of the budget leave the rest.
+func TestRetryWithin(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	b := budgeter.New(budgeter.Config{Ratio: 0.2, Slack: 15, Window: 10 * time.Second}) // 12 retries
+	count := func(retry func() bool) int {
+		n := 0
+		for range 100 {
+			if retry() {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(count(func() bool { return b.RetryWithin("s", 1, 2.0/3, now) }), 8)
+	is.Equal(count(func() bool { return b.Retry("s", 1, now) }), 4)
+}
--- a/entry/internal/forwarder/waiting_test.go
+++ b/entry/internal/forwarder/waiting_test.go
@@ -11,9 +11,11 @@
 	"testing"
 	"time"
 
+	"bamboohill/core/budgeter"
 	"bamboohill/core/loadtracker"
 	"bamboohill/core/queuer"
 	"bamboohill/core/viewer"
+	"bamboohill/platform/rig"
 
 	"github.com/matryer/is"
 )
@@ -166,7 +168,7 @@
 	b := newBench(t, 0, 1)
 	b.ranked(2, map[string]int{"book": 0, "read": 1})
 	free := b.fill()
-	before := runtime.NumGoroutine()
+	is.Equal(deciding(), 0)
 	ctx, cancel := context.WithCancel(t.Context())
 	left := b.send(ctx, "/book/x", "/book/y")
 	stays := b.send(t.Context(), "/read/x")
@@ -177,11 +179,16 @@
 	free()
 	is.Equal(stays()["/read/x"], 200)
 	is.Equal(len(b.runs()), 1)
-	http.DefaultClient.CloseIdleConnections()
-	for end := time.Now().Add(time.Second); runtime.NumGoroutine() > before && time.Now().Before(end); {
+	for end := time.Now().Add(time.Second); deciding() > 0 && time.Now().Before(end); {
 		time.Sleep(5 * time.Millisecond)
 	}
-	is.True(runtime.NumGoroutine() <= before) // the decisions end with the last request
+	is.Equal(deciding(), 0) // the decisions end with the last request
+}
+
+// deciding returns the number of goroutines that decide on waiting requests.
+func deciding() int {
+	stacks := make([]byte, 8<<20)
+	return strings.Count(string(stacks[:runtime.Stack(stacks, true)]), "forwarder.(*lines).run(")
 }
 
 // TestEntryStopsWhileRequestsWait checks that requests which wait are answered when the
@@ -308,3 +315,34 @@
 		})
 	}
 }
+
+// TestRetriesOfLeastUrgent checks that a third of the retry budget is kept for requests that
+// are more urgent than others of their service, and that all may use it if none is.
+func TestRetriesOfLeastUrgent(t *testing.T) {
+	tests := map[string]struct {
+		priorities map[string]int
+		path       string
+		want       int // of 6 retries in the budget
+	}{
+		"least urgent": {priorities: map[string]int{"read": 1}, path: "/read/", want: 4},
+		"more urgent":  {priorities: map[string]int{"book": 1}, path: "/read/", want: 6},
+		"one rank":     {path: "/read/", want: 6},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 0, 2)
+			b.entry.Budgeter = budgeter.New(budgeter.Config{Ratio: 1e-9, Slack: 7.6, Window: time.Minute})
+			b.configure(2, func(r *viewer.Route) { r.Priority = test.priorities[r.Name] })
+			for i := range 8 {
+				b.fault(rig.FaultRefused)
+				r := b.request("POST", test.path+strconv.Itoa(i), "hello")
+				r.Header.Set("Attempt-Id", fmt.Sprint("try-", i))
+				_, _, err := b.do(r)
+				is.NoErr(err)
+				b.clearFaults()
+			}
+			is.Equal(b.metric("repeats"), test.want)
+		})
+	}
+}
