Ranks: order by the account's priority, then by the route's; patience from the placement policy

Cause: the priority of an account replaced that of the route, and on the deployments seen so far every account has one: routes of different urgency had one rank. The queue's patience of prompts copied constants that the policy no longer has. Change: the rank is the place among all pairs of priorities of the configuration, the account's first; engines are told it. assigner.MaxWait is the patience.

--- a/core/assigner/decide.go
+++ b/core/assigner/decide.go
@@ -39,7 +39,9 @@
 	return Refuse
 }
 
-// maxWait returns how long a prompt may wait at the entry.
+// MaxWait returns how long a prompt may wait at the entry before Decide serves or refuses it.
+func MaxWait(p Prompt) time.Duration { return max(0, maxWait(p.complete())) }
+
 func maxWait(p Prompt) time.Duration {
 	most := time.Duration(p.tuning.MaxWaitShare * float64(p.Target-p.Terms.ServeReserve))
 	if p.CallerTimeout > 0 {
--- a/core/viewer/configuration.go
+++ b/core/viewer/configuration.go
@@ -115,6 +115,7 @@
 	keysRequired bool                         // requests need a key, unless their route is public
 
 	ranksOnce sync.Once
+	urgencies []urgency // of all requests, in the order of their ranks
 	ranks     map[ServiceName]rankRange
 }
 
--- a/core/viewer/rank.go
+++ b/core/viewer/rank.go
@@ -1,15 +1,39 @@
 package viewer
 
-import "slices"
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
 
-// Rank returns the rank of a request of a route and an account: the priority of the
-// account if it has one, else that of the route. 0 is the most urgent. The account may
-// be nil.
+// urgency is what the rank of a request depends on, in this order: the priority of its
+// account, or of its route if the account has none, and the priority of its route.
+type urgency struct{ account, route int }
+
+func (u urgency) compare(other urgency) int {
+	return cmp.Or(cmp.Compare(u.account, other.account), cmp.Compare(u.route, other.route))
+}
+
+func urgencyOf(r *Route, priority *int) urgency {
+	u := urgency{account: max(0, r.Priority), route: max(0, r.Priority)}
+	if priority != nil {
+		u.account = max(0, *priority)
+	}
+	return u
+}
+
+// Rank returns the rank of a request of a route and an account among all requests that the
+// configuration allows; 0 is the most urgent. The priority of the account comes before that
+// of the route, which orders the requests of accounts with equal ones. The account may be
+// nil.
 func (c *Configuration) Rank(r *Route, a *Account) int {
-	if a != nil && a.Priority != nil {
-		return max(0, *a.Priority)
+	c.ranksOnce.Do(c.computeRanks)
+	var priority *int
+	if a != nil {
+		priority = a.Priority
 	}
-	return max(0, r.Priority)
+	i, _ := slices.BinarySearchFunc(c.urgencies, urgencyOf(r, priority), urgency.compare)
+	return i
 }
 
 // Ranks returns the least urgent rank of the requests of a service, and whether the
@@ -23,40 +47,46 @@
 // rankRange is the range of the ranks of a service's requests.
 type rankRange struct{ least, most int }
 
-// computeRanks sets the range of ranks of each service.
+// computeRanks sets the urgencies of all requests, in their order, and the range of ranks
+// of each service.
 func (c *Configuration) computeRanks() {
-	c.ranks = map[ServiceName]rankRange{}
-	common := make([]int, 0, len(c.accounts)) // ranks of accounts, which apply to all routes
-	inherit := c.accounts == nil              // some requests have the rank of their route
+	priorities := map[int]*int{} // of accounts
+	inherit := c.accounts == nil // some requests have no account with a priority
 	for _, a := range c.accounts {
 		if a.Priority == nil {
 			inherit = true
 			continue
 		}
-		common = append(common, max(0, *a.Priority))
-	}
-	if len(common) > 0 {
-		common = []int{slices.Min(common), slices.Max(common)}
+		priorities[max(0, *a.Priority)] = a.Priority
 	}
-	for _, prefixes := range c.routes {
-		for _, route := range prefixes {
-			ranks := common
-			if inherit || route.Public {
-				ranks = append(ranks[:len(ranks):len(ranks)], max(0, route.Priority))
+	services := map[ServiceName]map[urgency]bool{}
+	all := map[urgency]bool{}
+	for r := range c.Routes() {
+		mine := map[urgency]bool{}
+		if inherit || r.Public {
+			mine[urgencyOf(r, nil)] = true
+		}
+		if !r.Public {
+			for _, p := range priorities {
+				mine[urgencyOf(r, p)] = true
 			}
-			for _, t := range route.Targets {
-				c.includeRanks(t.Service, ranks)
+		}
+		maps.Copy(all, mine)
+		for _, t := range r.Targets {
+			if services[t.Service] == nil {
+				services[t.Service] = map[urgency]bool{}
 			}
+			maps.Copy(services[t.Service], mine)
 		}
 	}
-}
-
-func (c *Configuration) includeRanks(service ServiceName, ranks []int) {
-	for _, rank := range ranks {
-		known, found := c.ranks[service]
-		if !found {
-			known = rankRange{least: rank, most: rank}
+	c.urgencies = slices.SortedFunc(maps.Keys(all), urgency.compare)
+	c.ranks = make(map[ServiceName]rankRange, len(services))
+	for service, urgencies := range services {
+		ranks := rankRange{least: len(c.urgencies)}
+		for u := range urgencies {
+			i, _ := slices.BinarySearchFunc(c.urgencies, u, urgency.compare)
+			ranks = rankRange{least: min(ranks.least, i), most: max(ranks.most, i)}
 		}
-		c.ranks[service] = rankRange{least: min(known.least, rank), most: max(known.most, rank)}
+		c.ranks[service] = ranks
 	}
 }
--- a/entry/internal/forwarder/rank.go
+++ b/entry/internal/forwarder/rank.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"bamboohill/core/assigner"
 	"bamboohill/core/queuer"
 	"bamboohill/core/viewer"
 )
@@ -14,16 +15,9 @@
 // and more the further it does.
 type OverShare func(account string, service viewer.ServiceName, now time.Time) float64
 
-// Bounds of the time that a request waits at the entry. Those of prompts are those of the
-// placement policy.
-const (
-	promptWaitShare   = 0.5 // of the target less promptReserve
-	promptReserve     = 250 * time.Millisecond
-	promptTimeoutPart = 0.2 // of the time that the caller waits
-	// callWaitShare is the share of its target for which a call to a plain service waits
-	// for a slot. A call that is still not sent then takes its chance.
-	callWaitShare = 0.3
-)
+// callWaitShare is the share of its target for which a call to a plain service waits for a
+// slot. A call that is still not sent then takes its chance.
+const callWaitShare = 0.3
 
 // lowestRetryShare is the share of the retry budget that requests of the least urgent rank
 // of a service may use.
@@ -38,6 +32,7 @@
 	alone      bool          // the request waits for something that no other request waits for
 	back       bool          // its caller was refused before and has come back
 	returned   bool          // and it has done so at the time that it was told
+	maxWait    time.Duration // of a prompt at the entry, by the placement policy; 0 if not computed
 	returnIn   time.Duration // after which time the caller may come back, if the request is refused for lack of room
 }
 
@@ -76,14 +71,18 @@
 	return x.forwarder.Budgeter.RetryWithin(x.service.Name, x.forwarder.Entries(), share, now)
 }
 
-// patience returns how long the request can wait at the entry.
+// patience returns how long the request can wait at the entry: a prompt as long as the
+// placement policy lets it.
 func (x *exchange) patience() time.Duration {
 	target := x.route.TargetLatency
 	if x.service.Engine == nil {
 		return max(0, time.Duration(callWaitShare*float64(target)))
 	}
-	wait := min(promptWaitShare*float64(target-promptReserve), promptTimeoutPart*float64(x.deadline.Sub(x.received)))
-	return max(0, time.Duration(wait))
+	if x.maxWait == 0 {
+		_, terms := x.terms(len(x.view.ServersOf(x.service.Name)), time.Now())
+		x.maxWait = assigner.MaxWait(assigner.Prompt{Target: target, CallerTimeout: x.deadline.Sub(x.received), Terms: terms})
+	}
+	return x.maxWait
 }
 
 // yields reports whether the request leaves room to more urgent ones that wait at other
