Waiting: a caller that leaves after its service has vanished

Cause: read in the diff: the queue of a service that is gone from the configuration is deleted once it is empty; a caller that leaves as its request is decided then removed it from no queue. Change: remove ignores a queue that is gone. Result: TestCallerLeavesAfterServiceVanished panicked before.

--- a/entry/internal/forwarder/waiting.go
+++ b/entry/internal/forwarder/waiting.go
@@ -141,12 +141,14 @@
 	}
 }
 
-// remove removes a waiter.
+// remove removes a waiter. The queue of a service that has vanished is gone once it is empty.
 func (l *lines) remove(w *waiter) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.queues[w.x.service.Name].Remove(w.item)
-	l.publish(w.x.service.Name)
+	if q := l.queues[w.x.service.Name]; q != nil {
+		q.Remove(w.item)
+		l.publish(w.x.service.Name)
+	}
 }
 
 // publish tells other entries which ranks wait for a service, if it has any. The caller
