TestBalancerFollowsReadiness: readiness probes have a timeout of their own

Cause: a probe that took longer than the interval between probes counted as "not ready".

Change: BalancerConfig.Timeout; 0 means the interval, as before. The test sets 1 s and expects the same counts.

--- a/standin/relayer/balancer.go
+++ b/standin/relayer/balancer.go
@@ -22,6 +22,7 @@
 type BalancerConfig struct {
 	Targets  []string
 	Interval time.Duration // between readiness probes of one target; 0 means 1 second
+	Timeout  time.Duration // of a probe, after which the target counts as not ready; 0 means Interval
 }
 
 // Balancer distributes connections over the ready targets, round robin.
@@ -43,9 +44,12 @@
 	if config.Interval <= 0 {
 		config.Interval = defaultInterval
 	}
+	if config.Timeout <= 0 {
+		config.Timeout = config.Interval
+	}
 	b := &Balancer{
 		Faults: injector.New(), config: config, ready: map[string]bool{},
-		client: &http.Client{Timeout: config.Interval, Transport: &http.Transport{DisableKeepAlives: true}},
+		client: &http.Client{Timeout: config.Timeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	b.relay = New(Config{Pick: b.pick})
 	return b
--- a/standin/relayer/relayer_test.go
+++ b/standin/relayer/relayer_test.go
@@ -85,7 +85,7 @@
 	defer server.Close()
 	other, requests := echo(t)
 	address := strings.TrimPrefix(server.URL, "http://")
-	b := NewBalancer(BalancerConfig{Targets: []string{address, other}, Interval: 5 * time.Millisecond})
+	b := NewBalancer(BalancerConfig{Targets: []string{address, other}, Interval: 5 * time.Millisecond, Timeout: time.Second})
 	go b.Run(t.Context())
 	waitUntil(func() bool { return len(b.readyTargets()) == 1 })
 	url := listen(t, b.Relay())
