Estimates: hear other entries' samples without a map for each report

Cause: each report of another entry built a map of its samples by kind, which was read back as a list.

Change: ApplyPeer takes the list of kinds and that of samples.

Decisions are the same (tests of profiler, loadtracker, assigner, exchanger).

--- a/core/loadtracker/kinds.go
+++ b/core/loadtracker/kinds.go
@@ -116,14 +116,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.peers[entry] = peer{loads: t.ownKinds(r), report: r, received: now, demand: r.Demand}
-	if r.Samples == nil {
-		return
-	}
-	samples := make(map[profiler.Kind]profiler.Sample, len(r.Kinds))
-	for i, k := range r.Kinds[:min(len(r.Kinds), len(r.Samples))] {
-		samples[k] = r.Samples[i]
+	if r.Samples != nil {
+		t.estimates.ApplyPeer(entry, r.Kinds, r.Samples, now)
 	}
-	t.estimates.ApplyPeer(entry, samples, now)
 }
 
 // legend says how the kinds of a report map to own kinds.
--- a/core/profiler/estimates.go
+++ b/core/profiler/estimates.go
@@ -82,7 +82,8 @@
 }
 
 type told struct {
-	sample   map[Kind]Sample
+	kinds    []Kind
+	samples  []Sample // of the kinds with the same index
 	received time.Time
 }
 
@@ -143,9 +144,11 @@
 	return o.sample.decayed(now.Sub(o.updated))
 }
 
-// ApplyPeer replaces what another entry has seen.
-func (e *Estimates) ApplyPeer(entry string, sample map[Kind]Sample, now time.Time) {
-	e.peers[entry] = told{sample: sample, received: now}
+// ApplyPeer replaces what another entry has seen: the samples of the kinds with the same
+// index. What the longer list has more is ignored. The lists must not be changed afterwards.
+func (e *Estimates) ApplyPeer(entry string, kinds []Kind, samples []Sample, now time.Time) {
+	n := min(len(kinds), len(samples))
+	e.peers[entry] = told{kinds: kinds[:n], samples: samples[:n], received: now}
 }
 
 // Traffic returns what all entries have seen of each kind of a list. What another entry
@@ -162,8 +165,8 @@
 			delete(e.peers, name)
 			continue
 		}
-		for k, s := range p.sample {
-			k = kinds.At(kinds.Index(k))
+		for i, s := range p.samples {
+			k := kinds.At(kinds.Index(p.kinds[i]))
 			result[k] = result[k].add(s.decayed(age))
 		}
 	}
--- a/core/profiler/estimates_test.go
+++ b/core/profiler/estimates_test.go
@@ -77,7 +77,7 @@
 	record(b, short, 30, 15_000, start, 2*time.Second)
 	record(b, large, 30, 300_000, start, 2*time.Second)
 	now := start.Add(2 * time.Second)
-	a.ApplyPeer("b", map[profiler.Kind]profiler.Sample{short: b.Own(short, now), large: b.Own(large, now)}, now)
+	a.ApplyPeer("b", []profiler.Kind{short, large}, []profiler.Sample{b.Own(short, now), b.Own(large, now)}, now)
 	all := a.Traffic(kinds, now)
 	is.True(near(all[short].Prompt(13_000), 10_000, sound))
 	is.True(near(all[short].Rate(), 60, sound))
