forwarder: bodies count at the servers from their placement, by equal parts of the bound

A body was counted when its write began, after the check at its placement, so that bodies placed in between all passed. And each server could hold 1/64 of the bound of all bytes and one body more, so that two of them exceeded what the test allows to all together.

A body is now counted at its server in the step that checks the room (tallier.Place), until it is written or not sent. Servers where it fits into an equal part of the bound for each server that may get it come first, then those below the bound of one, then all. A server where nothing waits always takes one. Tallier's RecordWrite, RecordWritten and ReadsSlowly are replaced by Fit, Place and Take, and their test by one that also asks at the same time.

The test samples each millisecond now instead of after each body, and keeps its bounds.

--- a/core/tallier/server.go
+++ b/core/tallier/server.go
@@ -1,23 +1,62 @@
 package tallier
 
-// RecordWrite records that n bytes are being written to a backend server.
-func (t *Tallier) RecordWrite(server string, n int64) { t.addServer(server, n) }
+// Fit says how the bytes of a body would add to those that backend servers have not taken.
+type Fit int
 
-// RecordWritten records that a write of n bytes to a backend server has ended.
-func (t *Tallier) RecordWritten(server string, n int64) { t.addServer(server, -n) }
+// Fits, the best one first.
+const (
+	// FitsShare means that nothing waits at the server, or that what waits stays within an
+	// equal part of the bound for each server that may get the body.
+	FitsShare Fit = iota
+	// FitsServer means that what waits at the server stays within its bound.
+	FitsServer
+	// Exceeds means that it does not.
+	Exceeds
+)
 
-func (t *Tallier) addServer(server string, n int64) {
+// Fit returns how n more bytes fit at a backend server, one of a number of servers that may
+// get them. It is FitsShare without a bound.
+func (t *Tallier) Fit(server string, servers int, n int64) Fit {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.servers[server] += n; t.servers[server] <= 0 {
-		delete(t.servers, server)
+	return t.fit(server, servers, n)
+}
+
+// Place counts n bytes as not taken by a backend server, if they fit there as said or
+// better. The check and the count are one step, so that bodies that are placed at the same
+// time don't all find the same room. Each call that reports true requires one of Take.
+func (t *Tallier) Place(server string, servers int, n int64, allowed Fit) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.fit(server, servers, n) > allowed {
+		return false
 	}
+	t.addServer(server, n)
+	return true
 }
 
-// ReadsSlowly reports whether a backend server has not taken more bytes than one server may
-// leave waiting, so that no more bodies should be sent to it.
-func (t *Tallier) ReadsSlowly(server string) bool {
+// Take records that a backend server has taken n bytes, or won't be sent them.
+func (t *Tallier) Take(server string, n int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.server > 0 && t.servers[server] > t.server
+	t.addServer(server, -n)
+}
+
+// fit implements Fit. The caller holds the lock.
+func (t *Tallier) fit(server string, servers int, n int64) Fit {
+	waiting := t.servers[server]
+	switch {
+	case t.server <= 0 || waiting == 0 || waiting+n <= t.server/int64(max(1, servers)):
+		return FitsShare
+	case waiting+n <= t.server:
+		return FitsServer
+	}
+	return Exceeds
+}
+
+// addServer adds n bytes, which may be negative. The caller holds the lock.
+func (t *Tallier) addServer(server string, n int64) {
+	if t.servers[server] += n; t.servers[server] == 0 {
+		delete(t.servers, server)
+	}
 }
--- a/core/tallier/tallier_test.go
+++ b/core/tallier/tallier_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"bamboohill/core/tallier"
@@ -72,16 +74,39 @@
 	is.Equal(y.Counts().Stalled, 1)
 }
 
+// TestServerThatReadsSlowly checks at which servers a body fits, and that bodies which ask at
+// the same time don't all find the same room.
 func TestServerThatReadsSlowly(t *testing.T) {
 	is := is.New(t)
 	y := tallier.New(tallier.Config{Bound: 64 * 100})
-	y.RecordWrite("s", 100)
-	is.True(!y.ReadsSlowly("s"))
-	y.RecordWrite("s", 50)
-	is.True(y.ReadsSlowly("s"))
-	is.True(!y.ReadsSlowly("other"))
-	y.RecordWritten("s", 100)
-	is.True(!y.ReadsSlowly("s"))
+	is.True(y.Place("s", 2, 150, tallier.FitsShare)) // a large one goes where nothing waits
+	is.Equal(y.Fit("s", 2, 1), tallier.Exceeds)
+	is.Equal(y.Fit("other", 2, 150), tallier.FitsShare)
+	is.True(y.Place("other", 2, 20, tallier.FitsShare))
+	is.True(y.Place("other", 2, 30, tallier.FitsShare))
+	is.Equal(y.Fit("other", 2, 50), tallier.FitsServer) // beyond its half
+	is.True(!y.Place("other", 2, 50, tallier.FitsShare))
+	is.True(y.Place("other", 2, 50, tallier.FitsServer))
+	is.True(!y.Place("other", 2, 1, tallier.FitsServer))
+	is.True(y.Place("other", 2, 1, tallier.Exceeds))
+	is.Equal(y.Counts().Waiting, int64(251))
+	y.Take("s", 150)
+	y.Take("other", 61)
+	is.Equal(y.Fit("other", 1, 60), tallier.FitsShare)
+	y.Take("other", 40)
+	is.Equal(y.Counts().Waiting, int64(0))
+
+	var asked sync.WaitGroup
+	var placed atomic.Int64
+	for range 100 {
+		asked.Go(func() {
+			if y.Place("s", 1, 30, tallier.FitsServer) {
+				placed.Add(1)
+			}
+		})
+	}
+	asked.Wait()
+	is.Equal(placed.Load(), int64(3))
 }
 
 func BenchmarkReserve(b *testing.B) {
--- a/entry/internal/forwarder/bytes.go
+++ b/entry/internal/forwarder/bytes.go
@@ -127,20 +127,38 @@
 	}
 }
 
-// readers returns the servers that take the bodies they are sent. It returns all of them for
-// a request with a small body, or if each has bytes waiting.
+// readers returns the servers that take the bodies they are sent: those where the body of
+// the request fits best beside what waits. It returns all of them for a small body.
 func (x *exchange) readers(servers []*viewer.Server) []*viewer.Server {
-	if len(x.body) < connector.AsyncWriteBytes {
+	x.fit, x.takers = tallier.FitsShare, len(servers)
+	if len(x.body) < connector.AsyncWriteBytes || len(servers) == 0 {
 		return servers
 	}
-	slow := func(s *viewer.Server) bool { return x.forwarder.Bytes.ReadsSlowly(string(s.ID)) }
-	if !slices.ContainsFunc(servers, slow) {
-		return servers
+	fits := make(map[viewer.ServerID]tallier.Fit, len(servers))
+	x.fit = tallier.Exceeds
+	for _, s := range servers {
+		fits[s.ID] = x.forwarder.Bytes.Fit(string(s.ID), len(servers), int64(len(x.body)))
+		x.fit = min(x.fit, fits[s.ID])
 	}
-	reading := slices.DeleteFunc(slices.Clone(servers), slow)
-	if len(reading) == 0 {
-		return servers
+	reading := slices.DeleteFunc(slices.Clone(servers), func(s *viewer.Server) bool { return fits[s.ID] > x.fit })
+	if len(reading) < len(servers) {
+		x.forwarder.Meter.Add("servers_passed_over", 1)
 	}
-	x.forwarder.Meter.Add("servers_passed_over", 1)
 	return reading
 }
+
+// placeBody counts the body of the request as waiting at the server of a placement until it
+// has been written or is not sent there. It reports false if other bodies have taken the
+// room since readers found it.
+func (x *exchange) placeBody(p *placement) bool {
+	p.taken = func() {}
+	n, server := int64(len(x.body)), string(p.server.ID)
+	if n < connector.AsyncWriteBytes {
+		return true
+	}
+	if !x.forwarder.Bytes.Place(server, x.takers, n, x.fit) {
+		return false
+	}
+	p.taken = func() { x.forwarder.Bytes.Take(server, n) }
+	return true
+}
--- a/entry/internal/forwarder/bytes_test.go
+++ b/entry/internal/forwarder/bytes_test.go
@@ -182,8 +182,19 @@
 	b.configure(2, func(*viewer.Route) {})
 	before, failed := b.wave("before", 50*time.Millisecond, time.Second)
 	is.Equal(failed, int64(0))
-	var bodies sync.WaitGroup
+	var bodies, watching sync.WaitGroup
 	var most, answered atomic.Int64
+	watched := make(chan struct{})
+	watching.Go(func() {
+		for {
+			select {
+			case <-watched:
+				return
+			case <-time.After(time.Millisecond):
+				most.Store(max(most.Load(), b.bytes.Counts().Waiting))
+			}
+		}
+	})
 	for n := range 60 {
 		bodies.Go(func() {
 			body := strings.Repeat("x", 30<<10+rand.IntN(90<<10))
@@ -197,8 +208,9 @@
 			}
 		})
 		time.Sleep(30 * time.Millisecond)
-		most.Store(max(most.Load(), b.bytes.Counts().Waiting))
 	}
+	close(watched)
+	watching.Wait()
 	during, failed := b.wave("during", 50*time.Millisecond, time.Second)
 	t.Logf("first event %v before, %v beside bodies; %d KB waited at most", before, during, most.Load()>>10)
 	is.Equal(failed, int64(0))
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -116,6 +116,8 @@
 	call        translator.Call
 	body        []byte
 	bodies      *tallier.Share    // what the body holds; nil before it is read
+	fit         tallier.Fit       // of the body at the servers that readers returned last
+	takers      int               // number of the servers that it chose from
 	answers     *tallier.Share    // what answers hold that are read as a whole; nil if there are none
 	fingerprint func() string     // computed at the first call
 	running     *detector.Running // the current send, from when its first byte is sent
@@ -298,6 +300,7 @@
 			return
 		}
 		if x.mayNotSend(ctx) {
+			p.taken()
 			f.Loads.RecordEnd(x.call.Attempt, time.Now())
 			x.fail(x.blockedBy)
 			return
--- a/entry/internal/forwarder/place.go
+++ b/entry/internal/forwarder/place.go
@@ -36,6 +36,7 @@
 	load        loadtracker.Load // load of the server before this request
 	attempted   time.Time
 	permit      permitter.Permit
+	taken       func() // to be called once, when the server has taken the body or is not sent it
 }
 
 // choices are the backend servers that may get a request.
@@ -129,8 +130,12 @@
 	} else {
 		x.placeCall(&p, servers, now)
 	}
+	if !x.placeBody(&p) {
+		return x.place(now)
+	}
 	permit, ok := x.forwarder.Permitter.Take(p.server, now)
 	if !ok {
+		p.taken()
 		return p, errWaitAlone // another request has taken the permit since
 	}
 	p.permit = permit
--- a/entry/internal/forwarder/send.go
+++ b/entry/internal/forwarder/send.go
@@ -68,6 +68,12 @@
 	f := x.forwarder
 	attempt := x.call.Attempt
 	defer x.recordEnd()
+	writing := false
+	defer func() {
+		if !writing {
+			p.taken()
+		}
+	}()
 	x.tried[p.server.ID] = true
 	x.permitSince = time.Time{}
 	x.cause, x.unframed, x.firstEvent, x.served = "", false, time.Time{}, false
@@ -100,8 +106,8 @@
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: f.Dialect.Encode(x.r.Header, metadata), Body: x.body,
 		Sent:    func() { x.recordStart(p) },
-		Writing: func(n int) { f.Bytes.RecordWrite(string(p.server.ID), int64(n)) },
-		Written: func(n int) { f.Bytes.RecordWritten(string(p.server.ID), int64(n)) },
+		Writing: func(int) { writing = true },
+		Written: func(int) { p.taken() },
 		Fresh:   !x.history.repeatable, MaxIdle: x.service.MaxIdle(f.Entries()),
 		Matches: func(h http.Header) bool { return f.Dialect.Matches(h, attempt) },
 		Skipped: func(h http.Header) { f.hear(p.server, f.Dialect.Classify(http.StatusOK, h), time.Time{}, attempt) },
