--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -63,6 +63,9 @@
 	// that is not answered, and again each time it has passed, at most five times. It should be longer than an
 	// answer of a slow store takes. If 0, none is made.
 	Hedge time.Duration
+	// TableHedge is the same for a call for the whole table, from its begin on. If 0, no
+	// other is made beside it.
+	TableHedge time.Duration
 	// Pace returns Wait and Interval of the next call for changes; if nil, they are constant.
 	Pace func(now time.Time) (wait, interval time.Duration)
 	// Settle is the time within which other processes have written again what the
@@ -157,9 +160,13 @@
 		}
 		f.recordHealth(ctx, began, err)
 		if err != nil {
+			lost = errors.Is(err, context.DeadlineExceeded)
+			if lost && !loaded && f.config.TableHedge > 0 {
+				backoff = backoffMin // the calls beside each other are slow enough
+			}
 			f.pause(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
 			backoff = min(2*backoff, f.config.Backoff)
-			if lost = errors.Is(err, context.DeadlineExceeded); lost {
+			if lost {
 				timeout = max(f.config.Timeout, min(2*timeout, maxTimeout))
 			}
 			continue
@@ -178,11 +185,11 @@
 func (f *Follower) read(ctx context.Context, changes bool, wait, timeout time.Duration) (began time.Time, err error) {
 	began = time.Now()
 	if !changes {
-		rows, at, err := f.config.Source.ReadAll(ctx, f.config.Table, timeout)
-		if err != nil {
-			return began, err
+		a, hedged := f.callTable(ctx, timeout)
+		if a.err != nil {
+			return began, a.err
 		}
-		return began, f.reset(rows, at, began)
+		return a.began, f.reset(a, hedged)
 	}
 	f.mu.Lock()
 	after := f.position
@@ -241,18 +248,22 @@
 	return now.Sub(f.answered)
 }
 
-// reset replaces the copy by a whole table, which was read by a call that began at the
-// given time: rows that are absent from it were deleted. While the store may lack what it has lost, the rows that may be older than their copy
-// are withheld.
-func (f *Follower) reset(rows []Row, at Position, began time.Time) error {
+// reset replaces the copy by a whole table, after the store was silent if so: rows that are
+// absent from it were deleted. While the store may lack what it has lost, the rows that may
+// be older than their copy are withheld.
+func (f *Follower) reset(a answer, silent bool) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	rows, at := a.rows, a.at
 	if at.Era < f.era.number {
 		return errOldEra
 	}
 	now := time.Now()
 	f.enter(at.Era, now)
 	f.pausing.skip = false // this call has read the era
+	if silent {
+		f.era.answers = time.Time{}
+	}
 	f.recordAnswer(now)
 	if !now.Before(f.era.settles) {
 		f.era.settled = true
@@ -280,7 +291,7 @@
 		}
 	}
 	f.apply(rows, true)
-	f.settleAbsent(absent, len(rows) > 0, at, began)
+	f.settleAbsent(absent, len(rows) > 0, at, a.began)
 	f.position = at
 	f.notifyApplied()
 	return nil
