quarantiner: split by subject: trials, isolation, package comment

Trials of blocked requests and the choice of the server for isolation have files of their own; no declaration has changed.

--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -1,30 +1,3 @@
-// Package quarantiner isolates and blocks the requests that crash backend
-// servers. When a backend server crashes, every request that was running on it
-// becomes a suspect. A suspect runs again only in isolation, on one backend
-// server that all entries select by hashing. A second crash blocks the request
-// for a while, however often and through whichever entry it is sent. A suspect
-// that finishes in isolation is cleared.
-//
-// Where no process can isolate a request, Config.TrialInterval sets other rules. An
-// innocent request may share several crashed servers, so a blocked one runs once
-// more after a while, at one entry at a time; the time doubles with every trial. A
-// complete run clears it of the crashes before the run. Two trials that end with a
-// crash, without such a run, block it for the whole time.
-//
-// An accusation reports a crash or, if its field cleared is set, that the request
-// has finished in isolation. The package has no I/O and takes the time as an
-// argument; the caller distributes the accusations. Entries that recorded the same accusations, in any order and
-// any number of times, reach the same decisions.
-//
-// # Usage
-//
-//	c := quarantiner.New(quarantiner.Config{})
-//	c.Record(accusation, now)
-//	switch v := c.Decide(fingerprint, now); v.Mode {
-//	case quarantiner.Allowed: ...
-//	case quarantiner.Isolated: server, found := quarantiner.ServerFor(fingerprint, servers)
-//	case quarantiner.Blocked: ... until v.Until
-//	}
 package quarantiner
 
 import (
@@ -37,8 +10,6 @@
 	"time"
 
 	"bamboohill/wire"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Mode says how a request may run.
@@ -80,10 +51,6 @@
 // request is blocked.
 const crashesToBlock = 2
 
-// maxFailedTrials is the number of trials that end with a crash after which a blocked
-// request gets no further trial.
-const maxFailedTrials = 2
-
 // certainCrashes is the number of crashes from which one failed trial is enough, and none
 // is needed if the cause is certain.
 const certainCrashes = 5
@@ -92,21 +59,6 @@
 // of all its crashes is doubtful.
 const doubtfulTime = time.Minute
 
-// Limits on how often the time until a trial doubles, and on the share of trials that
-// cleared the request in it.
-const (
-	maxDoublings       = 16
-	maxPassedDoublings = 3
-)
-
-// sameTrial is the time within which the trials that processes begin of one request
-// compete, so that one of them runs it.
-const sameTrial = time.Second
-
-// serversPerIsolation is the number of backend servers for each server that runs
-// isolated requests.
-const serversPerIsolation = 16
-
 // Config configures a Quarantiner. Zero values mean ten minutes, one hour, 4096
 // suspects and no trials.
 type Config struct {
@@ -137,12 +89,6 @@
 	return cmp.Or(cmp.Compare(k.server, other.server), cmp.Compare(k.boot, other.boot))
 }
 
-// trial is a trial that a process began or wanted to begin.
-type trial struct {
-	at       time.Time
-	claimant uint64 // number of the process
-}
-
 // suspect is the state of one fingerprint.
 type suspect struct {
 	crashes  map[crash]report
@@ -227,34 +173,6 @@
 	return at.After(s.cleared)
 }
 
-// addTrial records that a process began a trial, and reports whether that was new.
-func (s *suspect) addTrial(t trial) bool {
-	for _, known := range s.trials {
-		if known.claimant == t.claimant && t.at.Sub(known.at).Abs() < sameTrial {
-			return false // the times differ by the transit of the messages
-		}
-	}
-	s.trials = append(s.trials, t)
-	slices.SortFunc(s.trials, func(a, b trial) int { return a.at.Compare(b.at) })
-	return true
-}
-
-// Wins reports whether a process may run the trial that it began last, as no process
-// with a lower number began one at the same time.
-func (c *Quarantiner) Wins(fingerprint string, claimant uint64) bool {
-	s, found := c.suspects[fingerprint]
-	if !found {
-		return false
-	}
-	var own time.Time
-	for _, t := range s.trials {
-		if t.claimant == claimant {
-			own = t.at
-		}
-	}
-	return !own.IsZero() && !slices.ContainsFunc(s.trials, func(t trial) bool { return t.claimant < claimant && own.Sub(t.at).Abs() < sameTrial })
-}
-
 // clear makes crashes ignored, because the request has since finished, and reports
 // whether there were any. Without trials, a blocked request is not cleared by a run
 // that began before its second crash.
@@ -288,27 +206,6 @@
 	return n
 }
 
-// failedTrials returns the number of trials since the last clearance that ended
-// with a crash.
-func (s *suspect) failedTrials() int {
-	n := 0
-	for _, r := range s.crashes {
-		if r.trial && r.at.After(s.cleared) {
-			n++
-		}
-	}
-	return n
-}
-
-// mayTry reports whether a blocked request gets a trial at some time.
-func (c *Quarantiner) mayTry(s *suspect) bool {
-	failed := s.failedTrials()
-	if c.count(s) < certainCrashes || s.doubtful() {
-		return failed < maxFailedTrials
-	}
-	return failed == 0 && !s.certain()
-}
-
 // certain reports whether the request is known to be the cause of a crash.
 func (s *suspect) certain() bool {
 	for _, r := range s.crashes {
@@ -376,31 +273,6 @@
 	return Decision{Mode: Isolated, Until: s.last.Add(c.config.IsolationTime)}
 }
 
-// nextTrial returns the time from which a blocked request may run once more. The
-// time doubles with every trial without a complete run, and with some of those that
-// cleared the request, so that one that crashes servers now and then is run more
-// rarely.
-func (c *Quarantiner) nextTrial(s *suspect) time.Time {
-	last, passed, doublings := s.last, 0, 0
-	var previous time.Time
-	for _, t := range s.trials {
-		if t.at.Sub(previous) < sameTrial {
-			continue
-		}
-		previous = t.at
-		if t.at.After(last) {
-			last = t.at
-		}
-		if t.at.After(s.cleared) {
-			doublings++
-		} else {
-			passed++
-		}
-	}
-	doublings = min(doublings+min(passed, maxPassedDoublings), maxDoublings)
-	return last.Add(min(c.config.TrialInterval<<doublings, c.config.BlockTime))
-}
-
 // Pardon allows a fingerprint to run again, on request of the operators.
 // Accusations of crashes before the pardon, which other processes may still
 // send, are ignored from then on.
@@ -480,27 +352,3 @@
 	}
 	return all
 }
-
-// ServerFor returns the backend server on which a suspect runs in isolation,
-// among the servers that could run it. Hashing spreads the suspects of the fleet
-// over one such server for each sixteen backend servers; a suspect gets the same
-// one at every entry that passes the same servers. ServerFor reports false if
-// servers is empty.
-func ServerFor(fingerprint string, servers []string) (string, bool) {
-	if len(servers) == 0 {
-		return "", false
-	}
-	ranked := slices.Clone(servers)
-	slices.SortFunc(ranked, func(a, b string) int {
-		x, y := xxhash.Sum64String(a), xxhash.Sum64String(b)
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		}
-		return 0
-	})
-	isolating := uint64(1 + (len(ranked)-1)/serversPerIsolation)
-	return ranked[xxhash.Sum64String(fingerprint)%isolating], true
-}
