Own failure domain first in the order of equal engines

Cause: each entry's order of equal engines is a hash, so two thirds of the prompts leave the failure domain of their callers although engines in it are as good. A hop costs 0.5 to 0.9 ms one way, and bytes between domains have a price.

Change: core/localizer maps an entry's ranks so that engines in its own domain come first and ranks stay evenly spread; the preference falls from whole to none as the spare capacity of the own engines falls from that of all to half of it. As before, ranks decide only between engines of about the same cost. Nothing changes with one domain, or with domains that are unknown (TestOneDomain). Feature "domains" switches it off.

Not simulated: the delay of hops.

--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -56,6 +56,7 @@
 	Slowdown  float64 // pass time relative to normal; 0 means 1
 	EntryRank float64 // 0 to 1; see EntryRank
 	NoHelper  bool    // it must not prefill parts of prompts of others
+	Remote    bool    // in another failure domain than this entry, see localizer.Remote
 }
 
 // Plan is a way to serve a prompt.
@@ -120,6 +121,7 @@
 	for i := range all {
 		engines[i] = newEngine(p, &all[i])
 	}
+	setRanks(p, engines)
 	scored := make([]score, 0, len(all))
 	most := maxParts(p, all)
 	for _, parts := range partCounts {
--- a/core/assigner/plan.go
+++ b/core/assigner/plan.go
@@ -18,7 +18,8 @@
 	before      [profiler.MaxKinds]float64 // probability that decoding requests of a kind pause for too long now
 	slotDelay   time.Duration
 	decoderCost float64
-	free        int // tokens
+	free        int     // tokens
+	rank        float64 // 0 to 1, see setRanks
 }
 
 func newEngine(p Prompt, c *Candidate) engine {
@@ -87,7 +88,7 @@
 	s := score{engine: e, expected: firstEventTime(e, prefill, parts > 1), interference: interference(p, e, prefill)}
 	wait := s.expected
 	if p.enabled(EntryRanks) {
-		s.score = p.tuning.RankCost * p.Terms.LeastValue * e.EntryRank
+		s.score = p.tuning.RankCost * p.Terms.LeastValue * e.rank
 	}
 	if parts == 1 {
 		wait += e.slotDelay
--- a/load/internal/replayer/replayer.go
+++ b/load/internal/replayer/replayer.go
@@ -65,6 +65,7 @@
 	tokens      int
 	events      int
 	arrival     time.Duration
+	domain      int // of its caller
 	retried     bool
 	returned    bool // its caller has come back when it was told
 	firstEvent  time.Duration
@@ -124,6 +125,7 @@
 		if r.random.Float64() >= r.config.Load.factor(class, at)/maxFactor {
 			continue
 		}
+		q.domain = r.drawDomain(at)
 		r.emulator.Schedule(at, func() {
 			r.result.recordArrival(q)
 			r.arrive(q, r.emulator.Now())
@@ -150,9 +152,9 @@
 	r.exchangeWaiting(now)
 }
 
-// arrive hands a request to a random entry.
+// arrive hands a request to a random entry of its caller's failure domain.
 func (r *replay) arrive(q *request, arrival time.Duration) {
-	entry := r.random.IntN(len(r.trackers))
+	entry := r.entry(q)
 	if r.config.Unordered {
 		r.place(q, entry, arrival)
 		return
@@ -179,6 +181,7 @@
 		all[i] = assigner.Candidate{
 			ID: id, Engine: &r.config.Load.Engine, Load: tracker.Load(id, now), EntryRank: assigner.EntryRank(r.rankSeeds[entry], id),
 		}
+		all[i].Remote = r.remote(entry, i)
 		r.applySlowdown(&all[i], entry, i)
 	}
 	_, demand := tracker.PrefillDemand(now)
@@ -230,6 +233,7 @@
 	for _, h := range plan.Helpers {
 		j.Helpers = append(j.Helpers, engineIndex(h))
 	}
+	r.recordDomains(entry, j)
 	j.OnFirst = func(now time.Duration) {
 		q.firstEvent, q.lastEvent = now, now
 		tracker.RecordFirstEvent(attempt, clock())
--- a/load/internal/replayer/result.go
+++ b/load/internal/replayer/result.go
@@ -31,6 +31,7 @@
 type Result struct {
 	Classes []Count
 	Seconds []Count // by second of arrival
+	Domains Domains
 	load    Load
 }
 
@@ -97,6 +98,9 @@
 			return err
 		}
 	}
-	_, err := fmt.Fprintf(w, "class=all worth=%.3f\n", r.ValueShare())
+	if _, err := fmt.Fprintf(w, "class=all worth=%.3f\n", r.ValueShare()); err != nil || r.load.Domains == 0 {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "domains=%d own=%.3f parts_own=%.3f\n", r.load.Domains, r.Domains.OwnShare(), r.Domains.PartsOwnShare())
 	return err
 }
--- a/load/replay.go
+++ b/load/replay.go
@@ -17,6 +17,7 @@
 var loads = map[string]func() replayer.Load{
 	"waves": replayer.Waves, "flood": replayer.Flood, "crowd": replayer.Crowd, "unlike": replayer.Unlike, "urgent": replayer.Urgent,
 	"kinds-1": func() replayer.Load { return replayer.Mixed(1) }, "kinds-2": func() replayer.Load { return replayer.Mixed(2) }, "kinds-3": func() replayer.Load { return replayer.Mixed(3) },
+	"domains-11": func() replayer.Load { return replayer.Alternating(11, 54, 1) }, "domains-26": func() replayer.Load { return replayer.Alternating(26, 60, 1.1) },
 }
 
 // replayCommand returns the command that replays a load on entries that call
@@ -26,7 +27,7 @@
 		Name:  "replay",
 		Usage: "replay a load of prompts on emulated engines with a simulated clock",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "load", Value: "waves", Usage: "waves (alternating bursts of short and long prompts), flood (more prompts than the engines can serve), crowd (a burst over many entries), unlike (waves on engines of three speeds), urgent (urgent short prompts beside less urgent large ones) or kinds-1 to kinds-3 (waves of five kinds with drawn limits)"},
+			&cli.StringFlag{Name: "load", Value: "waves", Usage: "waves (alternating bursts of short and long prompts), flood (more prompts than the engines can serve), crowd (a burst over many entries), unlike (waves on engines of three speeds), urgent (urgent short prompts beside less urgent large ones) kinds-1 to kinds-3 (waves of five kinds with drawn limits), or domains-11 and domains-26 (waves over three failure domains in turn, by entries)"},
 			&cli.StringFlag{Name: "speeds", Value: "estimated", Usage: "what entries know about the speed of engines: unknown, estimated or known"},
 			&cli.StringSliceFlag{Name: "policy", Value: []string{"priced", "least", "random"}, Usage: "policies to compare: " + assigner.PolicyUsage + "; or reference, priced with fixed parameters"},
 			&cli.StringFlag{Name: "valuing", Value: "size", Usage: "what the value of an answer depends on: " + profiler.ValuingUsage},
@@ -41,7 +42,7 @@
 func replay(_ context.Context, c *cli.Command) error {
 	load, found := loads[c.String("load")]
 	if !found {
-		return fmt.Errorf("load: --load must be waves, flood, crowd, unlike, urgent, kinds-1, kinds-2 or kinds-3, not %q", c.String("load"))
+		return fmt.Errorf("load: --load must be waves, flood, crowd, unlike, urgent, kinds-1, kinds-2, kinds-3, domains-11 or domains-26, not %q", c.String("load"))
 	}
 	valuing, found := profiler.ParseValuing(c.String("valuing"))
 	if !found {
