--- a/load/internal/replayer/domains.go
+++ b/load/internal/replayer/domains.go
@@ -75,13 +75,20 @@
 // remote reports whether an engine is in another domain than an entry.
 func (r *replay) remote(entry, engine int) bool {
 	n := r.config.Load.Domains
-	return n > 0 && entry%n != engine%n
+	return n > 0 && entry%n != r.domainOf(engine)
+}
+
+// domainOf returns the domain of an engine.
+func (r *replay) domainOf(engine int) int {
+	if r.config.Load.DomainOf != nil {
+		return r.config.Load.DomainOf(engine)
+	}
+	return engine % r.config.Load.Domains
 }
 
 // recordDomains counts the work of a job by domain.
 func (r *replay) recordDomains(entry int, j emulator.Job) {
-	n := r.config.Load.Domains
-	if n == 0 {
+	if r.config.Load.Domains == 0 {
 		return
 	}
 	d := &r.result.Domains
@@ -91,7 +98,7 @@
 		d.Own += j.Tokens
 	}
 	for _, h := range j.Helpers {
-		if h%n == j.Engine%n {
+		if r.domainOf(h) == r.domainOf(j.Engine) {
 			d.PartsOwn++
 		} else {
 			d.PartsOther++
--- a/load/internal/replayer/domains_test.go
+++ b/load/internal/replayer/domains_test.go
@@ -1,6 +1,7 @@
 package replayer_test
 
 import (
+	"fmt"
 	"testing"
 
 	"bamboohill/core/assigner"
@@ -52,6 +53,25 @@
 	}
 }
 
+// TestSmallDomain compares the same where a domain has only two engines left for the entries of
+// its callers, which all prefer these.
+func TestSmallDomain(t *testing.T) {
+	is := is.New(t)
+	l := replayer.Alternating(11, 40, 0.7)
+	l.DomainOf = func(engine int) int {
+		if engine < 2 {
+			return 2
+		}
+		return engine % 2
+	}
+	before, _, classesBefore := replayDomains(t, l, assigner.CostBased{Disabled: assigner.OwnDomain})
+	after, _, classes := replayDomains(t, l, assigner.CostBased{})
+	is.True(after > before-0.01)
+	for i := range classes {
+		is.True(classes[i] > classesBefore[i]-0.03)
+	}
+}
+
 // TestOneDomain checks that decisions are the same with one failure domain as with none that
 // is known.
 func TestOneDomain(t *testing.T) {
@@ -65,3 +85,32 @@
 		is.Equal(known.Seconds, unknown.Seconds)
 	}
 }
+
+// BenchmarkScale reports the value share and the shares of refused and late requests by the
+// load of the engines, for the effect of cells whose load differs:
+// go test -bench Scale -benchtime 1x ./load/internal/replayer.
+func BenchmarkScale(b *testing.B) {
+	const runs = 2
+	for _, scale := range []float64{0.8, 1, 1.25, 1.5} {
+		b.Run(fmt.Sprint(scale), func(b *testing.B) {
+			for b.Loop() {
+				var sum replayer.Count
+				value := 0.0
+				for seed := range uint64(runs) {
+					l := replayer.Alternating(11, 54, scale)
+					l.Domains = 0
+					r := replayer.Replay(replayer.Config{Load: l, Policy: assigner.CostBased{}, Seed: seed})
+					value += r.ValueShare() / runs
+					for _, c := range r.Classes {
+						sum.Requests += c.Requests
+						sum.Refused += c.Refused
+						sum.Late += c.Late
+					}
+				}
+				b.ReportMetric(value, "worth")
+				b.ReportMetric(float64(sum.Refused)/float64(sum.Requests), "refused")
+				b.ReportMetric(float64(sum.Late)/float64(sum.Requests), "late")
+			}
+		})
+	}
+}
--- a/load/internal/replayer/load.go
+++ b/load/internal/replayer/load.go
@@ -54,6 +54,7 @@
 	Length      time.Duration                              // duration of the arrivals; answers may end later
 	Slowdown    func(engine int, at time.Duration) float64 // of the work of an engine; nil if all are as described
 	Domains     int                                        // failure domains among which entries and engines are divided; 0 if not divided
+	DomainOf    func(engine int) int                       // failure domain of an engine; nil if they are divided evenly
 	DomainRate  func(domain int, at time.Duration) float64 // factor of the request rate of a domain's callers, whose sum over the domains is constant; nil if Domains is 0
 }
 
