--- a/entry/internal/forwarder/leaving_test.go
+++ b/entry/internal/forwarder/leaving_test.go
@@ -49,6 +49,7 @@
 				}
 			}
 			statuses := count(b.steadyLoad(test.path, 20*time.Millisecond, 2*time.Second))
+			t.Logf("answers by status: %v", statuses)
 			is.Equal(statuses[http.StatusOK], 100) // the other server has room for all
 			for _, s := range b.servers {
 				arrivals := s.Arrivals()
