bamboohill returns: what became of refused callers, from entries' logs

Whether the time named in a refusal is true could be seen only by metrics of one process, or by joining log lines by hand.

--- a/operator/internal/runner/runner.go
+++ b/operator/internal/runner/runner.go
@@ -127,6 +127,7 @@
    bamboohill key create balloon
    bamboohill in-force
    bamboohill status --output json
+   bamboohill returns entry-*.log
 
 Exit status: 0 done, 1 failed, 2 wrong command line or refused row, 3 not in
 force everywhere in time, 4 another change went before, 5 key or role, 6
@@ -146,7 +147,7 @@
 		Commands: []*cli.Command{
 			listCommand("account", "client accounts, the first list"), listCommand("plan", "plans and what each may use, the second list"),
 			serviceCommand("domain", "failure domains"), serviceCommand("vm", "VMs of backend servers"),
-			changeCommand(), deleteCommand(), keyCommand(), pardonCommand(), inForceCommand(), statusCommand(),
+			changeCommand(), deleteCommand(), keyCommand(), pardonCommand(), inForceCommand(), statusCommand(), returnsCommand(),
 		},
 	}
 }
