forwarder: retries after refused connections spend no retry budget

Each refused connection took a retry from the budget, though nothing had arrived anywhere: the budget counts arrivals beyond the first.

Change: a send whose connection was refused is repeated without a retry from the budget. Each server is tried once, a refused connection takes no time, and the next server that is reached gets what would have been the first arrival. Dials that time out still need the budget, since repeating them takes the caller's time.

Open: rejections by another server at the address, which are arrivals and count.

--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -129,6 +129,7 @@
 	full        bool        // the request was not sent because all backend servers are full
 	permitSince time.Time   // since when the request waits for a permit, as only limited servers are left; zero if it does not
 	retryAt     time.Time   // when the caller may return at the earliest, if the request is refused; zero if unknown
+	unreached   bool        // the last send reached no server, as its connection was refused
 	elsewhere   bool        // the request is refused, but another entry takes it now
 	trial       bool        // the current send is a trial of a blocked request
 	unframed    bool        // the end of the last answer can't be distinguished from a crash
@@ -330,7 +331,7 @@
 			x.fail(x.cause)
 			return
 		}
-		if !x.retryPaid.Swap(false) && !x.mayRetry(time.Now()) {
+		if !x.mayArrive(time.Now()) {
 			f.Meter.Add("budget_spent", 1)
 			x.fail("retry budget spent: " + x.cause)
 			return
--- a/entry/internal/forwarder/rank.go
+++ b/entry/internal/forwarder/rank.go
@@ -71,6 +71,18 @@
 	return x.forwarder.Budgeter.RetryWithin(x.service.Name, x.forwarder.Entries(), share, now)
 }
 
+// mayArrive reports whether the request may be sent once more after a send that failed. One
+// that reached no server added to no server's load, and the next arrival is paid for as if
+// it had not been made: servers that are gone, as when a failure domain starts anew, must not
+// spend what those that answer need. Each server is tried once.
+func (x *exchange) mayArrive(now time.Time) bool {
+	if x.unreached {
+		x.forwarder.Meter.Add("unreached", 1)
+		return true
+	}
+	return x.retryPaid.Swap(false) || x.mayRetry(now)
+}
+
 // patience returns how long the request can wait at the entry: a prompt as long as the
 // placement policy lets it.
 func (x *exchange) patience() time.Duration {
--- a/entry/internal/forwarder/send.go
+++ b/entry/internal/forwarder/send.go
@@ -70,7 +70,7 @@
 	defer x.recordEnd()
 	x.tried[p.server.ID] = true
 	x.permitSince = time.Time{}
-	x.cause, x.unframed, x.firstEvent, x.served = "", false, time.Time{}, false
+	x.cause, x.unframed, x.firstEvent, x.served, x.unreached = "", false, time.Time{}, false, false
 	f.Warmer.RecordRequest(p.server.ID, p.attempted)
 	metadata := translator.RequestMetadata{
 		Server: p.server.ID, Account: x.account, Remaining: time.Until(x.deadline), LastEvent: x.call.LastEvent,
@@ -142,6 +142,7 @@
 		x.recordDisconnect(p)
 	}
 	if connectionRefused(err) {
+		x.unreached = result == sendNotRun
 		x.forwarder.recordRefused(p.server.ID)
 	}
 	x.recordFailure(p, err.Error())
