--- a/core/assigner/decide.go
+++ b/core/assigner/decide.go
@@ -77,5 +77,5 @@
 		slots += all[i].Engine.Slots
 		taken += all[i].Load.Running
 	}
-	return float64(taken) < p.tuning.IdleShare*float64(slots) && p.PrefillLoad < p.tuning.ScarceFrom
+	return float64(taken) < p.tuning.IdleShare*float64(slots) && p.PrefillLoad < p.tuning.IdlePrefill
 }
--- a/core/assigner/tuning.go
+++ b/core/assigner/tuning.go
@@ -46,6 +46,9 @@
 	// IdleShare is the share of slots below which engines count as idle: prompts that arrive
 	// then are a short burst, not an overload.
 	IdleShare float64
+	// IdlePrefill is the share of the engines' time taken by prefill from which they do not
+	// count as idle, however many slots are free.
+	IdlePrefill float64
 }
 
 var defaultTuning = DefaultTuning()
@@ -55,6 +58,6 @@
 	return Tuning{
 		RiskCenter: 0.95, RiskWidth: 0.06, OpeningCost: 0.35 / 1.5, LatencyWeight: 0.08, OvertakeWeight: 2, BurstFactor: 2, RankCost: 4.0 / 3,
 		ScarceFrom: 0.3, ScarceTo: 0.8, MinPartChunks: 2, MemoryShare: 0.95, DecoderShare: 0.8,
-		MaxLateness: 1.2, MaxIdleFactor: 1.5, MaxWaitShare: 0.5, MaxTimeoutShare: 0.2, MaxCostShare: 0.5, IdleShare: 0.5,
+		MaxLateness: 1.2, MaxIdleFactor: 1.5, MaxWaitShare: 0.5, MaxTimeoutShare: 0.2, MaxCostShare: 0.5, IdleShare: 0.5, IdlePrefill: 0.3,
 	}
 }
--- a/load/internal/replayer/load.go
+++ b/load/internal/replayer/load.go
@@ -53,6 +53,7 @@
 	Phases      []Phase
 	Length      time.Duration                              // duration of the arrivals; answers may end later
 	Slowdown    func(engine int, at time.Duration) float64 // of the work of an engine; nil if all are as described
+	Outage      Outage                                     // in which no entry accepts requests; none if zero
 }
 
 // service is the name of the only service.
--- a/load/internal/replayer/replayer.go
+++ b/load/internal/replayer/replayer.go
@@ -124,7 +124,8 @@
 		if r.random.Float64() >= r.config.Load.factor(class, at)/maxFactor {
 			continue
 		}
-		r.emulator.Schedule(at, func() {
+		accepted := r.config.Load.Outage.accepted(at, r.random)
+		r.emulator.Schedule(accepted, func() {
 			r.result.recordArrival(q)
 			r.arrive(q, r.emulator.Now())
 		})
@@ -206,13 +207,17 @@
 // time.
 func (r *replay) refuse(q *request, wait time.Duration) {
 	if q.retried {
+		r.result.recordReturn(q, true)
 		r.result.recordRefusal(q)
 		return
 	}
 	q.retried, q.returned = true, true
 	left := q.arrival + r.config.Load.Classes[q.class].CallerTimeout - r.emulator.Now()
 	wait = min(wait, time.Duration(honoredShare*float64(left)))
-	r.emulator.Schedule(r.emulator.Now()+wait, func() { r.arrive(q, r.emulator.Now()) })
+	r.emulator.Schedule(r.emulator.Now()+wait, func() {
+		r.result.recordReturn(q, false)
+		r.arrive(q, r.emulator.Now())
+	})
 }
 
 // submit sends a request to the engines of its plan.
--- a/load/internal/replayer/result.go
+++ b/load/internal/replayer/result.go
@@ -12,6 +12,8 @@
 	InTime        int // first event and all gaps within the limits of the class
 	Late          int
 	Refused       int // refused after the retry too, or ended after the timeout of the caller
+	Returned      int // that came back after a refusal
+	Again         int // that were refused again then
 	PossibleValue float64
 	EarnedValue   float64
 }
@@ -65,6 +67,17 @@
 	}
 }
 
+// recordReturn records that a caller comes back, or that it is refused again then.
+func (r *Result) recordReturn(q *request, again bool) {
+	for _, c := range r.counts(q) {
+		if again {
+			c.Again++
+			continue
+		}
+		c.Returned++
+	}
+}
+
 func (r *Result) recordAnswer(q *request) {
 	class := r.load.Classes[q.class]
 	for _, c := range r.counts(q) {
@@ -91,8 +104,8 @@
 // Write writes one line of key=value pairs for each class and one for their total.
 func (r *Result) Write(w io.Writer) error {
 	for i, c := range r.Classes {
-		_, err := fmt.Fprintf(w, "class=%s asked=%d in_time=%.3f late=%d refused=%d worth=%.3f\n",
-			r.load.Classes[i].Name, c.Requests, c.InTimeShare(), c.Late, c.Refused, c.ValueShare())
+		_, err := fmt.Fprintf(w, "class=%s asked=%d in_time=%.3f late=%d refused=%d returned=%d again=%d worth=%.3f\n",
+			r.load.Classes[i].Name, c.Requests, c.InTimeShare(), c.Late, c.Refused, c.Returned, c.Again, c.ValueShare())
 		if err != nil {
 			return err
 		}
--- a/load/replay.go
+++ b/load/replay.go
@@ -15,7 +15,7 @@
 
 // loads maps the values of --load to the loads.
 var loads = map[string]func() replayer.Load{
-	"waves": replayer.Waves, "flood": replayer.Flood, "crowd": replayer.Crowd, "unlike": replayer.Unlike, "urgent": replayer.Urgent,
+	"waves": replayer.Waves, "flood": replayer.Flood, "crowd": replayer.Crowd, "unlike": replayer.Unlike, "urgent": replayer.Urgent, "power": replayer.PowerLoss,
 	"kinds-1": func() replayer.Load { return replayer.Mixed(1) }, "kinds-2": func() replayer.Load { return replayer.Mixed(2) }, "kinds-3": func() replayer.Load { return replayer.Mixed(3) },
 }
 
@@ -26,7 +26,7 @@
 		Name:  "replay",
 		Usage: "replay a load of prompts on emulated engines with a simulated clock",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "load", Value: "waves", Usage: "waves (alternating bursts of short and long prompts), flood (more prompts than the engines can serve), crowd (a burst over many entries), unlike (waves on engines of three speeds), urgent (urgent short prompts beside less urgent large ones) or kinds-1 to kinds-3 (waves of five kinds with drawn limits)"},
+			&cli.StringFlag{Name: "load", Value: "waves", Usage: "waves (alternating bursts of short and long prompts), flood (more prompts than the engines can serve), crowd (a burst over many entries), unlike (waves on engines of three speeds), urgent (urgent short prompts beside less urgent large ones), power (all callers of two seconds at once, after all entries lost power) or kinds-1 to kinds-3 (waves of five kinds with drawn limits)"},
 			&cli.StringFlag{Name: "speeds", Value: "estimated", Usage: "what entries know about the speed of engines: unknown, estimated or known"},
 			&cli.StringSliceFlag{Name: "policy", Value: []string{"priced", "least", "random"}, Usage: "policies to compare: " + assigner.PolicyUsage + "; or reference, priced with fixed parameters"},
 			&cli.StringFlag{Name: "valuing", Value: "size", Usage: "what the value of an answer depends on: " + profiler.ValuingUsage},
@@ -41,7 +41,7 @@
 func replay(_ context.Context, c *cli.Command) error {
 	load, found := loads[c.String("load")]
 	if !found {
-		return fmt.Errorf("load: --load must be waves, flood, crowd, unlike, urgent, kinds-1, kinds-2 or kinds-3, not %q", c.String("load"))
+		return fmt.Errorf("load: --load must be waves, flood, crowd, unlike, urgent, power, kinds-1, kinds-2 or kinds-3, not %q", c.String("load"))
 	}
 	valuing, found := profiler.ParseValuing(c.String("valuing"))
 	if !found {
