--- a/core/leveler/owners_test.go
+++ b/core/leveler/owners_test.go
@@ -24,6 +24,9 @@
 	calls  []call
 	held   []int // slots that owners take for used
 	queue  []*pending
+	ends   map[time.Duration][]int // servers whose owners hear of an end then
+
+	outcome outcome
 }
 
 // pending is a call that has not been sent with success yet.
@@ -42,6 +45,7 @@
 
 const (
 	roomEntries  = 26
+	roomStep     = time.Millisecond
 	roomWork     = 30 * time.Millisecond // median
 	roomTarget   = 200 * time.Millisecond
 	roomPatience = 60 * time.Millisecond // 0.3 of the target
@@ -49,61 +53,64 @@
 )
 
 func (m *room) run() outcome {
-	const step = time.Millisecond
-	var o outcome
-	m.held = make([]int, 3)
-	ends := map[time.Duration][]int{} // servers whose owners hear of an end then
-	for now := time.Duration(0); now < roomLength; now += step {
+	m.held, m.ends = make([]int, 3), map[time.Duration][]int{}
+	for now := time.Duration(0); now < roomLength; now += roomStep {
 		m.calls = slices.DeleteFunc(m.calls, func(c call) bool { return now >= c.ends+m.delay })
-		for _, s := range ends[now] {
+		for _, s := range m.ends[now] {
 			m.held[s]--
 		}
-		delete(ends, now)
-		if m.random.Float64() < m.rate*step.Seconds() {
-			o.total++
+		delete(m.ends, now)
+		if m.random.Float64() < m.rate*roomStep.Seconds() {
+			m.outcome.total++
 			m.queue = append(m.queue, &pending{entry: m.random.IntN(roomEntries), server: -1, arrived: now, due: now})
 		}
 		waiting := m.queue
 		m.queue = nil
 		for _, p := range waiting {
-			if now < p.due {
+			if now < p.due || !m.handle(p, now) {
 				m.queue = append(m.queue, p)
-				continue
-			}
-			if m.owners && !p.granted && now-p.arrived >= roomPatience {
-				o.refused++
-				continue
-			}
-			if !p.granted && !m.place(p, now) {
-				m.queue = append(m.queue, p)
-				continue
-			}
-			_, running := look(m.calls, make([]float64, 3), p.entry, m.delay, now)
-			if running[p.server] < plainSlots && !(p.server == m.dead && now > roomLength/2) {
-				end := now + time.Duration(roomWork.Seconds()*math.Exp(0.5*m.random.NormFloat64())*float64(time.Second)).Round(step)
-				m.calls = append(m.calls, call{entry: p.entry, server: p.server, sent: now, ends: end})
-				if m.owners {
-					ends[end+m.hop] = append(ends[end+m.hop], p.server)
-				}
-				if end-p.arrived <= roomTarget {
-					o.inTime++
-				}
-				continue
 			}
-			if m.owners {
-				ends[now+m.hop+step] = append(ends[now+m.hop+step], p.server)
-			}
-			p.tried = append(p.tried, p.server)
-			if len(p.tried) > 2 || len(m.servers(p, now)) == 0 || o.repeats+1 > 0.8*(0.2*o.total+10) {
-				o.refused++
-				continue
-			}
-			o.repeats++
-			p.granted, p.due = false, now+step
-			m.queue = append(m.queue, p)
 		}
 	}
-	return o
+	return m.outcome
+}
+
+// handle reports whether a call has reached a server or is refused.
+func (m *room) handle(p *pending, now time.Duration) bool {
+	if m.owners && !p.granted && now-p.arrived >= roomPatience {
+		m.outcome.refused++
+		return true
+	}
+	if !p.granted && !m.place(p, now) {
+		return false
+	}
+	_, running := look(m.calls, make([]float64, 3), p.entry, m.delay, now)
+	gone := p.server == m.dead && now > roomLength/2
+	if running[p.server] < plainSlots && !gone {
+		end := now + time.Duration(roomWork.Seconds()*math.Exp(0.5*m.random.NormFloat64())*float64(time.Second)).Round(roomStep)
+		m.calls = append(m.calls, call{entry: p.entry, server: p.server, sent: now, ends: end})
+		m.release(p.server, end+m.hop)
+		if end-p.arrived <= roomTarget {
+			m.outcome.inTime++
+		}
+		return true
+	}
+	m.release(p.server, now+m.hop+roomStep)
+	p.tried = append(p.tried, p.server)
+	if len(p.tried) > 2 || len(m.servers(p, now)) == 0 || m.outcome.repeats+1 > 0.8*(0.2*m.outcome.total+10) {
+		m.outcome.refused++
+		return true
+	}
+	m.outcome.repeats++
+	p.granted, p.due = false, now+roomStep
+	return false
+}
+
+// release lets the owner of a server hear then that a slot is free.
+func (m *room) release(server int, at time.Duration) {
+	if m.owners {
+		m.ends[at] = append(m.ends[at], server)
+	}
 }
 
 // place chooses the server of a call, and reports whether it is sent now.
@@ -119,7 +126,7 @@
 	if m.owners {
 		free := slices.DeleteFunc(slices.Clone(order), func(s int) bool { return m.held[s] >= plainSlots })
 		if len(free) == 0 {
-			p.due = now + time.Millisecond // waits at the owners
+			p.due = now + roomStep // waits at the owners
 			return false
 		}
 		p.server = slices.MinFunc(free, func(a, b int) int { return m.held[a] - m.held[b] })
@@ -131,7 +138,7 @@
 		return false
 	}
 	if full && now-p.arrived < roomPatience && len(p.tried) == 0 {
-		p.due = now + time.Millisecond
+		p.due = now + roomStep
 		return false
 	}
 	p.server = order[leveler.Choose(all, leveler.Staleness{Delay: m.delay, Work: roomWork}, m.random.Float64)]
