--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -371,6 +371,7 @@
 			wait = max(wait, x.returnIn)
 		}
 		wait = max(wait, time.Until(x.retryAt))
+		x.named = wait
 		x.promise(wait)
 		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
 	}
@@ -425,7 +426,7 @@
 		e = e.Float64("first_ms", millis(x.relay.firstDelay)).Float64("pause_ms", millis(x.relay.maxPause)).Str("late", late)
 	}
 	if outcome == "refused" && x.service != nil {
-		e = e.Str("request", x.fingerprint()).Float64("remaining_ms", millis(time.Until(x.deadline)))
+		e = e.Str("request", x.fingerprint()).Float64("remaining_ms", millis(time.Until(x.deadline))).Float64("return_ms", millis(x.named))
 	}
 	e.Str("cause", cause).Msg("")
 }
--- a/entry/internal/forwarder/rank.go
+++ b/entry/internal/forwarder/rank.go
@@ -33,6 +33,7 @@
 	back       bool          // its caller was refused before and has come back
 	returned   bool          // and it has done so at the time that it was told
 	maxWait    time.Duration // of a prompt at the entry, by the placement policy; 0 if not computed
+	named      time.Duration // after which the caller of a refused request was told to come back
 	returnIn   time.Duration // after which time the caller may come back, if the request is refused for lack of room
 }
 
