--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -132,6 +132,7 @@
 	full        bool        // the request was not sent because all backend servers are full
 	permitSince time.Time   // since when the request waits for a permit, as only limited servers are left; zero if it does not
 	retryAt     time.Time   // when the caller may return at the earliest, if the request is refused; zero if unknown
+	unreached   bool        // the last send reached no server, as its connection was refused
 	elsewhere   bool        // the request is refused, but another entry takes it now
 	trial       bool        // the current send is a trial of a blocked request
 	unframed    bool        // the end of the last answer can't be distinguished from a crash
@@ -334,7 +335,7 @@
 			x.fail(x.cause)
 			return
 		}
-		if !x.retryPaid.Swap(false) && !x.mayRetry(time.Now()) {
+		if !x.mayArrive(time.Now()) {
 			f.Meter.Add("budget_spent", 1)
 			x.fail("retry budget spent: " + x.cause)
 			return
@@ -374,6 +375,7 @@
 			wait = max(wait, x.returnIn)
 		}
 		wait = max(wait, time.Until(x.retryAt))
+		x.named = wait
 		x.promise(wait)
 		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
 	}
@@ -428,7 +430,7 @@
 		e = e.Float64("first_ms", millis(x.relay.firstDelay)).Float64("pause_ms", millis(x.relay.maxPause)).Str("late", late)
 	}
 	if outcome == "refused" && x.service != nil {
-		e = e.Str("request", x.fingerprint()).Float64("remaining_ms", millis(time.Until(x.deadline)))
+		e = e.Str("request", x.fingerprint()).Float64("remaining_ms", millis(time.Until(x.deadline))).Float64("return_ms", millis(x.named))
 	}
 	e.Str("cause", cause).Msg("")
 }
--- a/entry/internal/forwarder/rank.go
+++ b/entry/internal/forwarder/rank.go
@@ -33,6 +33,7 @@
 	back       bool          // its caller was refused before and has come back
 	returned   bool          // and it has done so at the time that it was told
 	maxWait    time.Duration // of a prompt at the entry, by the placement policy; 0 if not computed
+	named      time.Duration // after which the caller of a refused request was told to come back
 	returnIn   time.Duration // after which time the caller may come back, if the request is refused for lack of room
 }
 
@@ -71,6 +72,18 @@
 	return x.forwarder.Budgeter.RetryWithin(x.service.Name, x.forwarder.Entries(), share, now)
 }
 
+// mayArrive reports whether the request may be sent once more after a send that failed. One
+// that reached no server added to no server's load, and the next arrival is paid for as if
+// it had not been made: servers that are gone, as when a failure domain starts anew, must not
+// spend what those that answer need. Each server is tried once.
+func (x *exchange) mayArrive(now time.Time) bool {
+	if x.unreached {
+		x.forwarder.Meter.Add("unreached", 1)
+		return true
+	}
+	return x.retryPaid.Swap(false) || x.mayRetry(now)
+}
+
 // patience returns how long the request can wait at the entry: a prompt as long as the
 // placement policy lets it.
 func (x *exchange) patience() time.Duration {
