--- a/load/internal/replayer/domains_test.go
+++ b/load/internal/replayer/domains_test.go
@@ -41,6 +41,7 @@
 		"11 entries": replayer.Alternating(11, 54, 1), "26 entries": replayer.Alternating(26, 60, 1.1),
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			before, ownBefore, classesBefore := replayDomains(t, l, assigner.CostBased{Disabled: assigner.OwnDomain})
 			after, own, classes := replayDomains(t, l, assigner.CostBased{})
@@ -56,6 +57,7 @@
 // TestSmallDomain compares the same where a domain has only two engines left for the entries of
 // its callers, which all prefer these.
 func TestSmallDomain(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	l := replayer.Alternating(11, 40, 0.7)
 	l.DomainOf = func(engine int) int {
