queuer: kinds, ranks and accounts compete over several entries in a test

Ranks and waiting were tested in one queue, accounts in a simulation of their own. The fleet of TestEntriesLeaveRoom now has the queue, board, promises and sharer of each entry, kinds that need unlike room, client accounts, news that is lost, late or one way, and entries that are slow, killed or frozen. TestEntriesLeaveRoom keeps its loads and bounds.

No code of the product is changed.

--- a/core/queuer/board_test.go
+++ b/core/queuer/board_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -58,101 +57,6 @@
 	is.Equal(b.Elsewhere(serviceHash, 2, at(702)), 0)
 }
 
-// told is a datagram on its way.
-type told struct {
-	from   int
-	counts []queuer.Count
-	at     time.Time
-}
-
-// fleet is a number of entries that compete for places. Each learns of the others' waiting
-// requests late, and loses a part of the news.
-type fleet struct {
-	random   *rand.Rand
-	loss     float64
-	boards   []*queuer.Board
-	queues   []*queuer.Queue[int]
-	transit  []told
-	deadFrom int // entries from this one on are silent after 5 s, with requests that wait
-	idle     int // milliseconds in which a place was free although a request waited
-}
-
-// step plays one millisecond.
-func (f *fleet) step(ms int, free *int, waited map[int][]time.Duration) {
-	for len(f.transit) > 0 && !f.transit[0].at.After(at(ms)) {
-		m := f.transit[0]
-		f.transit = f.transit[1:]
-		for to, b := range f.boards {
-			if to != m.from && f.random.Float64() >= f.loss {
-				b.ApplyPeer(fmt.Sprint(m.from), map[uint32][]queuer.Count{serviceHash: m.counts}, at(ms))
-			}
-		}
-	}
-	waits := false
-	for i, q := range f.queues {
-		if i >= f.deadFrom && ms >= 5000 {
-			continue
-		}
-		s := q.Sweep(at(ms))
-		for w := s.Next(); w != nil; w = s.Next() {
-			if *free == 0 || f.boards[i].Yields(w.Request, serviceHash, at(ms)) {
-				s.Stop()
-				continue
-			}
-			*free--
-			s.Placed()
-			q.Remove(w)
-			waited[w.Rank] = append(waited[w.Rank], at(ms).Sub(w.Arrived))
-		}
-		waits = waits || q.Len() > 0
-		if ms%25 == i%25 {
-			f.transit = append(f.transit, told{from: i, counts: q.Counts(), at: at(ms + 10)})
-		}
-	}
-	if waits && *free > 0 {
-		f.idle++
-	}
-}
-
-// play plays ten seconds with arrivals of two ranks beyond the places, and returns the mean
-// wait of each.
-func (f *fleet) play(entries int) (urgent, other time.Duration) {
-	for range entries {
-		f.boards = append(f.boards, queuer.NewBoard())
-		f.queues = append(f.queues, queuer.New[int](queuer.Limits{}))
-	}
-	waited := map[int][]time.Duration{}
-	free, ends := 12, map[int]int{}
-	for ms := range 10_000 {
-		free += ends[ms]
-		if n := f.random.IntN(10); n < 4 { // 400 a second, for at most 300 places a second
-			rank := n % 2
-			i := f.random.IntN(entries)
-			patience := 600 * time.Millisecond
-			f.queues[i].Add(queuer.Request{Rank: rank, Kind: fmt.Sprint(rank), Arrived: at(ms), Patience: patience}, 0, at(ms))
-		}
-		before := free
-		f.step(ms, &free, waited)
-		ends[ms+40] += before - free
-		for _, q := range f.queues {
-			for _, w := range q.Waiters() {
-				if at(ms).Sub(w.Arrived) > time.Second {
-					q.Remove(w) // its caller has left
-				}
-			}
-		}
-	}
-	return mean(waited[0]), mean(waited[1])
-}
-
-func mean(all []time.Duration) time.Duration {
-	sum := time.Duration(0)
-	for _, d := range all {
-		sum += d
-	}
-	return sum / time.Duration(max(1, len(all)))
-}
-
 // TestEntriesLeaveRoom checks that more urgent requests wait less than others over all
 // entries, with news that is late, lost or of entries that have died, and that no place
 // stays empty for longer than a request leaves room.
@@ -171,8 +75,18 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			f := &fleet{random: rand.New(rand.NewPCG(3, 31)), loss: test.loss, deadFrom: test.alive}
-			urgent, other := f.play(test.entries)
+			kinds := make([]drawnKind, 2) // 400 requests a second, for at most 300 places a second
+			for rank := range kinds {
+				kinds[rank] = drawnKind{request: queuer.Request{Rank: rank, Kind: fmt.Sprint(rank), Size: 1, Patience: 600 * time.Millisecond}, each: 5, room: 1, holds: 40}
+			}
+			f := newFleet(3, test.entries, 12, kinds, nil, trouble{loss: test.loss, delay: 10})
+			f.at(5000, func() {
+				for _, e := range f.entries[test.alive:] {
+					e.until = forever
+				}
+			})
+			f.play(10_000)
+			urgent, other := f.meanWait(0), f.meanWait(1)
 			t.Logf("mean wait %v and %v; a place was free for %d ms while a request waited", urgent, other, f.idle)
 			is.True(urgent < other)
 			is.True(f.idle < 10_000/4) // longest share of its patience that a request leaves room
