assigner: a prompt counts more urgent requests that it makes late at least as itself

Cause: interference of a plan was summed by the values of the requests that it makes late.

Change: where values depend on ranks (valuing size-rank or rank), a request of a more urgent rank counts at least the value of the prompt (lateCost).

--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -44,6 +44,7 @@
 	UpdateDelay   time.Duration        // until this entry learns of placements by other entries
 	Value         float64              // of an answer in time, in units of the smallest one
 	Terms         *profiler.Parameters // of the kinds that Load counts; never nil
+	Rank          int                  // 0 is the most urgent
 	disabled      Features             // features of the policy
 	tuning        *Tuning              // of the cost model; nil for the default
 }
--- a/core/assigner/plan.go
+++ b/core/assigner/plan.go
@@ -182,7 +182,7 @@
 		after := slowed(e.Candidate, e.Engine.PassTime(b))
 		for i := range p.Terms.Kinds {
 			if n := e.Load.Decoding[i]; n != 0 {
-				sum += float64(n) * p.Terms.Kinds[i].Value * (p.tuning.risk(after, p.Terms.Kinds[i].Pause) - e.before[i])
+				sum += float64(n) * p.lateCost(i) * (p.tuning.risk(after, p.Terms.Kinds[i].Pause) - e.before[i])
 			}
 		}
 	}
@@ -192,7 +192,7 @@
 	// A part of a split prompt is prefilled before the prompts that wait here.
 	for i := range p.Terms.Kinds {
 		if n := e.Load.Prefilling[i]; n != 0 {
-			sum += float64(n) * p.Terms.Kinds[i].Value * min(1, p.tuning.OvertakeWeight*ratio(slowed(e.Candidate, prefill), p.Terms.Kinds[i].Target))
+			sum += float64(n) * p.lateCost(i) * min(1, p.tuning.OvertakeWeight*ratio(slowed(e.Candidate, prefill), p.Terms.Kinds[i].Target))
 		}
 	}
 	return sum
--- a/core/assigner/policy.go
+++ b/core/assigner/policy.go
@@ -25,11 +25,12 @@
 	PrefillScarcity                       // opportunity cost of prefill while engines are scarce
 	Queueing                              // waiting at the entry for free capacity
 	Refusing                              // refusal of prompts that would be late
+	Urgency                               // more urgent requests made late count at least as much as the prompt
 )
 
 // featureNames are the names of the features in settings, in the order of their
 // bits.
-var featureNames = [...]string{"helpers", "orders", "unheard", "opening", "ahead", "scarcity", "waiting", "refusing"}
+var featureNames = [...]string{"helpers", "orders", "unheard", "opening", "ahead", "scarcity", "waiting", "refusing", "urgency"}
 
 // CostBased is the policy used in production: it minimizes expected cost.
 // Features in Disabled are off.
--- a/core/profiler/parameters.go
+++ b/core/profiler/parameters.go
@@ -13,6 +13,7 @@
 	Pause  time.Duration // longest pause between two events; 0 for none
 	Target time.Duration // time to the first event; 0 for none
 	Value  float64       // of a mean answer in time, in units of the smallest one
+	Rank   int           // 0 is the most urgent
 }
 
 // Parameters are what the cost model of package assigner needs to know of the requests to
@@ -115,7 +116,7 @@
 	tightest, longest := noLimit, time.Duration(0)
 	for i := range p.Kinds {
 		k := kinds.At(i)
-		p.Kinds[i] = Terms{Pause: k.Pause, Target: k.Target}
+		p.Kinds[i] = Terms{Pause: k.Pause, Target: k.Target, Rank: k.Rank}
 		if k.Service != service {
 			continue
 		}
--- a/entry/internal/forwarder/place.go
+++ b/entry/internal/forwarder/place.go
@@ -181,7 +181,7 @@
 	prompt := assigner.Prompt{
 		Tokens: x.call.Prompt, Answer: x.call.Answer, PrefillLoad: demand / float64(len(servers)),
 		Target: x.route.TargetLatency, Gap: x.route.TargetGap, Waited: now.Sub(x.received), CallerTimeout: x.deadline.Sub(x.received),
-		UpdateDelay: x.forwarder.UpdateDelay(), Terms: terms, Value: x.value(kind, terms),
+		UpdateDelay: x.forwarder.UpdateDelay(), Terms: terms, Value: x.value(kind, terms), Rank: kind.Rank,
 	}
 	plan, decision := x.forwarder.Policy.Choose(prompt, candidates)
 	p.expected, p.cost, p.price, p.value, p.prefillLoad = plan.Expected, plan.Cost, plan.OpportunityCost, prompt.Value, prompt.PrefillLoad
--- a/load/internal/replayer/off_test.go
+++ b/load/internal/replayer/off_test.go
@@ -14,7 +14,7 @@
 	for load, play := range loads {
 		for _, name := range []string{
 			"priced", "priced-helpers", "priced-orders", "priced-unheard", "priced-opening", "priced-ahead",
-			"priced-scarcity", "priced-waiting", "priced-refusing", "least", "random",
+			"priced-scarcity", "priced-waiting", "priced-refusing", "priced-urgency", "least", "random",
 		} {
 			b.Run(load+"/"+name, func(b *testing.B) {
 				policy, known := assigner.ParsePolicy(name)
--- a/load/internal/replayer/replayer.go
+++ b/load/internal/replayer/replayer.go
@@ -190,6 +190,7 @@
 	if r.config.Terms != nil {
 		prompt.Terms = r.config.Terms(tracker.Kinds(), prompt.Terms)
 	}
+	prompt.Rank = r.kinds[q.class].Rank
 	prompt.Value = prompt.Terms.Value(tracker.Kinds().Index(r.kinds[q.class]), r.kinds[q.class].Rank, q.tokens)
 	plan, decision := r.config.Policy.Choose(prompt, all)
 	switch decision {
--- a/load/internal/replayer/urgent_test.go
+++ b/load/internal/replayer/urgent_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboohill/core/assigner"
+	"bamboohill/core/profiler"
 	"bamboohill/load/internal/replayer"
 
 	"github.com/matryer/is"
@@ -53,3 +54,28 @@
 		is.True(classes[i] > classesBefore[i]-tolerance)
 	}
 }
+
+// TestUrgentDoNotPay replays the same burst with values that depend on ranks, with and
+// without regard for the ranks of the requests that a prompt makes late. Over all seeds the
+// urgent classes must be served no worse, and all together within noise.
+func TestUrgentDoNotPay(t *testing.T) {
+	is := is.New(t)
+	const runs, tolerance = 4, 0.03
+	share := func(disabled assigner.Features) (worth float64, classes [3]float64) {
+		for seed := range uint64(runs) {
+			c := replayer.Config{Load: replayer.Urgent(), Policy: assigner.CostBased{Disabled: disabled}, Valuing: profiler.BySizeAndRank, Seed: seed}
+			r := replayer.Replay(c)
+			worth += r.ValueShare() / runs
+			for i, class := range r.Classes {
+				classes[i] += class.ValueShare() / runs
+			}
+		}
+		return worth, classes
+	}
+	worth, classes := share(0)
+	before, classesBefore := share(assigner.Urgency)
+	t.Logf("worth %.3f, by class %.3f; without regard for ranks %.3f, %.3f", worth, classes, before, classesBefore)
+	is.True(worth > before-tolerance)
+	is.True(classes[0] >= classesBefore[0])
+	is.True(classes[1] >= classesBefore[1])
+}
