--- a/load/internal/replayer/replayer.go
+++ b/load/internal/replayer/replayer.go
@@ -26,6 +26,7 @@
 	// Unordered replays entries on which each waiting prompt decides for itself, without
 	// regard for ranks, and which tell refused callers to come back after a fixed time.
 	Unordered bool
+	Foresight *Foresight // nil for entries that do not know the demand ahead
 }
 
 // Delays in a replay.
@@ -192,6 +193,9 @@
 	}
 	prompt.Rank = r.kinds[q.class].Rank
 	prompt.Value = prompt.Terms.Value(tracker.Kinds().Index(r.kinds[q.class]), r.kinds[q.class].Rank, q.tokens)
+	if r.config.Foresight != nil {
+		r.config.Foresight.apply(&r.config.Load, r.emulator.Now(), &prompt, all)
+	}
 	plan, decision := r.config.Policy.Choose(prompt, all)
 	switch decision {
 	case assigner.Serve:
--- a/load/replay.go
+++ b/load/replay.go
@@ -16,7 +16,10 @@
 // loads maps the values of --load to the loads.
 var loads = map[string]func() replayer.Load{
 	"waves": replayer.Waves, "flood": replayer.Flood, "crowd": replayer.Crowd, "unlike": replayer.Unlike, "urgent": replayer.Urgent,
-	"kinds-1": func() replayer.Load { return replayer.Mixed(1) }, "kinds-2": func() replayer.Load { return replayer.Mixed(2) }, "kinds-3": func() replayer.Load { return replayer.Mixed(3) },
+	"alternating":      func() replayer.Load { return replayer.Alternating(1) },
+	"alternating-wide": func() replayer.Load { return replayer.AlternatingWide(1) },
+	"alternating-many": func() replayer.Load { return replayer.AlternatingMany(1) },
+	"kinds-1":          func() replayer.Load { return replayer.Mixed(1) }, "kinds-2": func() replayer.Load { return replayer.Mixed(2) }, "kinds-3": func() replayer.Load { return replayer.Mixed(3) },
 }
 
 // replayCommand returns the command that replays a load on entries that call
@@ -26,11 +29,12 @@
 		Name:  "replay",
 		Usage: "replay a load of prompts on emulated engines with a simulated clock",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "load", Value: "waves", Usage: "waves (alternating bursts of short and long prompts), flood (more prompts than the engines can serve), crowd (a burst over many entries), unlike (waves on engines of three speeds), urgent (urgent short prompts beside less urgent large ones) or kinds-1 to kinds-3 (waves of five kinds with drawn limits)"},
+			&cli.StringFlag{Name: "load", Value: "waves", Usage: "waves (alternating bursts of short and long prompts), flood (more prompts than the engines can serve), crowd (a burst over many entries), unlike (waves on engines of three speeds), urgent (urgent short prompts beside less urgent large ones), alternating, alternating-wide or alternating-many (waves of short and of the largest prompts by turns, over 4, 11 and 26 entries) or kinds-1 to kinds-3 (waves of five kinds with drawn limits)"},
 			&cli.StringFlag{Name: "speeds", Value: "estimated", Usage: "what entries know about the speed of engines: unknown, estimated or known"},
 			&cli.StringSliceFlag{Name: "policy", Value: []string{"priced", "least", "random"}, Usage: "policies to compare: " + assigner.PolicyUsage + "; or reference, priced with fixed parameters"},
 			&cli.StringFlag{Name: "valuing", Value: "size", Usage: "what the value of an answer depends on: " + profiler.ValuingUsage},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "random seed of the arrivals"},
+			&cli.DurationFlag{Name: "foresight", Usage: "time ahead for which entries know the true rates; 0 for none"},
 			&cli.BoolFlag{Name: "unordered", Usage: "waiting prompts decide for themselves, without regard for ranks"},
 			&cli.StringFlag{Name: "plots", Usage: "write a plot for each policy to this directory"},
 		},
@@ -41,7 +45,7 @@
 func replay(_ context.Context, c *cli.Command) error {
 	load, found := loads[c.String("load")]
 	if !found {
-		return fmt.Errorf("load: --load must be waves, flood, crowd, unlike, urgent, kinds-1, kinds-2 or kinds-3, not %q", c.String("load"))
+		return fmt.Errorf("load: --load must be waves, flood, crowd, unlike, urgent, alternating, alternating-wide, alternating-many, kinds-1, kinds-2 or kinds-3, not %q", c.String("load"))
 	}
 	valuing, found := profiler.ParseValuing(c.String("valuing"))
 	if !found {
@@ -58,6 +62,9 @@
 			policy, known, config.Terms = assigner.CostBased{}, true, replayer.Reference
 		}
 		config.Policy = policy
+		if ahead := c.Duration("foresight"); ahead > 0 {
+			config.Foresight = &replayer.Foresight{Horizon: ahead, Keep: 1}
+		}
 		if !known {
 			return fmt.Errorf("load: --policy must be %s, not %q", assigner.PolicyUsage, name)
 		}
