--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -33,7 +33,7 @@
 	"github.com/phuslu/log"
 )
 
-// Config describes a Forwarder. All fields are required, but Bytes, Board, Promises, Waiting, Over and HideRanks.
+// Config describes a Forwarder. All fields are required, but Domain, Bytes, Board, Promises, Waiting, Over and HideRanks.
 type Config struct {
 	Log         *log.Logger
 	Dialect     translator.Dialect
@@ -55,6 +55,7 @@
 	RankSeed    uint64               // seed of this entry's ranking of equal engines
 	UpdateDelay func() time.Duration // until this entry receives the placements of others
 	Region      viewer.Region
+	Domain      viewer.Domain                       // failure domain of this entry; unknown if empty
 	Entries     func() int                          // number of entries that share limits, this one included
 	Cells       func() int                          // number of cells that entries and engines are partitioned into
 	InCell      func(engine string, cells int) bool // whether an engine belongs to this entry's cell
@@ -116,6 +117,8 @@
 	call        translator.Call
 	body        []byte
 	bodies      *tallier.Share    // what the body holds; nil before it is read
+	fit         tallier.Fit       // of the body at the servers that readers returned last
+	takers      int               // number of the servers that it chose from
 	answers     *tallier.Share    // what answers hold that are read as a whole; nil if there are none
 	fingerprint func() string     // computed at the first call
 	running     *detector.Running // the current send, from when its first byte is sent
@@ -298,6 +301,7 @@
 			return
 		}
 		if x.mayNotSend(ctx) {
+			p.taken()
 			f.Loads.RecordEnd(x.call.Attempt, time.Now())
 			x.fail(x.blockedBy)
 			return
--- a/load/internal/replayer/foresight_test.go
+++ b/load/internal/replayer/foresight_test.go
@@ -23,9 +23,9 @@
 		load  replayer.Load
 		seeds uint64
 	}{
-		"four entries":   {replayer.Alternating(highLoad), 4},
-		"eleven entries": {replayer.AlternatingWide(highLoad), 2},
-		"26 entries":     {replayer.AlternatingMany(highLoad), 2},
+		"four entries":   {replayer.KindWaves(highLoad), 4},
+		"eleven entries": {replayer.KindWavesWide(highLoad), 2},
+		"26 entries":     {replayer.KindWavesMany(highLoad), 2},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/load/internal/replayer/alternating.go
+++ b/load/internal/replayer/kindwaves.go
@@ -14,9 +14,9 @@
 	middleRest           = 0.5
 )
 
-// Alternating returns waves of short prompts that alternate with waves of the largest over
+// KindWaves returns waves of short prompts that alternate with waves of the largest over
 // few entries, with scale times the usual rates.
-func Alternating(scale float64) Load {
+func KindWaves(scale float64) Load {
 	l := Waves()
 	for i := range l.Classes {
 		l.Classes[i].Rate *= scale
@@ -24,9 +24,9 @@
 	return l.alternating()
 }
 
-// AlternatingWide returns alternating waves over eleven entries and engines that prefill
+// KindWavesWide returns alternating waves over eleven entries and engines that prefill
 // slowly: one of the largest prompts takes the time of ten engines. All ranks are equal.
-func AlternatingWide(scale float64) Load {
+func KindWavesWide(scale float64) Load {
 	l := Load{
 		Engines: 54, Entries: 11, UpdateDelay: 30 * time.Millisecond,
 		Engine: predictor.Engine{
@@ -45,9 +45,9 @@
 	return l.alternating()
 }
 
-// AlternatingMany returns alternating waves over 26 entries, in which the largest prompts
+// KindWavesMany returns alternating waves over 26 entries, in which the largest prompts
 // are the least urgent.
-func AlternatingMany(scale float64) Load {
+func KindWavesMany(scale float64) Load {
 	l := Urgent()
 	l.Engines = 60
 	for i, rate := range []float64{76.5, 12.2, 2.08} {
