--- a/core/profiler/estimates.go
+++ b/core/profiler/estimates.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -48,6 +49,17 @@
 	}
 }
 
+// Adds reports whether requests have been recorded since a sample that was told at an age
+// before s, as far as half a request can be told apart from rounding.
+func (s Sample) Adds(told Sample, age time.Duration) bool {
+	then := told.decayed(age).Usual
+	return s.Usual.Prompts-then.Prompts > leastChange || s.Usual.Slots-then.Slots > leastChange
+}
+
+// leastChange is the number of requests from which a sample counts as changed. Each request
+// adds one.
+const leastChange = 0.5
+
 func (s Sample) add(other Sample) Sample {
 	return Sample{Recent: s.Recent.add(other.Recent), Usual: s.Usual.add(other.Usual)}
 }
@@ -151,6 +163,22 @@
 	e.peers[entry] = told{kinds: kinds[:n], samples: samples[:n], received: now}
 }
 
+// UpdatePeer replaces what another entry has seen of some kinds, as ApplyPeer does. What it
+// told of the others before still counts.
+func (e *Estimates) UpdatePeer(entry string, kinds []Kind, samples []Sample, now time.Time) {
+	n := min(len(kinds), len(samples))
+	kinds, samples = kinds[:n:n], samples[:n:n]
+	old := e.peers[entry]
+	if age := now.Sub(old.received); age <= expiry {
+		for i, k := range old.kinds {
+			if !slices.Contains(kinds[:n], k) {
+				kinds, samples = append(kinds, k), append(samples, old.samples[i].decayed(age))
+			}
+		}
+	}
+	e.ApplyPeer(entry, kinds, samples, now)
+}
+
 // Traffic returns what all entries have seen of each kind of a list. What another entry
 // told of another kind counts for the nearest one.
 func (e *Estimates) Traffic(kinds *Kinds, now time.Time) Traffic {
--- a/entry/internal/exchanger/exchanger.go
+++ b/entry/internal/exchanger/exchanger.go
@@ -288,6 +288,7 @@
 // receiveLoop receives datagrams until the socket is closed.
 func (e *Exchanger) receiveLoop(ctx context.Context) {
 	buffer := make([]byte, maxDatagramBytes)
+	d := &decoder{}
 	for ctx.Err() == nil {
 		n, _, err := e.socket.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -296,8 +297,8 @@
 		if err != nil {
 			continue // an ICMP error: a peer's port is unreachable
 		}
-		o := &wire.Outstanding{}
-		if err := proto.Unmarshal(buffer[:n], o); err != nil {
+		o, err := d.decode(buffer[:n])
+		if err != nil {
 			e.config.Log.Warn().Str("event", "datagram-not-understood").Str("cause", err.Error()).Msg("")
 			continue
 		}
