--- a/Makefile
+++ b/Makefile
@@ -27,10 +27,12 @@
 # Tests that KNOWN-RED.txt lists are run and printed by .ci/red.
 RED := $(shell sed -n 's/^[a-z][^ ]* \(Test[^ ]*\).*/\1$$/p' KNOWN-RED.txt | paste -sd'|')
 SKIP := $(if $(RED),-skip '$(RED)')
+# The limit of a package: replays take minutes of processor time, and more beside other work.
+TEST_LIMIT := 30m
 # The scenarios build the programs themselves, which the test cache can't see.
 unit:
-	go test $(SKIP) $(filter-out ./prover/...,$(PACKAGES))
-	go test -count=1 $(SKIP) ./prover/...
+	go test -timeout $(TEST_LIMIT) $(SKIP) $(filter-out ./prover/...,$(PACKAGES))
+	go test -timeout $(TEST_LIMIT) -count=1 $(SKIP) ./prover/...
 
 lint: $(LINT)
 	@test -z "$$(gofmt -l $(MODULES))" || { gofmt -l $(MODULES); echo "run make format"; exit 1; }
