--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -10,8 +10,9 @@
 	"time"
 )
 
-// engine is a stand-in of a server of a plain service. It registers itself in the store,
-// renews its entry every heartbeat, and answers each request that names it.
+// engine is a stand-in of a server of a plain service. It registers itself in the store and
+// answers each request that names it. That it renews its entry every heartbeat is not seen in
+// the store's feed, as the entry changes only when more than sequence changes.
 type engine struct {
 	id, service, zone string
 	store             *store
@@ -23,7 +24,7 @@
 
 	mu    sync.Mutex
 	limit string // what it says in Server-Limit; empty if it is not in need
-	runs  int
+	runs  []time.Time
 }
 
 func startEngine(id, service, zone, host string, s *store, work time.Duration, r *record) (*engine, error) {
@@ -33,19 +34,14 @@
 	}
 	e := &engine{id: id, service: service, zone: zone, store: s, born: time.Now().UnixMilli(), work: work, record: r, address: l.Addr().String(), listener: l}
 	go func() { _ = http.Serve(l, e) }()
-	go func() {
-		for n := 1; ; n++ {
-			e.register(n)
-			time.Sleep(heartbeat)
-		}
-	}()
+	e.register()
 	return e, nil
 }
 
-func (e *engine) register(n int) {
+func (e *engine) register() {
 	value, _ := json.Marshal(map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 6, "state": "ready",
-		"coldRemainingMs": 0, "sequence": n, "born": e.born,
+		"coldRemainingMs": 0, "sequence": 1, "born": e.born,
 	})
 	e.store.put("servers", e.id, value)
 }
@@ -75,7 +71,7 @@
 		return
 	}
 	e.mu.Lock()
-	e.runs++
+	e.runs = append(e.runs, time.Now())
 	e.mu.Unlock()
 	e.record.line("%s runs %s", e.id, r.Header.Get("Attempt-Id"))
 	time.Sleep(e.work)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,7 +21,7 @@
 // errBroken means that the rule was broken.
 var errBroken = errors.New("the rule was broken")
 
-var scenarios = map[string]func(*play) error{"recover": recoverWithLimits}
+var scenarios = map[string]func(*play) error{"recover": recoverWithLimits, "crash": crashAfterKill, "silent": removedAfterSilence, "same-id": sameID}
 
 // play is what a scenario plays with.
 type play struct {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -28,10 +28,12 @@
 	version int64
 	changed chan struct{}
 	start   time.Time
+	conns   map[string]bool // remote addresses of the channels that have carried a call
+	silent  map[string]bool // those that have gone silent for good
 }
 
 func newStore() *store {
-	return &store{rows: map[string]row{}, changed: make(chan struct{}), start: time.Now()}
+	return &store{rows: map[string]row{}, changed: make(chan struct{}), start: time.Now(), conns: map[string]bool{}, silent: map[string]bool{}}
 }
 
 func name(table, part, key string) string { return table + "\x00" + part + "\x00" + key }
@@ -54,6 +56,24 @@
 	s.wake()
 }
 
+// silence makes all channels that are open now silent for good; new ones work.
+func (s *store) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		s.silent[c] = true
+	}
+	s.wake()
+}
+
+// isSilent reports whether a channel has gone silent.
+func (s *store) isSilent(r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[r.RemoteAddr] = true
+	return s.silent[r.RemoteAddr]
+}
+
 func (s *store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -92,6 +112,10 @@
 
 // ServeHTTP serves the calls of the store.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isSilent(r) {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	q := r.URL.Query()
 	switch r.URL.Path {
 	case "/rows-get":
@@ -120,6 +144,10 @@
 	wait, _ := strconv.Atoi(q.Get("waitMs"))
 	end := time.After(time.Duration(min(wait, 30000)) * time.Millisecond)
 	for {
+		if s.isSilent(r) {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		s.mu.Lock()
 		rows := s.list(q.Get("table"), "", after, true)
 		changed := s.changed
@@ -137,6 +165,10 @@
 			return
 		case <-end:
 		}
+		if s.isSilent(r) {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.answer(w, http.StatusOK, nil)
