--- a/review/standin/recover.go
+++ b/review/standin/recover.go
@@ -51,7 +51,8 @@
 			p.balancer.remove(old)
 			old.kill("it loses power and is removed for good")
 			time.Sleep(2 * time.Second)
-			m, err := p.add(fmt.Sprintf("front-%s-%d", old.zone, 2+n/2), old.zone, 3+n)
+			spare := []string{"nadi", "lautoka", "sigatoka"}[n] // one in each zone
+			m, err := p.add("front-"+spare+"-2", spare, 3+n)
 			if err != nil {
 				return err
 			}
