Generator: answers without end are read in part

Cause: a sidecar decoded an engine's answer to a status query, a list of jobs or events, an export or an order whatever its length. A faulty engine that sends bytes without end was read until memory ran out; the head was bounded by net/http's 10 MB only where the client was its own. Change: at most 4 MiB of a body and 64 KiB of a head; a longer body is a *TooLongError.

--- a/core/generator/generator.go
+++ b/core/generator/generator.go
@@ -16,8 +16,12 @@
 	"bamboohill/core/drainer"
 )
 
-// maxLineBytes is the maximum length of a line in an engine's stream.
-const maxLineBytes = 1 << 20
+// Bounds of what is read of an engine's answer, which may have no end.
+const (
+	maxLineBytes   = 1 << 20  // a line of a stream
+	maxAnswerBytes = 4 << 20  // the body of any other answer
+	maxHeadBytes   = 64 << 10 // the head of an answer
+)
 
 // Model is a model that an engine has loaded.
 type Model struct {
@@ -104,6 +108,14 @@
 	return fmt.Sprintf("generator: status %d: %s", e.Code, e.Text)
 }
 
+// TooLongError is returned for an answer whose body has no end within Limit bytes.
+type TooLongError struct{ Limit int64 }
+
+// Error implements error.
+func (e *TooLongError) Error() string {
+	return fmt.Sprintf("generator: answer longer than %d bytes", e.Limit)
+}
+
 // ErrTruncated is returned if a stream ends without its last chunk.
 var ErrTruncated = errors.New("generator: stream stopped without an end")
 
@@ -123,7 +135,9 @@
 // a client with its own connection pool.
 func New(config Config) *Engine {
 	if config.Client == nil {
-		config.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}}
+		config.Client = &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes,
+		}}
 	}
 	return &Engine{address: config.Address, client: config.Client}
 }
@@ -198,11 +212,16 @@
 		return err
 	}
 	defer r.Body.Close()
+	limited := &io.LimitedReader{R: r.Body, N: maxAnswerBytes + 1}
 	if into == nil {
-		_, err = io.Copy(io.Discard, r.Body)
-		return err
+		_, err = io.Copy(io.Discard, limited)
+	} else {
+		err = json.NewDecoder(limited).Decode(into)
+	}
+	if limited.N <= 0 {
+		return &TooLongError{Limit: maxAnswerBytes}
 	}
-	return json.NewDecoder(r.Body).Decode(into)
+	return err
 }
 
 // do sends a request, with the job in a header unless it is empty. An answer with
