Sidecar: heads without end are read in part

Cause: requests to the backend server were bounded by net/http's 10 MB for each head, so that a faulty server could take the memory of a small VM with a few requests at a time. Change: 64 KiB, as for the heads that entries read.

--- a/sidecar/internal/server/fresh.go
+++ b/sidecar/internal/server/fresh.go
@@ -7,6 +7,9 @@
 	"bamboohill/sidecar/internal/settings"
 )
 
+// maxHeadBytes bounds the head of an answer of the backend server, which may have no end.
+const maxHeadBytes = 64 << 10
+
 // transport sends requests that must not get the answer to another one on connections of
 // their own. Answers of the backend server don't name their request, so that one which it
 // writes once more on a kept connection would be taken for the next.
@@ -20,7 +23,8 @@
 // their own.
 func newTransport(kind string, idle time.Duration) transport {
 	return transport{
-		kept: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idle}, fresh: &http.Transport{DisableKeepAlives: true},
+		kept:  &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idle, MaxResponseHeaderBytes: maxHeadBytes},
+		fresh: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes},
 		isFresh: func(q *http.Request) bool {
 			if kind == settings.KindModel {
 				return q.URL.Path == generatePath
