Forwarder: two requests with one attempt id have loads of their own

Cause: loads were kept by the caller's attempt id. A second request with the id of one under way replaced its state, and the next look at the server's load ended the process (nil map, in the exchanger's goroutine too), with the requests of all other callers. Change: each request has a number of its own for its load.

--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -76,6 +76,7 @@
 	Config
 	unanswered aborter.Aborter[*exchange] // sends whose answers have not begun
 	active     atomic.Int64               // requests that are being served
+	received   atomic.Int64               // requests so far
 	ending     atomic.Bool                // no request is sent any more
 	lines      *lines
 }
@@ -117,6 +118,7 @@
 	account   string
 	standing
 	call        translator.Call
+	load        string // identifies its load; callers may give two requests one attempt id
 	body        []byte
 	bodies      *tallier.Share    // what the body holds; nil before it is read
 	fit         tallier.Fit       // of the body at the servers that readers returned last
@@ -156,7 +158,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{
 		forwarder: f, w: w, r: r, view: f.Viewer.Load(), received: time.Now(),
-		call: f.Dialect.Decode(r.Header), tried: map[viewer.ServerID]bool{},
+		call: f.Dialect.Decode(r.Header), load: strconv.FormatInt(f.received.Add(1), 10), tried: map[viewer.ServerID]bool{},
 	}
 	x.fingerprint = sync.OnceValue(x.computeFingerprint)
 	f.active.Add(1)
@@ -296,7 +298,7 @@
 		}
 		if x.mayNotSend(ctx) {
 			p.taken()
-			f.Loads.RecordEnd(x.call.Attempt, time.Now())
+			f.Loads.RecordEnd(x.load, time.Now())
 			x.fail(x.blockedBy)
 			return
 		}
--- a/entry/internal/forwarder/place.go
+++ b/entry/internal/forwarder/place.go
@@ -143,7 +143,7 @@
 		return p, errWaitAlone // another request has taken the permit since
 	}
 	p.permit = permit
-	x.forwarder.Loads.RecordPlacement(x.call.Attempt, p.work, now)
+	x.forwarder.Loads.RecordPlacement(x.load, p.work, now)
 	x.recordUse(now)
 	return p, nil
 }
--- a/entry/internal/forwarder/rank.go
+++ b/entry/internal/forwarder/rank.go
@@ -124,7 +124,7 @@
 
 // recordEnd records that a send has ended, which may free room for a waiting request.
 func (x *exchange) recordEnd() {
-	x.forwarder.Loads.RecordEnd(x.call.Attempt, time.Now())
+	x.forwarder.Loads.RecordEnd(x.load, time.Now())
 	x.forwarder.lines.notify()
 }
 
--- a/entry/internal/forwarder/stream.go
+++ b/entry/internal/forwarder/stream.go
@@ -94,7 +94,7 @@
 	}
 	now := time.Now()
 	x.firstEvent = now
-	x.forwarder.Loads.RecordFirstEvent(x.call.Attempt, now)
+	x.forwarder.Loads.RecordFirstEvent(x.load, now)
 	if x.relay.firstDelay == 0 {
 		x.relay.firstDelay = now.Sub(x.received)
 		x.forwarder.Meter.Observe("first_event", x.relay.firstDelay)
