Partitioner: a cell has room for two of the largest prompts at a time

Cause: a cell of engines had to hold 96 of them, without a ground, so that 103 entries before 112 engines made one cell and each sent its datagrams to 102 others. Cells are still made for more than 48 entries only: deployments with fewer are not changed.

--- a/core/partitioner/partitioner.go
+++ b/core/partitioner/partitioner.go
@@ -2,12 +2,14 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// Bounds of a cell. Up to maxEntries entries can exchange their load in time;
-// this has been seen with 31 of them. minEngines engines have memory for several
-// of the largest prompts and their helpers.
+// Bounds of a cell. What an entry spends on the datagrams of its cell grows with the
+// number of entries: up to maxEntries, it leaves room for its callers on the smallest
+// VMs. minEngines engines have room for two of the largest prompts at a time, each of
+// which takes the time and the memory of an engine and its helpers.
 const (
 	maxEntries = 48
-	minEngines = 96
+	maxHelpers = 16
+	minEngines = 2 * (1 + maxHelpers)
 )
 
 // Count returns the number of cells for the given numbers of entries and engines,
