Exchanger: entries of other cells are not logged as returned each 5 s

Cause: the return of a peer is logged after 2 s of silence, and entries of other cells send one datagram each 5 s. Change: the silence is that after which a peer is informed: 10 s for other cells, 2 s as before within one. Result: TestPeerAlive failed in two of seven cases before and passes.

--- a/entry/internal/exchanger/exchanger.go
+++ b/entry/internal/exchanger/exchanger.go
@@ -81,7 +81,7 @@
 	listInterval         = time.Second            // between two datagrams that list live peers
 	maxListedPeers       = 24                     // peers in one list; enough for all entries to learn of all others within seconds
 	farInterval          = 5 * time.Second        // between two datagrams to entries of other cells, which only count this entry
-	peerTimeout          = 2 * time.Second        // silence after which the return of a peer is logged; several heartbeats
+	peerTimeout          = 2 * time.Second        // silence after which the return of a peer of the cell is logged; several heartbeats
 	peerExpiry           = time.Minute            // time for which a silent peer still gets datagrams and counts as an entry
 	directoryInterval    = 20 * time.Second       // between two reads of the directory
 	pullDelay            = 150 * time.Millisecond // time for the same change to arrive from the store
@@ -322,7 +322,7 @@
 	if origin == discerner.Started || e.silent(o.GetAddress(), p, now) {
 		e.informPeer(o.GetAddress(), now)
 	}
-	if p.lastReceived.IsZero() || now.Sub(p.lastReceived) > peerTimeout {
+	if e.silent(o.GetAddress(), p, now) {
 		e.config.Log.Info().Str("event", "peer-alive").Str("peer", o.GetEntry()).Str("address", o.GetAddress()).Msg("")
 	}
 	p.lastReceived, p.sequence = now, o.GetSequence()
