--- a/review/standin-2/blame.go
+++ b/review/standin-2/blame.go
@@ -10,13 +10,14 @@
 
 func init() {
 	plays["blame"] = playBlame
-	if n, err := strconv.Atoi(os.Getenv("USERS")); err == nil {
-		users = n
+	if n, err := strconv.Atoi(os.Getenv("BATCH")); err == nil {
+		batch = n
 	}
 }
 
-// users is the number of the users that ask about the document first.
-var users = 4
+// batch is the number of the first prompts about the document, which are sent at once; two more
+// follow.
+var batch = 4
 
 // Parts that the prompts of one tenant begin with: that of an older and of a newer version of
 // its application.
@@ -48,10 +49,13 @@
 	}
 	poison := func() { s.prompt("poison", keyOne, "/lohu930/2f", prefix(newerFirst, poisonPart), 1000, body()) }
 	s.play(10*time.Second, 200*time.Millisecond, func() { sound(olderFirst) }, 0, nil)
-	// Some users ask about the document at about the same time.
-	for range users {
+	// Six prompts about the document within a quarter of a second.
+	for range batch {
+		go poison()
+	}
+	time.Sleep(250 * time.Millisecond)
+	for range 2 {
 		go poison()
-		time.Sleep(30 * time.Millisecond)
 	}
 	time.Sleep(time.Second)
 	s.play(35*time.Second, 200*time.Millisecond, func() { sound(newerFirst) }, 2*time.Second, poison)
