--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -217,6 +217,11 @@
 	for _, e := range s.engines {
 		mustHave(e.start(false) == nil, "an engine does not start")
 	}
+	s.beginEntries()
+}
+
+// beginEntries starts the entries and waits until they can serve and are in touch.
+func (s *site) beginEntries() {
 	for _, e := range s.entries {
 		e.start()
 	}
