--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -110,9 +110,11 @@
 	for i := range engines {
 		s.engines = append(s.engines, &engine{record: record, store: s.store, service: pool, zone: zones[i%len(zones)], slots: 16})
 	}
-	datagrams := freePort("udp4", "127.0.1.1")
+	// Addresses of this run alone, so that runs beside each other don't take each other's ports.
+	network := fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, 1+os.Getpid()/200%250)
+	datagrams := freePort("udp4", network+".1")
 	for i := range entries {
-		e := &entry{site: s, name: fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i+1), zone: zones[i%len(zones)], ip: fmt.Sprintf("127.0.1.%d", i+1)}
+		e := &entry{site: s, name: fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i+1), zone: zones[i%len(zones)], ip: fmt.Sprintf("%s.%d", network, i+1)}
 		e.callers, e.ready, e.calls = e.free(), e.free(), e.free()
 		s.entries = append(s.entries, e)
 	}
