follower, platform: apply a configuration written as the store returns

Cause: a row that is written after the return of the store and before the first read of an entry could not be told from one of the older copy, as only versions were compared; with a lower version than the row that was lost it was withheld for 8 heartbeats. Evidence: the log of the entry has store-returned, one row withheld, and the configuration only after store-settled; the table was read within half a second of the return. TestWrittenAsStoreReturns failed before (key dropped, key given, domain out of service). Output of the test on: return_test.go:327: not true: test.want(s.view.Load()) --- FAIL: TestWrittenAsStoreReturns/a_key_is_dropped (2.01s) --- FAIL: TestWrittenAsStoreReturns/a_key_is_given (2.01s) --- FAIL: TestWrittenAsStoreReturns/a_domain_is_taken_out_of_service (2.01s)

--- a/core/follower/era.go
+++ b/core/follower/era.go
@@ -66,7 +66,7 @@
 		return false
 	case !found && r.Era == f.era.number && !f.era.settled && !r.Written && r.Version <= f.era.before:
 		// The table was read later than this version, and the row was not there anymore.
-		return !f.withhold(true)
+		return !f.withhold(!f.prefers(Row{Key: r.Key, Deleted: true}, r))
 	case !found && r.Era == f.era.number:
 		// The store has no row up to the position that is not in the copy.
 		return fromStore || !f.era.read || r.Version > f.position.Version
@@ -87,7 +87,12 @@
 // outlives reports whether a row of an earlier era is kept beside the same row of a
 // later one, which may be that of the copy from which the store returned.
 func (f *Follower) outlives(earlier, later Row) bool {
-	return !later.Written && later.Version < earlier.Version && (f.config.Prefers == nil || !f.config.Prefers(earlier, later))
+	return !later.Written && later.Version < earlier.Version && !f.prefers(earlier, later)
+}
+
+// prefers reports whether a row replaces its copy of an earlier era even if it may be older.
+func (f *Follower) prefers(copied, row Row) bool {
+	return f.config.Prefers != nil && f.config.Prefers(copied, row)
 }
 
 // withhold counts a row of the store that is withheld, and returns its argument.
--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -78,7 +78,7 @@
 	// If nil, none is.
 	Keeps func(copied Row) bool
 	// Prefers reports whether a row replaces its copy of an earlier era even if the row
-	// may be older. If nil, none does.
+	// may be older. The copy of a row that is not known counts as deleted. If nil, none does.
 	Prefers func(copied, row Row) bool
 	Changed func(Row)             // called for each row that is newer than its copy
 	Applied func()                // called after the rows of one answer
