follower: read withheld rows again as soon as the store has settled

What callers saw: a failure domain that was put back into service as the store returned stayed out of service for up to 8 s after the store had settled. Cause: withheld rows are read again once the read of the changes under way has ended; the operators' table has reads of 8 s. Change: while rows are withheld, that read ends as the store settles. Result: TestWrittenAsStoreReturns, a domain is put back into service: within 9 heartbeats. It failed before (not back after 10.8 s). Output before: --- FAIL: TestWrittenAsStoreReturns/a_domain_is_put_back_into_service (10.81s)

--- a/core/follower/era.go
+++ b/core/follower/era.go
@@ -58,6 +58,15 @@
 	return true
 }
 
+// untilSettled returns d, or the time until the table must be read again as the store has
+// settled, if rows are withheld until then. The caller holds the lock.
+func (f *Follower) untilSettled(d time.Duration) time.Duration {
+	if f.era.settled || f.era.withheld == 0 {
+		return d
+	}
+	return max(0, min(d, time.Until(f.era.settles)))
+}
+
 // accepts reports whether a row of the store or of another process replaces its copy.
 func (f *Follower) accepts(r Row, fromStore bool) bool {
 	old, found := f.rows[r.Key]
--- a/core/follower/nudge.go
+++ b/core/follower/nudge.go
@@ -55,7 +55,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.mu.Lock()
-	wait, nudged := f.untilAbsentDue(wait), f.waiting.nudged
+	wait, nudged := f.untilSettled(f.untilAbsentDue(wait)), f.waiting.nudged
 	if nudged {
 		wait = 0
 	}
