enroller, platform: hold back registrations that precede the known one

Cause: the store may perform a write late that it did not answer. Entries took whatever registration the store performed last, though born and sequence tell their order. Evidence: TestOlderRegistration, five forms of an older write, were used at once before the fix; the entry had known before that the engine leaves. Change: an older registration is held back, also after the removal of the newer one. A later start is used at once. As the store returns from an older copy, the larger sequence of a start is preferred. TestOlderRegistration, TestOlderRegistrationExpires and TestOlderRegistrationInOutage failed before. Output before: order_test.go:64: true != false --- FAIL: TestOlderRegistration/an_earlier_write_without_a_start_time (0.61s) --- FAIL: TestOlderRegistration/an_earlier_write_of_the_same_start (0.61s) --- FAIL: TestOlderRegistration/a_write_of_an_earlier_start (0.60s) --- FAIL: TestOlderRegistration/the_same_after_it_has_left (1.22s) --- FAIL: TestOlderRegistration/the_same_of_one_that_was_ready_and_has_left (1.21s) --- FAIL: TestOlderRegistrationExpires (11.05s) --- FAIL: TestOlderRegistrationInOutage (10.79s)

--- a/core/enroller/enroller.go
+++ b/core/enroller/enroller.go
@@ -4,14 +4,20 @@
 // registrations, so live servers expire all at once. A server that expires around
 // an outage is therefore kept until it has had time to register again.
 //
+// A store may perform a write late, after newer ones. A registration that precedes the newest
+// one known of its server is therefore held back, also after that was removed. If it is the
+// live server's own, as its clock has been set back, it is renewed and does not expire; else a
+// newer one replaces it, or it expires.
+//
 // The package has no I/O and takes the time as an argument.
 //
 // # Usage
 //
 //	e := enroller.New()
-//	e.Put(server)
+//	e.Put(server, now)
 //	e.Remove(id, now)
 //	e.Expire(now)
+//	e.Release(confirmed, now)
 //	servers := e.Servers()
 package enroller
 
@@ -27,23 +33,74 @@
 // seconds.
 const ReregistrationTime = 2300 * time.Millisecond
 
+// latestRetention is how long the newest registration of a server that is not on the list is
+// remembered. Writes are performed some seconds late at most.
+const latestRetention = 10 * time.Minute
+
 // Enroller holds the list. It is not safe for concurrent use.
 type Enroller struct {
-	servers map[viewer.ServerID]*viewer.Server
-	missing map[viewer.ServerID]time.Time // time at which a missing server is removed
-	outage  time.Time                     // last time at which the store was seen unavailable
-	renewed map[viewer.ServerID]bool      // servers that expired and have registered again since outage
+	holdTime time.Duration
+	latest   map[viewer.ServerID]*latest
+	held     map[viewer.ServerID]held
+	servers  map[viewer.ServerID]*viewer.Server
+	missing  map[viewer.ServerID]time.Time // time at which a missing server is removed
+	outage   time.Time                     // last time at which the store was seen unavailable
+	renewed  map[viewer.ServerID]bool      // servers that expired and have registered again since outage
+}
+
+// latest is the newest registration known of a server.
+type latest struct {
+	*viewer.Server
+	seen time.Time // when it was last on the list
+}
+
+// held is a registration that precedes the newest one known.
+type held struct {
+	*viewer.Server
+	due time.Time // when it counts as renewed
 }
 
-// New returns an Enroller with an empty list.
-func New() *Enroller {
+// New returns an Enroller with an empty list. A registration that is held back is accepted if
+// it is still there after holdTime, which must exceed the time in which one expires that is
+// not renewed.
+func New(holdTime time.Duration) *Enroller {
 	return &Enroller{
+		holdTime: holdTime, latest: map[viewer.ServerID]*latest{}, held: map[viewer.ServerID]held{},
 		servers: map[viewer.ServerID]*viewer.Server{}, missing: map[viewer.ServerID]time.Time{}, renewed: map[viewer.ServerID]bool{},
 	}
 }
 
-// Put adds or updates a server.
-func (e *Enroller) Put(s *viewer.Server) {
+// Put adds or updates a server, unless its registration is held back, and reports whether it
+// did.
+func (e *Enroller) Put(s *viewer.Server, now time.Time) bool {
+	if l := e.latest[s.ID]; l != nil && s.Precedes(l.Server) {
+		e.held[s.ID] = held{Server: s, due: now.Add(e.holdTime)}
+		return false
+	}
+	e.accept(s, now)
+	return true
+}
+
+// Release accepts the registrations that were held back and are still there, as the store has
+// confirmed in an answer to a call that began at the given time. It returns them.
+func (e *Enroller) Release(confirmed, now time.Time) []*viewer.Server {
+	var released []*viewer.Server
+	for _, h := range e.held {
+		if !confirmed.Before(h.due) {
+			e.accept(h.Server, now)
+			released = append(released, h.Server)
+		}
+	}
+	return released
+}
+
+// Held returns the number of registrations that are held back.
+func (e *Enroller) Held() int { return len(e.held) }
+
+// accept adds or updates a server.
+func (e *Enroller) accept(s *viewer.Server, now time.Time) {
+	delete(e.held, s.ID)
+	e.latest[s.ID] = &latest{Server: s, seen: now}
 	e.servers[s.ID] = s
 	if _, expired := e.missing[s.ID]; expired {
 		e.renewed[s.ID] = true
@@ -62,6 +119,11 @@
 // draining, or has registered again since the outage, is removed at once. Remove reports
 // whether the server is off the list.
 func (e *Enroller) Remove(id viewer.ServerID, now time.Time) bool {
+	delete(e.held, id)
+	if l := e.latest[id]; l != nil {
+		l.seen = now
+	}
+	e.forgetLatest(now)
 	s, found := e.servers[id]
 	if !found {
 		return true
@@ -78,6 +140,7 @@
 
 // Discard removes a server from the list at once: its registration is there and names none.
 func (e *Enroller) Discard(id viewer.ServerID) {
+	delete(e.held, id)
 	delete(e.servers, id)
 	delete(e.missing, id)
 	delete(e.renewed, id)
@@ -93,7 +156,7 @@
 		}
 	}
 	for _, s := range all {
-		e.Put(s)
+		e.Put(s, now)
 	}
 	return removed
 }
@@ -115,6 +178,14 @@
 	return removed
 }
 
+// forgetLatest drops the newest registrations of servers that have been off the list for long.
+func (e *Enroller) forgetLatest(now time.Time) {
+	maps.DeleteFunc(e.latest, func(id viewer.ServerID, l *latest) bool {
+		_, listed := e.servers[id]
+		return !listed && now.Sub(l.seen) > latestRetention
+	})
+}
+
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/core/viewer/viewer.go
+++ b/core/viewer/viewer.go
@@ -16,10 +16,26 @@
 	Slots       int // requests that it runs concurrently
 	Draining    bool
 	ColdFor     time.Duration // remaining time for which it stays cold, as of Observed
-	StartMillis int64         // start time, in Unix milliseconds; identifies the incarnation
+	StartMillis int64         // start time, in Unix milliseconds; identifies the incarnation; 0 if unknown
+	Sequence    int64         // of its registration among those that it has written since its start
 	Observed    time.Time     // when this state was read
 }
 
+// Precedes reports whether the registration that s holds is older than that of other, of the
+// same server: of an earlier start, or written earlier in the same start. It is false if that
+// can't be told. Without start times, a first registration counts as that of a later start.
+func (s *Server) Precedes(other *Server) bool {
+	switch {
+	case s.StartMillis == 0 && other.StartMillis == 0:
+		return s.Sequence < other.Sequence && s.Sequence > 1
+	case s.StartMillis == 0 || other.StartMillis == 0:
+		return false
+	case s.StartMillis != other.StartMillis:
+		return s.StartMillis < other.StartMillis
+	}
+	return s.Sequence < other.Sequence
+}
+
 // ColdAt reports whether the backend server is cold at the given time.
 func (s *Server) ColdAt(now time.Time) bool { return now.Before(s.Observed.Add(s.ColdFor)) }
 
