--- a/core/attributor/attributor.go
+++ b/core/attributor/attributor.go
@@ -45,7 +45,8 @@
 const (
 	retention  = time.Minute // of crashes
 	maxCrashes = 1024
-	maxServed  = 8192 // parts
+	maxParts   = 64 << 10 // of the requests under all crashes
+	maxServed  = 8192     // parts
 )
 
 // minExpected is the number of answers with a part that this process must have expected,
@@ -58,41 +59,65 @@
 type record struct {
 	at       time.Time
 	requests map[string]bool // that were running, by fingerprint
+	lists    map[list]bool   // of parts that were recorded
 	parts    map[Part]int    // number of these requests with the part
 }
 
+// list identifies one of the lists in which the parts of a request may be recorded.
+type list struct {
+	request string
+	first   Part
+}
+
 // Attributor holds the crashes and the parts that have been served. It is not safe for
 // concurrent use.
 type Attributor struct {
 	crashes map[Run]*record
 	served  map[Part]time.Time // begin of the latest answer to a request with the part
 	answers int                // requests that this process has seen served
+	held    map[Part]int       // number of crashes with the part
+	size    int                // number of parts in all crashes
 }
 
 // New returns an Attributor that knows nothing.
 func New() *Attributor {
-	return &Attributor{crashes: map[Run]*record{}, served: map[Part]time.Time{}}
+	return &Attributor{crashes: map[Run]*record{}, served: map[Part]time.Time{}, held: map[Part]int{}}
 }
 
 // RecordCrash records that a request, given by its fingerprint, with the parts was running
-// on a server that crashed.
+// on a server that crashed. The parts of one request may be recorded in several lists, each
+// with another first part; further copies of a list are ignored.
 func (a *Attributor) RecordCrash(c Crash, request string, parts []Part, now time.Time) {
 	r, found := a.crashes[c.Run]
 	if !found {
 		a.makeRoom(now)
-		r = &record{at: c.At, requests: map[string]bool{}, parts: map[Part]int{}}
+		r = &record{at: c.At, requests: map[string]bool{}, lists: map[list]bool{}, parts: map[Part]int{}}
 		a.crashes[c.Run] = r
 	}
 	if c.At.Before(r.at) {
 		r.at = c.At
 	}
-	if r.requests[request] {
+	l := list{request: request}
+	if len(parts) > 0 {
+		l.first = parts[0]
+	}
+	if r.lists[l] {
 		return
 	}
-	r.requests[request] = true
+	r.requests[request], r.lists[l] = true, true
 	for _, p := range parts {
+		if r.parts[p] == 0 {
+			if len(r.parts) >= maxParts {
+				continue
+			}
+			a.held[p]++
+			a.size++
+		}
 		r.parts[p]++
 	}
+	for a.size > maxParts && len(a.crashes) > 1 {
+		a.dropOldest(c.Run)
+	}
 }
 
 // RecordAnswer records that a request with the parts was served by this process in an
@@ -125,72 +150,49 @@
 
 // makeRoom drops old crashes.
 func (a *Attributor) makeRoom(now time.Time) {
-	maps.DeleteFunc(a.crashes, func(_ Run, r *record) bool { return now.Sub(r.at) > retention })
-	for len(a.crashes) >= maxCrashes {
-		oldest := slices.MinFunc(slices.Collect(maps.Keys(a.crashes)), func(x, y Run) int { return a.crashes[x].at.Compare(a.crashes[y].at) })
-		delete(a.crashes, oldest)
+	for run, r := range a.crashes {
+		if now.Sub(r.at) > retention {
+			a.drop(run)
+		}
 	}
-}
-
-// forgetServed drops the half of the parts that were served longest ago.
-func (a *Attributor) forgetServed() {
-	parts := slices.SortedFunc(maps.Keys(a.served), func(x, y Part) int { return a.served[x].Compare(a.served[y]) })
-	for _, p := range parts[:len(parts)/2] {
-		delete(a.served, p)
+	for len(a.crashes) >= maxCrashes {
+		a.dropOldest(Run{})
 	}
 }
 
-// Against returns the crashes that count against a part, oldest first, given the parts
-// that are known to crash servers.
-func (a *Attributor) Against(p Part, blocked func(Part) bool) []Crash {
-	since := a.served[p]
-	var all []Crash
+// dropOldest drops the oldest crash but for one.
+func (a *Attributor) dropOldest(but Run) {
+	var oldest Run
+	found := false
 	for run, r := range a.crashes {
-		if r.parts[p] > 0 && r.at.After(since) {
-			all = append(all, Crash{Run: run, At: r.at})
+		if run != but && (!found || r.at.Before(a.crashes[oldest].at)) {
+			oldest, found = run, true
 		}
 	}
-	count := len(all)
-	all = slices.DeleteFunc(all, func(c Crash) bool { return a.explained(c.Run, p, count, blocked) })
-	slices.SortFunc(all, func(x, y Crash) int {
-		return cmp.Or(x.At.Compare(y.At), cmp.Compare(x.Server, y.Server), cmp.Compare(x.Boot, y.Boot))
-	})
-	return all
+	a.drop(oldest)
 }
 
-// explained reports whether a part other than p is known to crash servers and was there
-// in this crash. It must have as many crashes as p, as it may be blocked by mistake.
-func (a *Attributor) explained(run Run, p Part, count int, blocked func(Part) bool) bool {
-	for other := range a.crashes[run].parts {
-		if other != p && blocked(other) && a.count(other) >= count {
-			return true
-		}
+// drop drops a crash.
+func (a *Attributor) drop(run Run) {
+	r, found := a.crashes[run]
+	if !found {
+		return
 	}
-	return false
-}
-
-// count returns the number of crashes under a part since it was served.
-func (a *Attributor) count(p Part) int {
-	n := 0
-	for _, r := range a.crashes {
-		if r.parts[p] > 0 && r.at.After(a.served[p]) {
-			n++
+	for p := range r.parts {
+		if a.held[p]--; a.held[p] == 0 {
+			delete(a.held, p)
 		}
 	}
-	return n
+	a.size -= len(r.parts)
+	delete(a.crashes, run)
 }
 
-// withoutUnserved returns the crashes under parts that have all been served before: in
-// the others, one that has not is the likelier cause.
-func (a *Attributor) withoutUnserved(crashes []Crash) []Crash {
-	return slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool {
-		for p := range a.crashes[c.Run].parts {
-			if _, found := a.served[p]; !found {
-				return true
-			}
-		}
-		return false
-	})
+// forgetServed drops the half of the parts that were served longest ago.
+func (a *Attributor) forgetServed() {
+	parts := slices.SortedFunc(maps.Keys(a.served), func(x, y Part) int { return a.served[x].Compare(a.served[y]) })
+	for _, p := range parts[:len(parts)/2] {
+		delete(a.served, p)
+	}
 }
 
 // expected returns the number of answers with a part that this process would have seen if
@@ -232,10 +234,11 @@
 	if !found {
 		return nil
 	}
+	e := a.examine(blocked)
 	var all []Culprit
 	for _, p := range slices.Sorted(maps.Keys(r.parts)) {
-		if !blocked(p) {
-			all = append(all, a.examine(p, blocked))
+		if !e.isBlocked(p) {
+			all = append(all, e.accuse(p))
 		}
 	}
 	slices.SortStableFunc(all, Culprit.compare)
@@ -252,19 +255,6 @@
 	return nil
 }
 
-// examine collects the evidence against a part.
-func (a *Attributor) examine(p Part, blocked func(Part) bool) Culprit {
-	c := Culprit{Part: p, Crashes: a.Against(p, blocked)}
-	if _, c.served = a.served[p]; c.served {
-		c.Crashes = a.withoutUnserved(c.Crashes)
-	}
-	for _, k := range c.Crashes {
-		c.requests += a.crashes[k.Run].parts[p]
-	}
-	c.Certain = !c.served && a.expected(c) >= minExpected
-	return c
-}
-
 // convicts reports whether the evidence suffices. A part that has not been served, while
 // this process has seen too few answers to expect one, must be the likeliest of all.
 func (a *Attributor) convicts(c Culprit, likeliest bool) bool {
--- a/core/attributor/attributor_test.go
+++ b/core/attributor/attributor_test.go
@@ -107,6 +107,62 @@
 	is.True(found)
 }
 
+// TestListsOfOneRequest checks that the parts of a request that come in several lists count
+// once each, in whatever order and how often the lists come.
+func TestListsOfOneRequest(t *testing.T) {
+	is := is.New(t)
+	a := attributor.New()
+	crash := attributor.Crash{Run: attributor.Run{Server: "i-1"}, At: start}
+	for range 3 {
+		a.RecordCrash(crash, "r", []attributor.Part{"x", "y"}, start)
+		a.RecordCrash(crash, "r", []attributor.Part{"z"}, start)
+	}
+	is.Equal(a.CountAgainst([]attributor.Part{"x", "y", "z", "other"}, none), []int{1, 1, 1, 0})
+}
+
+// TestPartBounds checks that the parts of prompts with very many of them are not kept without
+// limit, and that the newest crash is.
+func TestPartBounds(t *testing.T) {
+	const prompt, bound = 4000, 64 << 10
+	is := is.New(t)
+	a := attributor.New()
+	var last, all []attributor.Part
+	for i := range 100 {
+		last = nil
+		for k := range prompt {
+			last = append(last, attributor.Part(fmt.Sprint(i, "-", k)))
+		}
+		all = append(all, last...)
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		a.RecordCrash(attributor.Crash{Run: attributor.Run{Server: fmt.Sprint(i)}, At: now}, "r", last, now)
+	}
+	held := 0
+	for _, n := range a.CountAgainst(all, none) {
+		held += n
+	}
+	t.Logf("%d parts are held", held)
+	is.True(held <= bound)
+	is.True(held > bound-prompt)
+	is.Equal(a.CountAgainst(last[:1], none), []int{1})
+}
+
+// BenchmarkServed measures the check of a served prompt of 150 parts after 64 crashes under
+// prompts of the same session.
+func BenchmarkServed(b *testing.B) {
+	a := attributor.New()
+	var parts []attributor.Part
+	for k := range 150 {
+		parts = append(parts, attributor.Part(fmt.Sprint("part", k)))
+	}
+	for i := range 64 {
+		at := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		a.RecordCrash(attributor.Crash{Run: attributor.Run{Server: fmt.Sprint(i)}, At: at}, fmt.Sprint("r", i), parts, at)
+	}
+	for b.Loop() {
+		a.CountAgainst(parts, none)
+	}
+}
+
 // BenchmarkCulprits measures the search after a crash under 16 requests among 64 others.
 func BenchmarkCulprits(b *testing.B) {
 	a := attributor.New()
--- a/core/screener/parts.go
+++ b/core/screener/parts.go
@@ -32,11 +32,10 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	all := make([]attributor.Part, len(parts))
-	against := make([]int, len(parts))
 	for i, id := range parts {
 		all[i] = attributor.Part(id)
-		against[i] = len(s.parts.Against(all[i], s.isConvictedPart))
 	}
+	against := s.parts.CountAgainst(all, s.isConvictedPart)
 	s.parts.RecordAnswer(all, began)
 	for i, id := range parts {
 		cleared := &wire.Accusation{Fingerprint: PartFingerprint(id), Cleared: true}
--- a/entry/internal/exchanger/accusations.go
+++ b/entry/internal/exchanger/accusations.go
@@ -9,6 +9,7 @@
 	"bamboohill/wire"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 )
 
 // Screener holds the accusations against requests that crashed backend servers.
@@ -86,14 +87,69 @@
 	return netip.AddrPortFrom(netip.MustParseAddrPort(address).Addr(), e.config.Datagrams.Port())
 }
 
+// sendAccusations sends accusations in as many datagrams as they need.
 func (e *Exchanger) sendAccusations(accusations []*wire.Accusation, to []netip.AddrPort) {
-	for part := range slices.Chunk(accusations, maxAccusations) {
+	for _, some := range divideAccusations(accusations) {
 		o := e.newMessage()
-		o.Accusations = part
+		o.Accusations = some
 		e.write(o, to)
 	}
 }
 
+// Bounds of the accusations in a datagram, in bytes: of all, and of the ids of the parts of
+// one. An accusation with more of them is sent as several.
+const (
+	maxAccusationBytes = 16 << 10
+	maxPartsBytes      = 8 << 10
+)
+
+// divideAccusations divides accusations into those of one datagram each.
+func divideAccusations(accusations []*wire.Accusation) [][]*wire.Accusation {
+	var all [][]*wire.Accusation
+	size := 0
+	for _, a := range accusations {
+		for _, some := range divideParts(a) {
+			n := proto.Size(some)
+			if last := len(all) - 1; last < 0 || len(all[last]) == maxAccusations || size+n > maxAccusationBytes {
+				all, size = append(all, nil), 0
+			}
+			all[len(all)-1] = append(all[len(all)-1], some)
+			size += n
+		}
+	}
+	return all
+}
+
+// divideParts divides an accusation into several with some of its parts each.
+func divideParts(a *wire.Accusation) []*wire.Accusation {
+	size := 0
+	for _, id := range slices.Concat(a.GetParts(), a.GetServedParts()) {
+		size += len(id)
+	}
+	if size <= maxPartsBytes {
+		return []*wire.Accusation{a}
+	}
+	rest := proto.CloneOf(a)
+	rest.Parts, rest.ServedParts = nil, nil
+	var all []*wire.Accusation
+	size = maxPartsBytes
+	next := func(id string) *wire.Accusation {
+		if size += len(id); size > maxPartsBytes {
+			all, size = append(all, proto.CloneOf(rest)), len(id)
+		}
+		return all[len(all)-1]
+	}
+	for _, id := range a.GetParts() {
+		some := next(id)
+		some.Parts = append(some.Parts, id)
+	}
+	for _, id := range a.GetServedParts() {
+		some := next(id)
+		some.ServedParts = append(some.ServedParts, id)
+	}
+	return all
+}
+
 // silent reports whether a peer has missed several datagrams. The caller holds the
 // lock.
 func (e *Exchanger) silent(address string, p *peer, now time.Time) bool {
--- a/entry/internal/forwarder/part_test.go
+++ b/entry/internal/forwarder/part_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -38,35 +39,64 @@
 }
 
 // TestPartThatCrashesEngines guards against requests that are sent on although they share
-// a part under which five engines have ended, and against others that are refused because
-// they share their account and the other parts.
+// a part under which five engines have ended, wherever it stands in the prompt and however
+// long its id is, and against others that are refused because they share their account and
+// the other parts.
 func TestPartThatCrashesEngines(t *testing.T) {
-	is := is.New(t)
-	b := newTrialBench(t, 16, 0, 10*time.Second)
-	const sound = "sys:800,doc%d:300"
-	n := 0
-	ask := func(parts string) int {
-		n++
-		return b.askWithParts(n, parts)
-	}
-	for doc := range 8 {
-		is.Equal(ask(fmt.Sprintf(sound, doc)), http.StatusOK)
+	tests := map[string]struct {
+		before, after int // further shared parts before and after the one that differs
+		id            string
+	}{
+		"second":            {id: badPart},
+		"18th":              {before: 16, after: 2, id: badPart},
+		"121st of 150":      {before: 119, after: 29, id: badPart},
+		"200th":             {before: 198, after: 10, id: badPart},
+		"id of 80 bytes":    {before: 2, id: badPart + strings.Repeat("0", 80-len(badPart))},
+		"id of 2,000 bytes": {id: badPart + strings.Repeat("0", 2000-len(badPart))},
 	}
-	time.Sleep(warmUp)
-	for i := range 12 {
-		ask(fmt.Sprintf("sys:800,%s:%d,doc%d:300", badPart, 100+i, i%8)) // a new place and size each time
-		time.Sleep(120 * time.Millisecond)
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			b := newTrialBench(t, 16, 0, 10*time.Second)
+			n := 0
+			ask := func(parts string) int {
+				n++
+				return b.askWithParts(n, "sys:800,"+sharedParts("b", test.before)+parts+sharedParts(",a", test.after))
+			}
+			for doc := range 8 {
+				is.Equal(ask(fmt.Sprintf("doc%d:300", doc)), http.StatusOK)
+			}
+			time.Sleep(warmUp)
+			for i := range 12 {
+				ask(fmt.Sprintf("%s:%d,doc%d:300", test.id, 100+i, i%8)) // another size each time
+				time.Sleep(120 * time.Millisecond)
+			}
+			t.Logf("%d engines crashed", b.crashed())
+			is.True(b.crashed() <= 5)
+			served := 0
+			for doc := range 20 {
+				if ask(fmt.Sprintf("doc%d:300", doc)) == http.StatusOK {
+					served++
+				}
+			}
+			t.Logf("%d of 20 sound requests were served", served)
+			is.True(served >= 18)
+		})
 	}
-	t.Logf("%d engines crashed", b.crashed())
-	is.True(b.crashed() <= 5)
-	served := 0
-	for doc := range 20 {
-		if ask(fmt.Sprintf(sound, doc)) == http.StatusOK {
-			served++
+}
+
+// sharedParts returns n parts of a prompt that all requests share. They begin with a comma if
+// name does, else each ends with one.
+func sharedParts(name string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, "%s%d:4", name, i)
+		if name[0] != ',' {
+			b.WriteByte(',')
 		}
 	}
-	t.Logf("%d of 20 sound requests were served", served)
-	is.True(served >= 18)
+	return b.String()
 }
 
 // warmUp is the time for which the entry has run when the crashes begin.
