logger: drop lines after Close instead of panicking

A panic outside of a handler would have ended the process. Cause: Close closed the channel of the queue while goroutines still ran that log. Change: Close is told by a channel of its own, and later lines are counted as dropped.

--- a/core/logger/async.go
+++ b/core/logger/async.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"iter"
 	"sync"
 	"sync/atomic"
 )
@@ -16,7 +17,8 @@
 type AsyncWriter struct {
 	out     io.Writer
 	lines   chan []byte
-	done    chan struct{}
+	closing chan struct{} // closed by Close
+	done    chan struct{} // closed once all lines are written
 	dropped atomic.Int64
 	once    sync.Once
 }
@@ -27,14 +29,20 @@
 	if lines <= 0 {
 		lines = defaultLines
 	}
-	w := &AsyncWriter{out: out, lines: make(chan []byte, lines), done: make(chan struct{})}
+	w := &AsyncWriter{out: out, lines: make(chan []byte, lines), closing: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
 
 // Write implements io.Writer. The text must be a complete line. It never returns
-// an error.
+// an error. After Close it drops the line: the goroutines of a process may end after its log.
 func (w *AsyncWriter) Write(p []byte) (int, error) {
+	select {
+	case <-w.closing:
+		w.dropped.Add(1)
+		return len(p), nil
+	default:
+	}
 	select {
 	case w.lines <- append([]byte(nil), p...):
 	default:
@@ -65,7 +73,7 @@
 		}
 		text, count = text[:0], 0
 	}
-	for line := range w.lines {
+	for line := range w.queued() {
 		if len(text)+len(line) > maxCombinedBytes {
 			flush()
 		}
@@ -78,9 +86,34 @@
 	flush()
 }
 
-// Close writes the queued lines and stops the writer. Write must not be called
-// afterwards.
+// queued returns the lines that are written until Close, and those that are queued then.
+func (w *AsyncWriter) queued() iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		for {
+			select {
+			case line := <-w.lines:
+				if !yield(line) {
+					return
+				}
+				continue
+			case <-w.closing:
+			}
+			for {
+				select {
+				case line := <-w.lines:
+					if !yield(line) {
+						return
+					}
+				default:
+					return
+				}
+			}
+		}
+	}
+}
+
+// Close writes the queued lines and stops the writer.
 func (w *AsyncWriter) Close() {
-	w.once.Do(func() { close(w.lines) })
+	w.once.Do(func() { close(w.closing) })
 	<-w.done
 }
--- a/core/logger/async_test.go
+++ b/core/logger/async_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"strings"
+	"sync"
 	"testing"
 
 	"bamboohill/core/logger"
@@ -95,3 +97,36 @@
 	is.Equal(out.text.String(), strings.Repeat(line, 500))
 	is.True(out.longest <= 4096)
 }
+
+// TestAsyncWriterAfterClose guards against panics of goroutines that log while the process
+// ends, which cut the answers that they write.
+func TestAsyncWriterAfterClose(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	w := logger.NewAsyncWriter(&out, 0)
+	const writers, lines = 8, 2000
+	var wait sync.WaitGroup
+	panics := make(chan any, writers)
+	for range writers {
+		wait.Go(func() {
+			defer func() {
+				if p := recover(); p != nil {
+					panics <- p
+				}
+			}()
+			for range lines {
+				if _, err := io.WriteString(w, "line\n"); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	w.Close()
+	wait.Wait()
+	w.Close()
+	is.Equal(len(panics), 0)
+	written := strings.Count(out.String(), "line\n")
+	t.Logf("%d written, %d dropped", written, w.Dropped())
+	is.True(written+int(w.Dropped()) <= writers*lines)
+	is.True(w.Dropped() > 0)
+}
