--- a/prover/stop_calls_test.go
+++ b/prover/stop_calls_test.go
@@ -9,32 +9,34 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 )
 
 // stopCall is one request of the soak of stops and what its caller saw.
 type stopCall struct {
-	id, path, body string
-	lines          string // further lines of its header
-	events         int    // of its stream
-	limit          time.Duration
-	uploadPause    time.Duration // before its last byte
-	readPause      time.Duration // after the head of the answer
-	keptOpen       bool          // its connection has had a request before
-	process        *stopProcess
-	first, sent    time.Time // when the first and the last byte were written; sent is zero if that failed
-	answered       time.Time // when the head of the answer was read; zero if none came
-	ended          time.Time // of the answer, or when the connection was found closed
-	status         int       // 0 if no head of an answer came
-	header         http.Header
-	framed         bool // the end of the answer can be told from a closed connection
-	text           string
-	err            error
-}
-
-// isStream reports whether the answer is a stream.
-func (a *stopCall) isStream() bool {
-	return strings.HasPrefix(a.path, "/chat/") || strings.HasPrefix(a.path, "/tale/")
+	id, method, path, body string
+	lines                  string // further lines of its header
+	stream                 bool
+	runs                   int // at most, that its route allows
+	events                 int // of its stream
+	limit                  time.Duration
+	uploadPause            time.Duration // before its last byte
+	uploadParts            int           // of equal size, with a pause between each two; the last byte alone if 0
+	readPause              time.Duration // after the head of the answer
+	number                 int           // among the requests of its caller
+	sendsNext              bool          // the next request is sent once the head of the answer is read
+	early                  bool          // it was sent before the answer to the one before it ended
+	keptOpen               bool          // its connection has had a request before
+	process                *stopProcess
+	first, sent            time.Time // when the first and the last byte were written; sent is zero if that failed
+	answered               time.Time // when the head of the answer was read; zero if none came
+	ended                  time.Time // of the answer, or when the connection was found closed
+	status                 int       // 0 if no head of an answer came
+	header                 http.Header
+	framed                 bool // the end of the answer can be told from a closed connection
+	text                   string
+	err                    error
 }
 
 // stopCaller sends one request after the other. By its number it has one entry or any that
@@ -48,7 +50,8 @@
 	conn    net.Conn // nil if there is none
 	reader  *bufio.Reader
 	process *stopProcess
-	used    bool // conn has had a request
+	used    bool      // conn has had a request
+	ahead   *stopCall // has been sent on conn before the answer to the one before it ended
 }
 
 func (c *stopCaller) callUntilEnded() (all []*stopCall) {
@@ -60,17 +63,24 @@
 		if ended {
 			return all
 		}
+		if c.conn != nil && c.ahead == nil && c.isClosed() {
+			c.hangUp()
+		}
 		if c.conn == nil && !c.dial() {
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
-		a := c.next(n)
+		a := c.ahead
+		if c.ahead = nil; a == nil {
+			a = c.soak.site.draw(c, n)
+		}
+		a.number = n
 		c.do(a)
 		all = append(all, a)
 		if a.err != nil || c.name%3 == 0 {
 			c.hangUp()
 		}
-		time.Sleep(time.Duration(c.random.IntN(60)) * time.Millisecond)
+		time.Sleep(time.Duration(c.random.Int64N(int64(c.soak.site.think))))
 	}
 }
 
@@ -93,10 +103,28 @@
 	return true
 }
 
+// isClosed reports whether the entry has closed the connection, on which no answer is due.
+func (c *stopCaller) isClosed() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Read(func(fd uintptr) bool {
+		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		closed = n == 0 && err == nil || err != nil && !errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return closed || err != nil
+}
+
 func (c *stopCaller) hangUp() {
 	if c.conn != nil {
 		_ = c.conn.Close() // the entry may have closed it
-		c.conn = nil
+		c.conn, c.ahead = nil, nil
 	}
 }
 
@@ -104,7 +132,12 @@
 func (c *stopCaller) next(n int) *stopCall {
 	random := c.random
 	a := &stopCall{id: fmt.Sprintf("z%d-%d-%d", c.soak.seed, c.name, n), process: c.process, keptOpen: c.used}
-	a.path = []string{"/chat/", "/chat/", "/tale/", "/book/", "/read/"}[random.IntN(5)] + "x"
+	route := []string{"/chat/", "/chat/", "/tale/", "/book/", "/read/"}[random.IntN(5)]
+	a.method, a.path, a.runs = http.MethodPost, route+"x", 1
+	a.stream = route == "/chat/" || route == "/tale/"
+	if route == "/chat/" || route == "/read/" {
+		a.runs = 2
+	}
 	input, output := 500+random.IntN(2500), 10+random.IntN(110)
 	share := 0.02 + 0.3*random.Float64()
 	if random.IntN(c.soak.wholeRarity) == 0 {
@@ -113,7 +146,7 @@
 	a.events = max(1, int(float64(output)*share))
 	a.body = fmt.Sprintf("%d %s", a.events, a.id)
 	a.limit = plainTimeout
-	if a.isStream() {
+	if a.stream {
 		a.limit = streamTimeout
 		if random.IntN(30) == 0 {
 			a.body, a.readPause = longBody+a.body, time.Duration(random.IntN(1000))*time.Millisecond
@@ -143,19 +176,23 @@
 // errUnanswered is the error of a request that has no answer long after its time limit.
 var errUnanswered = errors.New("no answer after its time limit")
 
-// do sends a request and reads the answer. It goes on after one that asks to close the
-// connection.
-func (c *stopCaller) do(a *stopCall) {
-	const patience = 3 * time.Second // after the time limit
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n%s\r\n", a.path, a.id, keptKey, len(a.body), a.lines)
-	text := head + a.body
+// write sends a request.
+func (c *stopCaller) write(a *stopCall) {
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n%s\r\n", a.method, a.path, a.id, keptKey, len(a.body), a.lines) + a.body
 	c.used = true
 	a.first = time.Now()
-	_ = c.conn.SetDeadline(a.first.Add(a.uploadPause + a.limit + patience)) // the connection is open
+	c.setDeadline(a.first, a)
 	if a.uploadPause > 0 {
-		_, a.err = io.WriteString(c.conn, text[:len(text)-1])
-		text = text[len(text)-1:]
-		time.Sleep(a.uploadPause)
+		part := len(text) - 1
+		if a.uploadParts > 0 && len(a.body) > a.uploadParts {
+			_, a.err = io.WriteString(c.conn, text[:len(text)-len(a.body)])
+			text, part = a.body, len(a.body)/a.uploadParts
+		}
+		for pauses := max(1, a.uploadParts-1); pauses > 0 && a.err == nil && len(text) > part; pauses-- {
+			_, a.err = io.WriteString(c.conn, text[:part])
+			text = text[part:]
+			time.Sleep(a.uploadPause / time.Duration(max(1, a.uploadParts-1)))
+		}
 	}
 	if a.err == nil {
 		_, a.err = io.WriteString(c.conn, text)
@@ -163,6 +200,22 @@
 	if a.err == nil {
 		a.sent = time.Now()
 	}
+}
+
+// setDeadline sets until when the answer to a request may come that began at a time.
+func (c *stopCaller) setDeadline(began time.Time, a *stopCall) {
+	const patience = 3 * time.Second                                      // after the time limit
+	_ = c.conn.SetDeadline(began.Add(a.uploadPause + a.limit + patience)) // the connection is open
+}
+
+// do sends a request, unless it was sent ahead, and reads the answer. It goes on after one
+// that asks to close the connection.
+func (c *stopCaller) do(a *stopCall) {
+	if a.sent.IsZero() {
+		c.write(a)
+	} else {
+		c.setDeadline(time.Now(), a)
+	}
 	writeError := a.err
 	c.read(a)
 	a.ended = time.Now()
@@ -177,7 +230,7 @@
 
 // read reads the answer.
 func (c *stopCaller) read(a *stopCall) {
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodPost})
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: a.method})
 	if err != nil {
 		a.err = err
 		return
@@ -185,6 +238,12 @@
 	defer response.Body.Close()
 	a.answered, a.status, a.header = time.Now(), response.StatusCode, response.Header
 	a.framed = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	if a.sendsNext && !response.Close {
+		c.ahead = c.soak.site.draw(c, a.number+1)
+		c.ahead.id, c.ahead.early = c.ahead.id+"-ahead", true
+		c.write(c.ahead)
+		c.setDeadline(a.first, a)
+	}
 	time.Sleep(a.readPause)
 	text, err := io.ReadAll(response.Body)
 	a.text, a.err = string(text), err
--- a/prover/stop_checks_test.go
+++ b/prover/stop_checks_test.go
@@ -37,6 +37,7 @@
 		case p.ended.IsZero():
 		case p.term.IsZero():
 			t.Errorf("entry %d ended without a signal: %v", p.entry, p.err)
+		case p.early && took <= stopGrace:
 		case p.err != nil || took > stopGrace:
 			t.Errorf("entry %d ended %v after SIGTERM: %v", p.entry, took, p.err)
 		default:
@@ -47,6 +48,18 @@
 	t.Logf("seed %d: %d processes ended after (s) %s", s.seed, len(times), strings.Join(times, " "))
 }
 
+// checkLogs checks that no process has panicked, not even in the handler of a request.
+func (s *stopSoak) checkLogs(t *testing.T) {
+	t.Helper()
+	for i, e := range s.entries {
+		for line := range strings.Lines(e.log.String()) {
+			if strings.Contains(line, "panic") || strings.Contains(line, "fatal error") {
+				t.Errorf("entry %d: %s", i, line)
+			}
+		}
+	}
+}
+
 // checkCalls checks what callers saw against what servers ran, and logs how many requests
 // had which end.
 func (s *stopSoak) checkCalls(t *testing.T, all []*stopCall) {
@@ -57,7 +70,7 @@
 			runs[r.Attempt] = append(runs[r.Attempt], r)
 		}
 	}
-	counts, longest, early := map[string]int{}, 0.0, 0
+	counts, longest, early, crossed := map[string]int{}, 0.0, 0, time.Duration(0)
 	for _, a := range all {
 		ran := runs[a.id]
 		end := a.end()
@@ -67,10 +80,13 @@
 		case a.afterStop():
 			end += " by a stopping entry"
 		}
-		if strings.HasPrefix(end, "crossed") && !a.afterStop() {
-			t.Logf("%s before SIGTERM\n%s", end, s.trace(a, ran))
+		if strings.HasPrefix(end, "crossed") && (!a.afterStop() || !a.keptOpen) {
+			t.Logf("%s\n%s", end, s.trace(a, ran))
 		}
 		counts[end]++
+		if strings.HasPrefix(end, "crossed") && !a.early {
+			crossed = max(crossed, a.ended.Sub(a.sent))
+		}
 		if a.status == http.StatusServiceUnavailable && a.err == nil {
 			wait, _ := strconv.ParseFloat(a.header.Get("Retry-After"), 64) // checked below
 			longest = max(longest, wait)
@@ -91,6 +107,7 @@
 	for _, server := range s.engines {
 		reserved += server.ReservedTokens()
 	}
+	t.Logf("seed %d: requests that crossed a close ended up to %v after they were sent", s.seed, crossed)
 	t.Logf("seed %d: longest Retry-After %.2f s, %d told to return while all entries stop, %d tokens are still reserved", s.seed, longest, early, reserved)
 	if counts["answered"] == 0 || counts["answered by a stopping entry"] == 0 {
 		t.Error("no request was answered, or none by a stopping entry")
@@ -153,7 +170,7 @@
 	case a.err == nil || a.sent.IsZero() || a.limitReached():
 		return ""
 	}
-	if len(ran) == 0 && a.ended.Sub(a.sent) <= lossSlack {
+	if len(ran) == 0 && (a.early || a.ended.Sub(a.sent) <= lossSlack) {
 		return "" // crossed the close
 	}
 	term := a.process.term
@@ -190,7 +207,7 @@
 		return "refused and run"
 	case err != nil || wait < 0:
 		return fmt.Sprintf("refused with Retry-After %q", a.header.Get("Retry-After"))
-	case strings.Contains(a.text, stoppingCause) && a.refusedLate():
+	case strings.Contains(a.text, stoppingCause) && !a.early && a.refusedLate():
 		return "refused late"
 	case strings.Contains(a.text, stoppingCause) && wait > longestReturn.Seconds():
 		return "told to return later than an entry may take to stop and start"
@@ -214,8 +231,8 @@
 // mixed returns a violation if the answer is another than that of a server: a stream that is
 // not whole looks complete, its events are not in order, or a proper request is denied.
 func (a *stopCall) mixed() string {
-	want := rig.Answer(http.MethodPost, a.path, a.body)
-	if a.isStream() {
+	want := rig.Answer(a.method, a.path, a.body)
+	if a.stream {
 		var all strings.Builder
 		for n := 1; n <= a.events; n++ {
 			all.WriteString(rig.Padding(padding(a.body)) + rig.Event(n, a.body))
@@ -239,11 +256,7 @@
 
 // repeated returns a violation if the request ran more often than its route allows.
 func (a *stopCall) repeated(ran []rig.Run) string {
-	most := 1
-	if strings.HasPrefix(a.path, "/chat/") || strings.HasPrefix(a.path, "/read/") {
-		most = 2
-	}
-	if len(ran) > most {
+	if len(ran) > a.runs {
 		return fmt.Sprintf("ran %d times", len(ran))
 	}
 	return ""
--- a/prover/stop_soak_test.go
+++ b/prover/stop_soak_test.go
@@ -69,15 +69,28 @@
 	done    chan struct{} // closed once the process has ended
 
 	mu    sync.Mutex
+	early bool      // SIGTERM came before it was ready, perhaps before it could handle one
 	ready time.Time // when it was first ready; zero if it was not
 	term  time.Time // of the first SIGTERM; zero if there was none
 	ended time.Time
 	err   error // of its end
 }
 
+// stopSite is what the entries of a stopSoak serve.
+type stopSite struct {
+	servers []rig.ServerConfig // but for their Store
+	// configuration returns a version of the configuration. Time limits are longer by a number
+	// of seconds, and plain calls go to another service if moved is set.
+	configuration func(version, longer int, moved bool) []byte
+	pace          func(s *stopSoak, server int) rig.Pace
+	draw          func(c *stopCaller, n int) *stopCall // draws the n-th request of a caller
+	think         time.Duration                        // of a caller between two requests, at most
+}
+
 // stopSoak is a deployment whose entries stop and start again.
 type stopSoak struct {
 	*deployment
+	site        stopSite
 	seed        uint64
 	began       time.Time
 	wholeRarity int // of streams that use all tokens they may: one in so many
@@ -112,17 +125,28 @@
 		stopEngineSlots, stopBodyLimit, stopHeaderLimit, keptKey, versionKey(version))
 }
 
-// newStopSoak starts servers and entries, and waits until the entries are ready.
-func newStopSoak(t *testing.T, seed uint64, entries int) *stopSoak {
-	t.Helper()
-	s := &stopSoak{deployment: &deployment{t: t, store: rig.NewStore()}, seed: seed, version: 1, in: make([]bool, entries)}
-	s.store.Put("op", "config", stopConfiguration(1, 0, false))
-	for i, service := range []string{"pool", "pool", "pool", "plain", "plain-2"} {
-		s.slowness = append(s.slowness, 1)
-		config := rig.ServerConfig{ID: fmt.Sprintf("%s-%d", service, i), Service: service, Store: s.store, Slots: stopEngineSlots, Pace: s.pace(i), Prefill: prefill, EventBytes: padding}
+// newMixedSite returns a site of a few slow servers, whose callers draw from all kinds of
+// requests alike.
+func newMixedSite() stopSite {
+	site := stopSite{configuration: stopConfiguration, pace: (*stopSoak).pace, draw: (*stopCaller).next, think: 60 * time.Millisecond}
+	for _, service := range []string{"pool", "pool", "pool", "plain", "plain-2"} {
+		config := rig.ServerConfig{Service: service, Slots: stopEngineSlots, Prefill: prefill, EventBytes: padding}
 		if service != "pool" {
 			config.Slots = 32
 		}
+		site.servers = append(site.servers, config)
+	}
+	return site
+}
+
+// newStopSoak starts servers and entries, and waits until the entries are ready.
+func newStopSoak(t *testing.T, site stopSite, seed uint64, entries int) *stopSoak {
+	t.Helper()
+	s := &stopSoak{deployment: &deployment{t: t, store: rig.NewStore()}, site: site, seed: seed, version: 1, in: make([]bool, entries)}
+	s.store.Put("op", "config", site.configuration(1, 0, false))
+	for i, config := range site.servers {
+		s.slowness = append(s.slowness, 1)
+		config.ID, config.Store, config.Pace = fmt.Sprintf("%s-%d", config.Service, i), s.store, site.pace(s, i)
 		server, err := rig.StartServer(config)
 		if err != nil {
 			t.Fatal(err)
@@ -224,10 +248,18 @@
 	p := s.process(entry)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.ready.IsZero() || !p.ended.IsZero() {
+	if !p.ready.IsZero() {
+		s.terminate(p, restartAfter)
+	}
+}
+
+// terminate sends SIGTERM to a process, and starts its entry again some time after its end. The
+// caller holds the lock of the process.
+func (s *stopSoak) terminate(p *stopProcess, restartAfter time.Duration) {
+	if !p.ended.IsZero() {
 		return
 	}
-	first := p.term.IsZero()
+	entry, first := p.entry, p.term.IsZero()
 	if first {
 		p.term = time.Now()
 	}
@@ -265,7 +297,7 @@
 	s.version++
 	version := s.version
 	s.mu.Unlock()
-	s.store.Put("op", "config", stopConfiguration(version, longer, moved))
+	s.store.Put("op", "config", s.site.configuration(version, longer, moved))
 	s.note("configuration %d, time limits longer by %d s, route moved %t", version, longer, moved)
 }
 
@@ -327,17 +359,23 @@
 
 // soakStops runs the test with one seed.
 func soakStops(t *testing.T, seed uint64) {
-	s := newStopSoak(t, seed, *stopEntries)
-	var callers, checks sync.WaitGroup
-	checks.Go(s.balance)
+	s := newStopSoak(t, newMixedSite(), seed, *stopEntries)
 	random := rand.New(rand.NewPCG(seed, 1000))
 	s.wholeRarity = []int{4, 12, 40}[random.IntN(3)]
-	results := make(chan []*stopCall, (4+random.IntN(9))**stopEntries)
-	for n := range cap(results) {
-		c := &stopCaller{soak: s, random: rand.New(rand.NewPCG(seed, uint64(n))), name: n}
+	s.play((4+random.IntN(9))**stopEntries, func() { s.disturb(random, s.began.Add(*stopLength)) })
+}
+
+// play sends the requests of a number of callers while disturb runs, and checks what they saw.
+func (s *stopSoak) play(count int, disturb func()) {
+	t := s.t
+	var callers, checks sync.WaitGroup
+	checks.Go(s.balance)
+	results := make(chan []*stopCall, count)
+	for n := range count {
+		c := &stopCaller{soak: s, random: rand.New(rand.NewPCG(s.seed, uint64(n))), name: n}
 		callers.Go(func() { results <- c.callUntilEnded() })
 	}
-	s.disturb(random, s.began.Add(*stopLength))
+	disturb()
 	s.mu.Lock()
 	s.ended = true
 	s.mu.Unlock()
@@ -350,6 +388,7 @@
 	}
 	time.Sleep(time.Second) // requests that were refused would run now
 	s.checkProcesses(t)
+	s.checkLogs(t)
 	s.checkCalls(t, all)
 	if t.Failed() {
 		t.Log(strings.Join(s.events, "\n"))
