attributor: doubt culprits that can't be told apart

Cause: two parts that were in all requests under the crashes were both certain culprits, and a certain one with five crashes gets no trial, which alone would clear the sound one. Evidence: TestPartsAlike, 0 of 146 sound prompts in all three forms. Change: several culprits that can't be told apart are doubtful. Output before: alike_test.go:37: 0 of 146 sound prompts began, 0 late sends --- FAIL: TestPartsAlike (0.00s)

--- a/core/attributor/attributor.go
+++ b/core/attributor/attributor.go
@@ -250,7 +250,11 @@
 		for end < len(all) && all[end].compare(c) == 0 {
 			end++
 		}
-		return all[i:end]
+		found := all[i:end]
+		for k := range found {
+			found[k].Certain = found[k].Certain && len(found) == 1
+		}
+		return found
 	}
 	return nil
 }
