--- a/entry/internal/exchanger/divide_test.go
+++ b/entry/internal/exchanger/divide_test.go
@@ -12,6 +12,25 @@
 	"google.golang.org/protobuf/proto"
 )
 
+// accusationsOf returns accusations with a number of parts whose ids have the given length, and
+// the pairs of their fingerprints and parts.
+func accusationsOf(n, parts, bytes int) (all []*wire.Accusation, pairs []string) {
+	for i := range n {
+		a := &wire.Accusation{Fingerprint: fmt.Sprint("r", i), Server: "i-1", Boot: 7}
+		for k := range parts {
+			id := fmt.Sprintf("%0*d", bytes, k)
+			pairs = append(pairs, a.GetFingerprint()+id)
+			if k%3 == 0 {
+				a.ServedParts = append(a.ServedParts, id)
+			} else {
+				a.Parts = append(a.Parts, id)
+			}
+		}
+		all = append(all, a)
+	}
+	return all, pairs
+}
+
 // TestDivideAccusations guards against accusations that are lost as they don't fit into a
 // datagram, which prompts with many parts are too large for.
 func TestDivideAccusations(t *testing.T) {
@@ -26,21 +45,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			var all []*wire.Accusation
-			var want []string
-			for i := range test.accusations {
-				a := &wire.Accusation{Fingerprint: fmt.Sprint("r", i), Server: "i-1", Boot: 7}
-				for k := range test.parts {
-					id := fmt.Sprintf("%0*d", test.bytes, k)
-					want = append(want, a.GetFingerprint()+id)
-					if k%3 == 0 {
-						a.ServedParts = append(a.ServedParts, id)
-					} else {
-						a.Parts = append(a.Parts, id)
-					}
-				}
-				all = append(all, a)
-			}
+			all, want := accusationsOf(test.accusations, test.parts, test.bytes)
 			var got []string
 			fingerprints := map[string]bool{}
 			for _, some := range divideAccusations(all) {
--- a/prover/stop_checks_test.go
+++ b/prover/stop_checks_test.go
@@ -70,23 +70,15 @@
 			runs[r.Attempt] = append(runs[r.Attempt], r)
 		}
 	}
-	counts, longest, early, crossed := map[string]int{}, 0.0, 0, time.Duration(0)
+	counts, longest, early, longestCrossing := map[string]int{}, 0.0, 0, time.Duration(0)
 	for _, a := range all {
 		ran := runs[a.id]
-		end := a.end()
-		switch {
-		case a.late():
-			end += " by a stopping entry, sent late"
-		case a.afterStop():
-			end += " by a stopping entry"
-		}
-		if strings.HasPrefix(end, "crossed") && (!a.afterStop() || !a.keptOpen) {
-			t.Logf("%s\n%s", end, s.trace(a, ran))
+		end := a.endAndEntry()
+		if a.crossed() && !a.afterStop() {
+			t.Logf("%s before SIGTERM\n%s", end, s.trace(a, ran))
 		}
 		counts[end]++
-		if strings.HasPrefix(end, "crossed") && !a.early {
-			crossed = max(crossed, a.ended.Sub(a.sent))
-		}
+		longestCrossing = max(longestCrossing, a.crossing())
 		if a.status == http.StatusServiceUnavailable && a.err == nil {
 			wait, _ := strconv.ParseFloat(a.header.Get("Retry-After"), 64) // checked below
 			longest = max(longest, wait)
@@ -107,7 +99,7 @@
 	for _, server := range s.engines {
 		reserved += server.ReservedTokens()
 	}
-	t.Logf("seed %d: requests that crossed a close ended up to %v after they were sent", s.seed, crossed)
+	t.Logf("seed %d: requests that crossed a close ended up to %v after they were sent", s.seed, longestCrossing)
 	t.Logf("seed %d: longest Retry-After %.2f s, %d told to return while all entries stop, %d tokens are still reserved", s.seed, longest, early, reserved)
 	if counts["answered"] == 0 || counts["answered by a stopping entry"] == 0 {
 		t.Error("no request was answered, or none by a stopping entry")
@@ -138,6 +130,29 @@
 // limitReached reports whether the time limit of the request had passed when it ended.
 func (a *stopCall) limitReached() bool { return a.ended.Sub(a.first) >= a.limit }
 
+// endAndEntry returns the kind of end of the request, and whether its entry was stopping.
+func (a *stopCall) endAndEntry() string {
+	switch {
+	case a.late():
+		return a.end() + " by a stopping entry, sent late"
+	case a.afterStop():
+		return a.end() + " by a stopping entry"
+	}
+	return a.end()
+}
+
+// crossed reports whether the connection was closed as the request arrived.
+func (a *stopCall) crossed() bool { return strings.HasPrefix(a.end(), "crossed") }
+
+// crossing returns the time from the last byte of a request to the close that it crossed, 0 if
+// it did not cross one.
+func (a *stopCall) crossing() time.Duration {
+	if !a.crossed() || a.early {
+		return 0
+	}
+	return a.ended.Sub(a.sent)
+}
+
 // end returns the kind of end of the request.
 func (a *stopCall) end() string {
 	switch {
