enroller: never hold back a registration that says that a server leaves

Cause: by reading. A valid row of another writer with a large born or sequence would have held back the engine's own row that says that it leaves, for four heartbeats. Change: such a row takes effect at once; the next registration of a live server corrects it. Result: TestOlderRegistrationLeaves; it was not run against the commit before.

--- a/core/attributor/attributor.go
+++ b/core/attributor/attributor.go
@@ -250,11 +250,11 @@
 		for end < len(all) && all[end].compare(c) == 0 {
 			end++
 		}
-		found := all[i:end]
-		for k := range found {
-			found[k].Certain = found[k].Certain && len(found) == 1
+		alike := all[i:end]
+		for k := range alike {
+			alike[k].Certain = alike[k].Certain && len(alike) == 1
 		}
-		return found
+		return alike
 	}
 	return nil
 }
--- a/core/enroller/enroller.go
+++ b/core/enroller/enroller.go
@@ -71,9 +71,13 @@
 }
 
 // Put adds or updates a server, unless its registration is held back, and reports whether it
-// did.
+// did. One that says that the server leaves never is.
 func (e *Enroller) Put(s *viewer.Server, now time.Time) bool {
 	if l := e.latest[s.ID]; l != nil && s.Precedes(l.Server) {
+		if s.Draining { // safe, and the next registration of a live server corrects it
+			e.list(s)
+			return true
+		}
 		e.held[s.ID] = held{Server: s, due: now.Add(e.holdTime)}
 		return false
 	}
@@ -97,10 +101,15 @@
 // Held returns the number of registrations that are held back.
 func (e *Enroller) Held() int { return len(e.held) }
 
-// accept adds or updates a server.
+// accept adds or updates a server by its newest registration.
 func (e *Enroller) accept(s *viewer.Server, now time.Time) {
-	delete(e.held, s.ID)
 	e.latest[s.ID] = &latest{Server: s, seen: now}
+	e.list(s)
+}
+
+// list adds or updates a server.
+func (e *Enroller) list(s *viewer.Server) {
+	delete(e.held, s.ID)
 	e.servers[s.ID] = s
 	if _, expired := e.missing[s.ID]; expired {
 		e.renewed[s.ID] = true
