screener, platform, director: keep the crashes of the last minute in the store

Cause: entries wrote blocked parts to the store, not the crashes under others. Change: each entry writes its accusations of the last minute to a row of its own, at most once a second, and reads those of all as it starts.

--- a/core/screener/crash_test.go
+++ b/core/screener/crash_test.go
@@ -71,6 +71,68 @@
 	failed  map[string]int // trials that ended with a crash
 	storeUp time.Time      // end of the current outage of the store
 	rows    map[string]simRow
+	// evidence has a row for each entry, by its number.
+	evidence map[int]simRow
+}
+
+// simStore is the store as one entry sees it.
+type simStore struct {
+	*simulation
+	entry int
+}
+
+// SaveEvidence implements screener.EvidenceStore.
+func (s simStore) SaveEvidence(_ context.Context, accusations []*wire.Accusation) error {
+	if s.now.Before(s.storeUp) {
+		return errStoreDown
+	}
+	s.evidence[s.entry] = simRow{accusations: accusations, written: s.now}
+	return nil
+}
+
+// LoadEvidence implements screener.EvidenceStore.
+func (s simStore) LoadEvidence(context.Context) (own, others []*wire.Accusation, err error) {
+	if s.now.Before(s.storeUp) {
+		return nil, nil, errStoreDown
+	}
+	for _, n := range slices.Sorted(maps.Keys(s.evidence)) {
+		if n == s.entry {
+			own = s.evidence[n].aged(s.now)
+		} else {
+			others = append(others, s.evidence[n].aged(s.now)...)
+		}
+	}
+	return own, others, nil
+}
+
+// keepEvidence lets an entry read the evidence that others have written, or write its own.
+func (s *simulation) keepEvidence(n int, e *simEntry) {
+	if s.now.Sub(e.evidenceKept) < evidenceInterval {
+		return
+	}
+	e.evidenceKept = s.now
+	if !e.evidenceLoaded {
+		e.evidenceLoaded = e.screener.LoadEvidence(context.Background(), simStore{s, n}) == nil
+		return
+	}
+	_ = e.screener.SaveEvidence(context.Background(), simStore{s, n}) // while the store is unavailable, the next call saves more
+}
+
+// evidenceInterval is the time between two writes of evidence.
+const evidenceInterval = time.Second
+
+// errStoreDown is the error of calls while the store is unavailable.
+var errStoreDown = errors.New("the store is unavailable")
+
+// aged returns the accusations of a row with their present ages.
+func (r simRow) aged(now time.Time) []*wire.Accusation {
+	var all []*wire.Accusation
+	for _, a := range r.accusations {
+		a = proto.CloneOf(a)
+		a.AgeMs += now.Sub(r.written).Milliseconds()
+		all = append(all, a)
+	}
+	return all
 }
 
 // simRow is a row of the store about a blocked request.
@@ -82,7 +144,7 @@
 // SaveSuspects implements screener.Store.
 func (s *simulation) SaveSuspects(_ context.Context, blocked map[string][]*wire.Accusation, others []string) error {
 	if s.now.Before(s.storeUp) {
-		return errors.New("the store is unavailable")
+		return errStoreDown
 	}
 	for f, accusations := range blocked {
 		s.rows[f] = simRow{accusations: accusations, written: s.now}
@@ -100,13 +162,7 @@
 	}
 	for _, f := range slices.Sorted(maps.Keys(s.rows)) {
 		if row := s.rows[f]; !row.written.Before(e.rowsRead) {
-			var accusations []*wire.Accusation
-			for _, a := range row.accusations {
-				a = proto.CloneOf(a)
-				a.AgeMs += s.now.Sub(row.written).Milliseconds()
-				accusations = append(accusations, a)
-			}
-			e.screener.Restore(f, accusations)
+			e.screener.Restore(f, row.aged(s.now))
 		}
 	}
 	e.rowsRead = s.now
@@ -123,6 +179,9 @@
 	disturbed time.Time // end of the last disturbance
 	page      time.Time // of the last page sent
 	rowsRead  time.Time // when it last read the rows about blocked requests
+
+	evidenceKept   time.Time // when it last wrote or read evidence
+	evidenceLoaded bool
 }
 
 // simServer is one run of a backend server.
@@ -172,7 +231,7 @@
 func newSimulation(seed uint64, entries, servers int) *simulation {
 	s := &simulation{
 		random: rand.New(rand.NewPCG(seed, 18)), start: time.Unix(1000, 0), now: time.Unix(1000, 0),
-		crashes: map[string][]time.Time{}, late: map[string]int{}, refused: map[string]int{}, asked: map[string]int{}, known: 3, served: map[string]int{}, failed: map[string]int{}, rows: map[string]simRow{},
+		crashes: map[string][]time.Time{}, late: map[string]int{}, refused: map[string]int{}, asked: map[string]int{}, known: 3, served: map[string]int{}, failed: map[string]int{}, rows: map[string]simRow{}, evidence: map[int]simRow{},
 	}
 	for range entries {
 		e := &simEntry{}
@@ -191,7 +250,7 @@
 	e.screener = screener.New(screener.Config{
 		Now: func() time.Time { return s.now }, Quarantiner: quarantiner.Config{TrialInterval: 10 * time.Second}, Process: s.random.Uint64(),
 	})
-	e.rowsRead = time.Time{}
+	e.rowsRead, e.evidenceKept, e.evidenceLoaded = time.Time{}, time.Time{}, false
 	e.view, e.answers = map[viewer.ServerID]*viewer.Server{}, map[viewer.ServerID]time.Time{}
 }
 
@@ -451,12 +510,13 @@
 // exchange examines broken sends and passes accusations between the entries. One in
 // twenty datagrams is lost.
 func (s *simulation) exchange() {
-	for _, e := range s.entries {
+	for n, e := range s.entries {
 		if s.now.Before(e.upAt) {
 			continue
 		}
 		s.readRows(e)
 		s.examine(e)
+		s.keepEvidence(n, e)
 		_ = e.screener.Save(context.Background(), s, 100) // while the store is unavailable, the next call saves more
 		urgent, _ := e.screener.Urgent(64)
 		s.post(e, urgent)
--- a/core/screener/outbox.go
+++ b/core/screener/outbox.go
@@ -35,6 +35,7 @@
 	isNew := s.suspects.Record(accusation, now)
 	if isNew {
 		s.queue(accusation, now)
+		s.keepEvidence(accusation, now)
 		s.attribute(accusation, true, now)
 	}
 	after := s.blocked(accusation, now)
--- a/core/screener/parts.go
+++ b/core/screener/parts.go
@@ -1,6 +1,7 @@
 package screener
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -37,6 +38,7 @@
 	}
 	against := s.parts.CountAgainst(all, s.isConvictedPart)
 	s.parts.RecordAnswer(all, began)
+	s.evidenceChanged = s.evidenceChanged || len(s.evidence) > 0 && slices.ContainsFunc(against, func(n int) bool { return n > 0 })
 	for i, id := range parts {
 		cleared := &wire.Accusation{Fingerprint: PartFingerprint(id), Cleared: true}
 		switch {
--- a/core/screener/save.go
+++ b/core/screener/save.go
@@ -59,12 +59,13 @@
 	return err
 }
 
-// ForgetSaved makes the next Save write all blocked requests that this process knows,
-// because the store may have lost them.
+// ForgetSaved makes the next Save write all blocked requests that this process knows, and the
+// next SaveEvidence its evidence, because the store may have lost them.
 func (s *Screener) ForgetSaved() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	s.evidenceChanged = len(s.evidence) > 0
 	for _, a := range s.suspects.Accusations(now) {
 		switch s.suspects.Decide(a.GetFingerprint(), now).Mode {
 		case quarantiner.Blocked, quarantiner.Trial:
--- a/core/screener/screener.go
+++ b/core/screener/screener.go
@@ -52,6 +52,9 @@
 	unsaved       map[string]bool // fingerprints that this process has changed
 	saved         map[string]bool // fingerprints that it has saved as blocked
 	changed       chan struct{}
+
+	evidence        []evidence // of this process, oldest first
+	evidenceChanged bool       // since it was saved
 }
 
 // New returns a Screener without suspects.
--- a/entry/internal/director/director.go
+++ b/entry/internal/director/director.go
@@ -54,6 +54,8 @@
 	// Between two writes of blocked requests, if there are any.
 	minSaveInterval = 250 * time.Millisecond
 	maxSaveInterval = 4 * time.Second
+	// Between two writes of the crashes that this entry has seen, if there are new ones.
+	evidenceInterval = time.Second
 	// balancerDelay is the time until the load balancer sends no new connections
 	// to an entry that is not ready: it checks once a second and acts on the
 	// second failed check.
@@ -213,6 +215,7 @@
 	go d.exchanger.Run(background)
 	go d.maintain(background)
 	go d.saveSuspects(background)
+	go d.keepEvidence(background)
 	d.config.Log.Info().Str("event", "started").Str("vm", s.VM).Str("domain", string(s.Domain)).
 		Str("callers", s.Listen.Callers).Str("store", s.Platform.Store).Msg("")
 	select {
@@ -337,6 +340,31 @@
 	}
 }
 
+// keepEvidence reads what all entries have written of crashes before this one started, and then
+// writes what it sees of them, until ctx ends.
+func (d *Director) keepEvidence(ctx context.Context) {
+	tick := time.NewTicker(evidenceInterval)
+	defer tick.Stop()
+	loaded := false
+	for {
+		var err error
+		if !loaded {
+			err = d.accusations.LoadEvidence(ctx, d.platform)
+			loaded = err == nil
+		} else {
+			err = d.accusations.SaveEvidence(ctx, d.platform)
+		}
+		if err != nil && ctx.Err() == nil {
+			d.config.Log.Info().Str("event", "evidence-not-kept").Bool("loaded", loaded).Str("cause", err.Error()).Msg("")
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 // ends returns when all requests must be answered. It returns zero while any request is
 // accepted.
 func (d *Director) ends() time.Time {
