prover: callers of the soak of stops send without a look at their connection, as before

Cause: since TestStopDay the callers of TestStopSoak looked whether the entry had closed their connection, so that fewer requests crossed a close. Change: only those of TestStopDay look.

--- a/prover/stop_calls_test.go
+++ b/prover/stop_calls_test.go
@@ -63,7 +63,7 @@
 		if ended {
 			return all
 		}
-		if c.conn != nil && c.ahead == nil && c.isClosed() {
+		if c.soak.site.looks && c.conn != nil && c.ahead == nil && c.isClosed() {
 			c.hangUp()
 		}
 		if c.conn == nil && !c.dial() {
--- a/prover/stop_day_test.go
+++ b/prover/stop_day_test.go
@@ -63,7 +63,7 @@
 
 // newDaySite returns the site whose kinds of request are dayKinds.
 func newDaySite() stopSite {
-	site := stopSite{configuration: dayConfiguration, pace: dayPace, draw: drawOfDay, think: dayThink}
+	site := stopSite{configuration: dayConfiguration, pace: dayPace, draw: drawOfDay, think: dayThink, looks: true}
 	for i := range dayEngines + dayServices {
 		config := rig.ServerConfig{Service: "pool", Slots: 16, Prefill: dayPrefill, EventBytes: padding}
 		if i >= dayEngines {
--- a/prover/stop_soak_test.go
+++ b/prover/stop_soak_test.go
@@ -85,6 +85,7 @@
 	pace          func(s *stopSoak, server int) rig.Pace
 	draw          func(c *stopCaller, n int) *stopCall // draws the n-th request of a caller
 	think         time.Duration                        // of a caller between two requests, at most
+	looks         bool                                 // callers see whether their connection is closed before they send
 }
 
 // stopSoak is a deployment whose entries stop and start again.
