forwarder: a stopping entry does not give up a stream whose engine is silent

What callers saw: LOST. A stopping entry cut a stream 1.25 s after it had begun, although its engine was sound and would have ended it, because the engine was silent for more than 1.2 s and no other one took the rest (full, or out of its rate). Cause: the guard of a send gives up a silent engine in favor of another one, also while the process stops. If no other one takes the rest the answer is cut; the rule on stops says that an engine's silence is no reason to end an answer sooner. Evidence: TestSilenceWhileStopping, before: silent_test.go:49: err: unexpected EOF // cut --- FAIL: TestSilenceWhileStopping/others_are_full (1.25s) --- FAIL: TestSilenceWhileStopping/others_have_limits (1.25s) Change: from SIGTERM on, a stream that has begun is not given up for silence. The end of its connection still tells if the engine has ended, by the kernel's probes within 2 s.

--- a/entry/internal/forwarder/ending.go
+++ b/entry/internal/forwarder/ending.go
@@ -11,6 +11,9 @@
 // errStopping is returned for a request that a stopping process does not send.
 var errStopping = errors.New("the entry stops before the request must have ended")
 
+// isStopping reports whether the process stops.
+func (f *Forwarder) isStopping() bool { return f.Closing() || !f.Ends().IsZero() }
+
 // isTooLate reports whether a stopping process must not begin to serve the request, as it may
 // end first. A request that may have run is continued until Abandon, as it can't be refused
 // any more.
--- a/entry/internal/forwarder/guard.go
+++ b/entry/internal/forwarder/guard.go
@@ -53,8 +53,13 @@
 
 // mayAbandon reports whether the send to a backend server that was silent for
 // waits timeouts may be canceled in favor of another server. If so, it takes the
-// retry from the retry budget. The history is that before the send.
+// retry from the retry budget. The history is that before the send. A stopping process
+// stays with a server that has begun to answer: if no other one takes the rest in time,
+// the answer is cut, and the end of a connection tells if the server has ended.
 func (x *exchange) mayAbandon(p placement, h history, wait time.Duration, waits int) bool {
+	if x.relay.started.Load() && x.forwarder.isStopping() {
+		return false
+	}
 	if waits < maxSlowWaits && x.forwarder.Ejector.AnsweredSince(p.server.ID, time.Now().Add(-wait)) {
 		return false
 	}
