forwarder: refuse requests whose bodies are still arriving as the process ends

Cause: Abandon answers requests that wait or run, and left out those that are being read. Evidence: TestBodyArrivingAtTheEnd, before: ending_test.go:361: err: read tcp4 ...: i/o timeout --- FAIL: TestBodyArrivingAtTheEnd//chat/x (2.10s) --- FAIL: TestBodyArrivingAtTheEnd//book/x (2.10s) Change: Abandon ends the reading of bodies; such requests get 503, have not run, and name when to come back. Result: the refusal arrives within 0.2 s, both kinds of route.

--- a/entry/internal/forwarder/bytes.go
+++ b/entry/internal/forwarder/bytes.go
@@ -72,7 +72,13 @@
 	if x.r.ContentLength == 0 {
 		return 0, ""
 	}
+	x.forwarder.reading.Add(x, x.stopReading)
 	body, err := readAll(x.r.Body, x.r.ContentLength, maxBytes, x.bodies.Reserve)
+	x.forwarder.reading.Begin(x)
+	if err != nil && x.forwarder.ending.Load() {
+		x.sendElsewhere()
+		return http.StatusServiceUnavailable, errStopping.Error()
+	}
 	if errors.Is(err, errNoMemory) {
 		x.forwarder.Meter.Add("refused_memory", 1)
 		x.w.Header().Set("Connection", "close") // net/http would first read the rest of the body
@@ -88,6 +94,11 @@
 	return 0, ""
 }
 
+// stopReading ends the reading of the body with an error.
+func (x *exchange) stopReading() {
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now()) // fails if the caller has left
+}
+
 // defaultBodyBytes is the maximum body size if the configuration has none, enough
 // for a million tokens of text.
 const defaultBodyBytes = 4 << 20
--- a/entry/internal/forwarder/ending.go
+++ b/entry/internal/forwarder/ending.go
@@ -66,10 +66,12 @@
 const causeEnding = "the entry ends"
 
 // Abandon answers all requests whose answers have not begun, as the process is about to end
-// and would close their connections: those that have not run are refused, the others get a
-// failure that promises nothing. From now on no request is sent.
+// and would close their connections: those that have not run are refused, also if their bodies
+// are still arriving, the others get a failure that promises nothing. From now on no request
+// is sent.
 func (f *Forwarder) Abandon() {
 	f.ending.Store(true)
+	f.reading.AbortAll()
 	f.unanswered.AbortAll()
 }
 
--- a/entry/internal/forwarder/ending_test.go
+++ b/entry/internal/forwarder/ending_test.go
@@ -1,7 +1,9 @@
 package forwarder_test
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -337,3 +339,31 @@
 	is.Equal(b.metric("repeats"), 0)
 	is.Equal(s.arrivals(), 1)
 }
+
+// TestBodyArrivingAtTheEnd guards against connections that are closed without an answer as the
+// process ends, since the bodies of their requests are still arriving.
+func TestBodyArrivingAtTheEnd(t *testing.T) {
+	for _, path := range []string{"/chat/x", "/book/x"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 1, 1)
+			conn, err := net.Dial("tcp4", b.server.Listener.Addr().String()) //nolint:noctx // it ends with the test
+			is.NoErr(err)
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a\r\nAuthorization: Token k1\r\nContent-Length: 10\r\n\r\nhello", path)
+			is.NoErr(err)
+			time.Sleep(100 * time.Millisecond) // it is being read
+			b.stop(time.Now())
+			began := time.Now()
+			b.entry.Abandon()
+			is.NoErr(conn.SetReadDeadline(began.Add(2 * time.Second)))
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			defer answer.Body.Close()
+			is.Equal(answer.StatusCode, http.StatusServiceUnavailable)
+			is.True(answer.Header.Get("Retry-After") != "")
+			is.True(time.Since(began) < 200*time.Millisecond)
+			is.Equal(len(b.runs()), 0)
+		})
+	}
+}
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -75,6 +75,7 @@
 type Forwarder struct {
 	Config
 	unanswered aborter.Aborter[*exchange] // sends whose answers have not begun
+	reading    aborter.Aborter[*exchange] // requests whose bodies are being read
 	active     atomic.Int64               // requests that are being served
 	received   atomic.Int64               // requests so far
 	ending     atomic.Bool                // no request is sent any more
