screener: write a blocked request again whose write may be performed late

After a kill of all entries a request or part that crashes engines was known with fewer crashes, or a cleared one was blocked again. Cause: the store may perform an unanswered write after a newer one, and rows of blocked requests were written when something changed only. Evidence: before the change parts_test.go:123: 2 != 3 --- FAIL: TestLateSave (0.00s) and TestLateSaveOfClearedRequest failed as well. Change: a request whose write failed is written again 10 s later as well. Result: both tests pass.

--- a/core/screener/parts_test.go
+++ b/core/screener/parts_test.go
@@ -78,3 +78,70 @@
 	}
 	is.Equal(mode(first), quarantiner.Allowed)
 }
+
+// lateRows is a store that performs its first write late.
+type lateRows struct {
+	rows
+	late func()
+}
+
+// SaveSuspects implements screener.Store.
+func (r *lateRows) SaveSuspects(ctx context.Context, blocked map[string][]*wire.Accusation, others []string) error {
+	perform := func() {
+		_ = r.rows.SaveSuspects(ctx, blocked, others) // it never fails
+		for _, f := range others {
+			delete(r.rows, f)
+		}
+	}
+	if r.late == nil {
+		r.late = perform
+		return context.DeadlineExceeded
+	}
+	perform()
+	return nil
+}
+
+// TestLateSave guards against a blocked request whose row is replaced by an older one, as the
+// store performs an unanswered write after a newer one.
+func TestLateSave(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := screener.New(screener.Config{Now: func() time.Time { return now }, Quarantiner: quarantiner.Config{TrialInterval: 10 * time.Second}})
+	store := &lateRows{rows: rows{}}
+	crash := func(server string) { s.Accuse(&wire.Accusation{Fingerprint: "bad", Server: server}) }
+	crash("i-1")
+	crash("i-2")
+	is.True(s.Save(t.Context(), store, 100) != nil)
+	crash("i-3")
+	is.NoErr(s.Save(t.Context(), store, 100))
+	is.Equal(len(store.rows["bad"]), 3)
+	now = now.Add(6 * time.Second)
+	store.late()
+	is.Equal(len(store.rows["bad"]), 2)
+	now = now.Add(5 * time.Second)
+	is.NoErr(s.Save(t.Context(), store, 100))
+	is.Equal(len(store.rows["bad"]), 3)
+}
+
+// TestLateSaveOfClearedRequest guards against the row of a request that was cleared, which a
+// late write of the store leaves for ever.
+func TestLateSaveOfClearedRequest(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := screener.New(screener.Config{Now: func() time.Time { return now }, Quarantiner: quarantiner.Config{TrialInterval: 10 * time.Second}})
+	store := &lateRows{rows: rows{}}
+	for i := range 2 {
+		s.Accuse(&wire.Accusation{Fingerprint: "sound", Server: fmt.Sprint("i-", i)})
+	}
+	is.True(s.Save(t.Context(), store, 100) != nil)
+	now = now.Add(time.Second)
+	s.Accuse(&wire.Accusation{Fingerprint: "sound", Cleared: true})
+	is.NoErr(s.Save(t.Context(), store, 100))
+	is.Equal(len(store.rows), 0)
+	now = now.Add(5 * time.Second)
+	store.late()
+	is.Equal(len(store.rows), 1)
+	now = now.Add(5 * time.Second)
+	is.NoErr(s.Save(t.Context(), store, 100))
+	is.Equal(len(store.rows), 0)
+}
--- a/core/screener/save.go
+++ b/core/screener/save.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"bamboohill/core/quarantiner"
 	"bamboohill/wire"
@@ -14,6 +15,10 @@
 	SaveSuspects(ctx context.Context, blocked map[string][]*wire.Accusation, others []string) error
 }
 
+// lateWriteTime is the time after which a store no longer performs a write that it has not
+// answered.
+const lateWriteTime = 10 * time.Second
+
 // Restore records the accusations that a store keeps against one request. If they
 // don't block it anymore, the next Save removes them.
 func (s *Screener) Restore(fingerprint string, accusations []*wire.Accusation) {
@@ -34,7 +39,7 @@
 // Save writes to a store what this process has changed since the last call: the
 // accusations against requests that are now blocked, and the removal of those that
 // it saved and that are not blocked anymore. It writes at most n requests. After an
-// error, they are written by the next call.
+// error, they are written by the next call, and once more after lateWriteTime.
 func (s *Screener) Save(ctx context.Context, store Store, n int) error {
 	blocked, others := s.takeUnsaved(n)
 	if len(blocked)+len(others) == 0 {
@@ -43,15 +48,19 @@
 	err := store.SaveSuspects(ctx, blocked, others)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	repeat := func(f string) {
+		s.unsaved[f] = true
+		s.again[f] = s.now().Add(lateWriteTime)
+	}
 	for f := range blocked {
 		s.saved[f] = true
 		if err != nil {
-			s.unsaved[f] = true
+			repeat(f)
 		}
 	}
 	for _, f := range others {
 		if err != nil {
-			s.unsaved[f] = true
+			repeat(f)
 		} else {
 			delete(s.saved, f)
 		}
@@ -81,6 +90,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	for f, due := range s.again {
+		if !now.Before(due) {
+			delete(s.again, f)
+			s.unsaved[f], s.saved[f] = true, true // the late write may have been that of a row
+		}
+	}
 	blocked = map[string][]*wire.Accusation{}
 	for f := range s.unsaved {
 		if len(blocked)+len(others) == n {
--- a/core/screener/screener.go
+++ b/core/screener/screener.go
@@ -49,8 +49,9 @@
 	outbox        []urgent
 	cursor        cursor // of accusations against isolated requests
 	blockedCursor cursor
-	unsaved       map[string]bool // fingerprints that this process has changed
-	saved         map[string]bool // fingerprints that it has saved as blocked
+	unsaved       map[string]bool      // fingerprints that this process has changed
+	saved         map[string]bool      // fingerprints that it has saved as blocked
+	again         map[string]time.Time // when fingerprints are saved again whose write may be performed late
 	changed       chan struct{}
 
 	evidence        []evidence // of this process, oldest first
@@ -64,7 +65,7 @@
 	}
 	return &Screener{
 		now: config.Now, process: config.Process, onBlocked: config.Blocked, suspects: quarantiner.New(config.Quarantiner), parts: attributor.New(), pardoned: map[string]uint64{}, changed: make(chan struct{}, 1),
-		unsaved: map[string]bool{}, saved: map[string]bool{},
+		unsaved: map[string]bool{}, again: map[string]time.Time{}, saved: map[string]bool{},
 	}
 }
 
