verifier, connector: an answer without a length that a reset cut is not whole

Cause: a socket reports its error once. The write in the background took ECONNRESET, and the read that followed saw an ordinary end, which is how an answer without a length ends. Change: verifier.Conn wraps the connection. At the end of the peer's direction it looks at what the write has met: ECONNRESET or a time-out of the kernel mean that the end is none. A write that still runs is interrupted first, as it may hold the error without having returned, and as the server may read no more. Why it works: the kernel gives the error to one call; both calls are now seen by one place, and EPIPE, which means that the end came first, is told from it. Answers with a length or in chunks are read to their marked end before the connection's end is looked at. The callers get 502, or a stream that is cut.

--- a/core/connector/connector.go
+++ b/core/connector/connector.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"bamboohill/core/verifier"
 )
 
 // Defaults of Config.
@@ -60,7 +62,8 @@
 
 // conn is a connection to a server.
 type conn struct {
-	net.Conn
+	*verifier.Conn
+	raw     net.Conn // below Conn
 	reader  *bufio.Reader
 	limiter *headLimiter // behind reader
 	address string
@@ -72,7 +75,7 @@
 // reset closes the connection without sending what the server has not received: a request
 // that was given up would reach it later, on a path that was cut meanwhile.
 func (k *conn) reset() {
-	if tcp, ok := k.Conn.(*net.TCPConn); ok {
+	if tcp, ok := k.raw.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // it fails only if the connection is closed
 	}
 	_ = k.Close() // the exchange has failed
@@ -168,8 +171,9 @@
 	c.mu.Lock()
 	c.opened++
 	c.mu.Unlock()
-	limiter := &headLimiter{reader: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(limiter, 8<<10), limiter: limiter, address: address}, nil
+	verified := verifier.NewConn(raw)
+	limiter := &headLimiter{reader: verified}
+	return &conn{Conn: verified, raw: raw, reader: bufio.NewReaderSize(limiter, 8<<10), limiter: limiter, address: address}, nil
 }
 
 // Probe opens a connection to the address and closes it. The error is that of the
@@ -188,7 +192,7 @@
 func (c *Connector) takeIdle(address string, now time.Time, usable func(*conn) bool) *conn {
 	for {
 		last := c.pop(address, usable)
-		if last == nil || now.Before(last.expires) && isQuiet(last.Conn) {
+		if last == nil || now.Before(last.expires) && isQuiet(last.raw) {
 			return last
 		}
 		_ = last.Close() // no request is in progress on it
--- a/core/connector/send.go
+++ b/core/connector/send.go
@@ -127,8 +127,7 @@
 		r.Writing(size)
 	}
 	go func() {
-		parts := net.Buffers{text, r.Body}
-		_, err := parts.WriteTo(a.conn.Conn)
+		_, err := a.conn.WriteBuffers(&net.Buffers{text, r.Body})
 		if r.Written != nil {
 			r.Written(size)
 		}
@@ -218,7 +217,9 @@
 	return maxIdle
 }
 
-// Read reads the body. It returns io.EOF only at the end of a complete body.
+// Read reads the body. It returns io.EOF only at the end of a complete body. The body of an
+// answer without a length that ends while the request is being written is complete if the
+// server ended its direction, and not if the connection was reset.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
 	if err == io.EOF {
--- /dev/null
+++ b/core/verifier/conn.go
@@ -0,0 +1,97 @@
+package verifier
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// BrokenError reports a connection that broke before the peer had ended its direction. Err is
+// what the kernel reported to a write.
+type BrokenError struct {
+	Err error
+}
+
+// Error implements error.
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("verifier: connection broken before its end: %v", e.Err)
+}
+
+// Unwrap returns the underlying error.
+func (e *BrokenError) Unwrap() error { return e.Err }
+
+// Conn is a connection whose reads return io.EOF only if the peer has ended its direction. If
+// a write has met the failure of the connection, reads return a *BrokenError instead.
+//
+// The end of the peer's direction ends a write in progress with os.ErrDeadlineExceeded. At
+// most one goroutine may write at a time.
+type Conn struct {
+	net.Conn
+
+	writing sync.Mutex // held during a write
+	failed  error      // of the first write that failed; guarded by writing
+}
+
+// NewConn returns a Conn on an open connection.
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	c.record(err)
+	return n, err
+}
+
+// WriteBuffers writes the content of buffers, in one call of the kernel where it can. It
+// consumes the buffers.
+func (c *Conn) WriteBuffers(buffers *net.Buffers) (int64, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := buffers.WriteTo(c.Conn)
+	c.record(err)
+	return n, err
+}
+
+// record records the result of a write. The caller holds the lock.
+func (c *Conn) record(err error) {
+	if c.failed == nil {
+		c.failed = err
+	}
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = c.end()
+	}
+	return n, err
+}
+
+// end returns what a read returns that has seen the end of the connection. A write in
+// progress may have taken the report of a reset without having returned yet. It is
+// interrupted, as the peer may read no more.
+func (c *Conn) end() error {
+	if err := c.SetWriteDeadline(time.Now()); err != nil {
+		return err
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if isBroken(c.failed) {
+		return &BrokenError{Err: c.failed}
+	}
+	return io.EOF
+}
+
+// isBroken reports whether the error of a write means that the connection failed before the
+// peer ended its direction. A write gets EPIPE if it was reset after that.
+func isBroken(err error) bool {
+	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded)
+}
--- a/prover/direct_test.go
+++ b/prover/direct_test.go
@@ -233,12 +233,21 @@
 	n int
 }
 
-// ask sends a caller's request and returns the status and the body.
-func (e *directEntry) ask(path, key, body string) (int, string, error) {
+// nextAttempt returns the id of another attempt of a caller.
+func nextAttempt() string {
 	attemptCounter.Lock()
+	defer attemptCounter.Unlock()
 	attemptCounter.n++
-	id := fmt.Sprintf("at%d", attemptCounter.n)
-	attemptCounter.Unlock()
+	return fmt.Sprintf("at%d", attemptCounter.n)
+}
+
+// ask sends a caller's request and returns the status and the body.
+func (e *directEntry) ask(path, key, body string) (int, string, error) {
+	return e.askAs(nextAttempt(), path, key, body)
+}
+
+// askAs is ask with the id of the attempt.
+func (e *directEntry) askAs(id, path, key, body string) (int, string, error) {
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+e.callerAddress+path, strings.NewReader(body))
 	if err != nil {
 		return 0, "", err
--- /dev/null
+++ b/prover/scripted_answers_test.go
@@ -0,0 +1,220 @@
+package prover
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bamboohill/platform/rig"
+)
+
+// ending is how a scripted server ends the connection after its answer.
+type ending int
+
+const (
+	readThenClose   ending = iota // reads the rest of the request, then closes
+	reset                         // resets the connection while the request is being written
+	closeUnread                   // closes with the request unread, which makes the kernel reset the connection
+	halfClose                     // closes its own direction and reads on
+	halfCloseUnread               // closes its own direction and reads no more
+	keepUnread                    // keeps the connection and reads no more
+)
+
+// unread is the time for which a server keeps a connection that it does not read, longer than
+// an answer may take.
+const unread = 2 * time.Second
+
+// settle is the time after which an answer has arrived before the connection ends.
+const settle = 10 * time.Millisecond
+
+// script is the answer of a scripted server. AT stands for the id of the attempt.
+type script struct {
+	bytes  string
+	ending ending
+}
+
+// scriptedServer answers each request with one script as soon as it has read its head. It
+// counts the requests by attempt.
+type scriptedServer struct {
+	script script
+
+	mu       sync.Mutex
+	arrivals map[string]int
+}
+
+// startScripted starts a scripted server and registers it in the store.
+func startScripted(t *testing.T, store *rig.Store, service string, answer script) *scriptedServer {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0") //nolint:noctx // it ends with the test
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() }) // errors on closing don't affect the test
+	s := &scriptedServer{script: answer, arrivals: map[string]int{}}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c.(*net.TCPConn))
+		}
+	}()
+	row, err := json.Marshal(map[string]any{
+		"service": service, "address": l.Addr().String(), "zone": "north", "version": "v1", "slots": 16,
+		"state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.Put("servers", service+"-0", row)
+	return s
+}
+
+func (s *scriptedServer) serve(c *net.TCPConn) {
+	defer c.Close()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	attempt := r.Header.Get("Attempt-Id")
+	if attempt == "" {
+		return // an order or a probe
+	}
+	s.mu.Lock()
+	s.arrivals[attempt]++
+	s.mu.Unlock()
+	if _, err := io.WriteString(c, strings.ReplaceAll(s.script.bytes, "AT", attempt)); err != nil {
+		return
+	}
+	time.Sleep(settle)
+	switch s.script.ending {
+	case readThenClose:
+		_, _ = io.Copy(io.Discard, r.Body) // the entry may have closed the connection
+	case reset:
+		_ = c.SetLinger(0) // it fails only if the connection is closed
+	case closeUnread:
+	case halfClose:
+		_ = c.CloseWrite()                 // it fails only if the connection is closed
+		_, _ = io.Copy(io.Discard, r.Body) // until the entry closes the connection
+	case halfCloseUnread:
+		_ = c.CloseWrite() // it fails only if the connection is closed
+		time.Sleep(unread)
+	case keepUnread:
+		time.Sleep(unread)
+	}
+}
+
+// arrived returns how often an attempt reached the server.
+func (s *scriptedServer) arrived(attempt string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrivals[attempt]
+}
+
+// brokenRequests is the number of requests that are sent for each answer.
+const brokenRequests = 25
+
+// Heads of scripted answers without their framing and end.
+const (
+	plainStart  = "HTTP/1.1 200 OK\r\nAttempt-Id: AT\r\nResponse-Stamp: s\r\n"
+	streamStart = plainStart + "Content-Type: text/event-stream\r\n"
+)
+
+// withLength returns an answer with a length and further header lines.
+func withLength(body string, lines ...string) string {
+	return plainStart + strings.Join(append(lines, ""), "\r\n") + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// scriptedAnswer is an answer of a backend server to a request of a caller.
+type scriptedAnswer struct {
+	path   string
+	upload int // bytes of the request's body
+	script script
+	status int    // of the answer that callers get; 0 if it is broken
+	body   string // of the answer that callers get
+}
+
+// scriptedAnswers are broken answers, and sound ones that resemble them.
+var scriptedAnswers = map[string]scriptedAnswer{
+	"reset in an upload of 300 KiB":        {path: "/book/", upload: 300 << 10, script: script{bytes: plainStart + "\r\npart", ending: reset}},
+	"reset in an upload of 3 MiB":          {path: "/book/", upload: 3 << 20, script: script{bytes: plainStart + "\r\npart", ending: reset}},
+	"reset in an upload to a stream":       {path: "/chat/", upload: 3 << 20, script: script{bytes: streamStart + "\r\n" + rig.Event(1, "part"), ending: reset}},
+	"closed in an upload of 3 MiB":         {path: "/book/", upload: 3 << 20, script: script{bytes: plainStart + "\r\npart", ending: closeUnread}},
+	"failure reset in an upload":           {path: "/book/", upload: 3 << 20, script: script{bytes: strings.Replace(plainStart, "200 OK", "400 x", 1) + "\r\npart", ending: reset}},
+	"whole upload, then end":               {path: "/book/", upload: 300 << 10, script: script{bytes: plainStart + "\r\nwhole"}, status: http.StatusOK, body: "whole"},
+	"whole upload to a stream, then end":   {path: "/chat/", upload: 300 << 10, script: script{bytes: streamStart + "\r\n" + rig.Event(1, "whole")}, status: http.StatusOK, body: rig.Event(1, "whole")},
+	"end of its own direction":             {path: "/book/", upload: 3 << 20, script: script{bytes: plainStart + "\r\nwhole", ending: halfClose}, status: http.StatusOK, body: "whole"},
+	"end of its own direction, unread":     {path: "/book/", upload: 3 << 20, script: script{bytes: plainStart + "\r\nwhole", ending: halfCloseUnread}, status: http.StatusOK, body: "whole"},
+	"length in an upload that is not read": {path: "/book/", upload: 3 << 20, script: script{bytes: withLength("whole"), ending: keepUnread}, status: http.StatusOK, body: "whole"},
+	"length in an upload that is reset":    {path: "/book/", upload: 3 << 20, script: script{bytes: withLength("whole"), ending: reset}, status: http.StatusOK, body: "whole"},
+	"413 in an upload that is not read":    {path: "/book/", upload: 3 << 20, script: script{bytes: strings.Replace(withLength("no"), "200 OK", "413 x", 1), ending: keepUnread}, status: http.StatusRequestEntityTooLarge, body: "no"},
+	"short request, then end":              {path: "/book/", script: script{bytes: plainStart + "\r\nwhole"}, status: http.StatusOK, body: "whole"},
+	"short request, then reset":            {path: "/book/", script: script{bytes: plainStart + "\r\npart", ending: reset}},
+}
+
+// TestScriptedAnswers sends requests through an entry process to servers whose answers are
+// broken or sound. No broken answer may look complete to a caller, and a request that reached
+// a server may neither be refused as not run nor, if it may run once only, be sent again. No
+// caller waits for a write that its server does not read.
+func TestScriptedAnswers(t *testing.T) {
+	for name, test := range scriptedAnswers {
+		t.Run(name, func(t *testing.T) {
+			d := &deployment{t: t, store: rig.NewStore()}
+			d.store.Put("op", "config", desired(1, keptKey))
+			service := map[string]string{"/book/": "plain", "/chat/": "pool"}[test.path]
+			s := startScripted(t, d.store, service, test.script)
+			e := d.newEntry(0, 1)
+			e.start()
+			t.Cleanup(e.kill)
+			e.until("ready", e.isReady)
+			arrived, delivered := 0, 0
+			for range brokenRequests {
+				a, d := test.check(t, e, s)
+				arrived, delivered = arrived+a, delivered+d
+			}
+			t.Logf("%d of %d requests reached the server, %d answers delivered", arrived, brokenRequests, delivered)
+			if arrived == 0 || test.status == 0 && delivered > 0 || test.status != 0 && delivered < brokenRequests {
+				t.Error("want whole answers delivered, and no others")
+			}
+		})
+	}
+}
+
+// check sends one request. It returns how often the request reached the server, at most once
+// counted, and whether an answer was delivered, as 0 or 1.
+func (a scriptedAnswer) check(t *testing.T, e *directEntry, s *scriptedServer) (arrived, delivered int) {
+	t.Helper()
+	attempt, sent := nextAttempt(), time.Now()
+	status, body, err := e.askAs(attempt, a.path+"x", keptKey, strings.Repeat("u", a.upload))
+	arrivals := s.arrived(attempt)
+	if took := time.Since(sent); took >= unread {
+		t.Errorf("%s took %v", attempt, took)
+	}
+	if arrivals > 1 && a.path == "/book/" {
+		t.Errorf("%s reached the server %d times", attempt, arrivals)
+	}
+	if arrivals > 0 && (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable) {
+		t.Errorf("%s reached the server and was answered %d", attempt, status)
+	}
+	if err != nil || isOwn(status) {
+		return min(1, arrivals), 0
+	}
+	if a.status != 0 && (status != a.status || body != a.body) {
+		t.Errorf("%s was answered %d with %q", attempt, status, body)
+	}
+	return min(1, arrivals), 1
+}
+
+// isOwn reports whether an entry gives a status to requests that its servers have not
+// answered.
+func isOwn(status int) bool {
+	return status == http.StatusBadGateway || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
+}
