verifier, connector: refuse status lines that are none of HTTP/1.1

What callers saw: a backend server in trouble sent a head with status 000 or 099, then a head with 200: the caller got the second one's answer. The same with 101 in the first head. Statuses 600 and 999 were passed on, answers of version 2.0 and with a control byte in the reason were delivered. Cause: the connector took any status below 200 as that of an interim answer, and http.ReadResponse accepts three digits or a sign and two, any version of one digit each and any bytes in the reason. Change: verifier.Conn checks the lines of an expected head before net/http reads them, interim heads included; the connector expects a head where it reads one. Statuses are 100 to 599 without 101, as the connector never asks to change the protocol, versions are 1.x, reasons have no control bytes (RFC 9112, section 4; RFC 9110, sections 2.5, 15 and 15.2.2). Why it works: all bytes of a head pass the connection or are in the buffer above it when the head is expected; bytes of bodies are never looked at. The error comes in place of the bytes, so that no field of such a head counts, and the connection is reset. The request counts as one that may have run.

--- a/core/connector/send.go
+++ b/core/connector/send.go
@@ -140,6 +140,9 @@
 func (a *Answer) head(r Request) error {
 	for range maxUnmatchedAnswers {
 		a.conn.limiter.begin()
+		if err := a.conn.expectHead(); err != nil {
+			return err
+		}
 		response, err := http.ReadResponse(a.conn.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // Close ends the exchange with its connection
 		if err != nil && a.conn.limiter.left <= 0 {
 			return ErrHeadTooLong // instead of an error about a line that was cut
@@ -171,6 +174,16 @@
 	return errUnmatched
 }
 
+// expectHead checks the next head, of which the buffer may hold a part. The error is a
+// *verifier.HeadError.
+func (k *conn) expectHead() error {
+	buffered, err := k.reader.Peek(k.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return k.ExpectHead(buffered)
+}
+
 // isDelimited reports whether the end of the body is marked by its length or
 // its encoding rather than by the end of the connection.
 func isDelimited(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
--- a/core/verifier/conn.go
+++ b/core/verifier/conn.go
@@ -25,16 +25,20 @@
 // Unwrap returns the underlying error.
 func (e *BrokenError) Unwrap() error { return e.Err }
 
-// Conn is a connection whose reads return io.EOF only if the peer has ended its direction. If
-// a write has met the failure of the connection, reads return a *BrokenError instead.
+// Conn is a connection to a server. Its reads return io.EOF only if the server has ended its
+// direction: if a write has met the failure of the connection, they return a *BrokenError
+// instead. They return a *HeadError in place of the bytes of a broken head that is expected.
 //
-// The end of the peer's direction ends a write in progress with os.ErrDeadlineExceeded. At
+// The end of the server's direction ends a write in progress with os.ErrDeadlineExceeded. At
 // most one goroutine may write at a time.
 type Conn struct {
 	net.Conn
 
 	writing sync.Mutex // held during a write
 	failed  error      // of the first write that failed; guarded by writing
+
+	reading sync.Mutex // guards heads, not the reads
+	heads   heads
 }
 
 // NewConn returns a Conn on an open connection.
@@ -66,9 +70,29 @@
 	}
 }
 
+// ExpectHead checks the head of the next answer, and those of its interim answers, as they are
+// read. The bytes that a buffer above the connection already holds of them are checked at
+// once. The error is a *HeadError.
+func (c *Conn) ExpectHead(buffered []byte) error {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	c.heads.expect()
+	return c.heads.scan(buffered)
+}
+
+// scan checks bytes that were read.
+func (c *Conn) scan(p []byte) error {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	return c.heads.scan(p)
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if broken := c.scan(p[:n]); broken != nil {
+		return 0, broken
+	}
 	if errors.Is(err, io.EOF) {
 		err = c.end()
 	}
--- /dev/null
+++ b/core/verifier/head.go
@@ -0,0 +1,106 @@
+package verifier
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+)
+
+// HeadError reports a line that no head of an HTTP/1.1 answer holds.
+type HeadError struct {
+	Line    string // its beginning
+	Problem string
+}
+
+// Error implements error.
+func (e *HeadError) Error() string { return fmt.Sprintf("verifier: %s: %q", e.Problem, e.Line) }
+
+// maxLineBytes is the largest size of a line of a head, and maxQuotedBytes that of the part of
+// it that an error holds.
+const (
+	maxLineBytes   = 64 << 10
+	maxQuotedBytes = 80
+)
+
+func newHeadError(line []byte, problem string) *HeadError {
+	return &HeadError{Line: string(line[:min(len(line), maxQuotedBytes)]), Problem: problem}
+}
+
+// heads checks the heads of one answer, interim ones and the final one, as their bytes arrive.
+// It ignores what follows the final one. The zero value ignores all bytes.
+type heads struct {
+	expected bool   // the next byte belongs to a head
+	begun    bool   // the status line of the current head has been read
+	interim  bool   // another head follows the current one
+	partial  []byte // the beginning of the current line
+	err      error  // the first *HeadError
+}
+
+// expect begins with the heads of another answer.
+func (h *heads) expect() { *h = heads{expected: true, partial: h.partial[:0]} }
+
+// scan checks the next bytes of a connection. The error is a *HeadError; it is returned for
+// all further bytes too.
+func (h *heads) scan(p []byte) error {
+	for h.expected && h.err == nil && len(p) > 0 {
+		line, rest, found := bytes.Cut(p, []byte{'\n'})
+		if !found || len(h.partial) > 0 {
+			h.partial = append(h.partial, line...)
+			line = h.partial
+		}
+		switch {
+		case len(line) > maxLineBytes:
+			h.err = newHeadError(line, "line too long")
+		case found:
+			h.err = h.checkLine(bytes.TrimSuffix(line, []byte{'\r'}))
+			h.partial = h.partial[:0]
+		}
+		p = rest
+	}
+	return h.err
+}
+
+// checkLine checks a line without its end.
+func (h *heads) checkLine(line []byte) error {
+	switch {
+	case !h.begun:
+		status, err := parseStatusLine(line)
+		h.begun, h.interim = true, status < http.StatusOK
+		return err
+	case len(line) == 0:
+		h.begun, h.expected = false, h.interim
+	}
+	return nil
+}
+
+// statusDigits is the number of digits of a status.
+const statusDigits = 3
+
+// parseStatusLine returns the status of a status line. More than one blank before the status,
+// and none after it, are allowed, as net/http does. The protocol is never changed, so that
+// an answer has no reason to say that. The error is a *HeadError.
+func parseStatusLine(line []byte) (int, error) {
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	if len(version) != len("HTTP/1.1") || !bytes.HasPrefix(version, []byte("HTTP/1.")) || !isDigit(version[len(version)-1]) {
+		return 0, newHeadError(line, "not a status line of HTTP/1.1")
+	}
+	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
+	if len(code) != statusDigits || !isDigit(code[0]) || !isDigit(code[1]) || !isDigit(code[2]) {
+		return 0, newHeadError(line, "status is not a number of three digits")
+	}
+	status := int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0')
+	switch {
+	case status < http.StatusContinue || status >= 600:
+		return 0, newHeadError(line, "status out of range")
+	case status == http.StatusSwitchingProtocols:
+		return 0, newHeadError(line, "change of protocol that was not asked for")
+	case bytes.ContainsFunc(reason, isControl):
+		return 0, newHeadError(line, "control byte in the reason")
+	}
+	return status, nil
+}
+
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
+// isControl reports whether a character may not stand in the text of a line.
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
--- a/entry/internal/forwarder/broken_test.go
+++ b/entry/internal/forwarder/broken_test.go
@@ -74,6 +74,10 @@
 	"resets before its first":    {reply: reply{bytes: unframed(""), reset: true}},
 	"closes":                     {reply: reply{}},
 	"bytes that are no answer":   {reply: reply{bytes: span(4, 8)}},
+	"status 000":                 {reply: reply{bytes: strings.Replace(complete(span(4, 8)), "200", "000", 1)}},
+	"status 000 before a head":   {reply: reply{bytes: "HTTP/1.1 000 x\r\n\r\n" + complete(span(4, 8))}},
+	"status 101 before a head":   {reply: reply{bytes: "HTTP/1.1 101 x\r\n\r\n" + complete(span(4, 8))}},
+	"status 103 before a head":   {reply: reply{bytes: "HTTP/1.1 103 x\r\n\r\n" + complete(span(4, 8))}, rest: span(4, 8), whole: true},
 	"another attempt's":          {reply: reply{bytes: strings.ReplaceAll(complete(span(4, 8)), "AT", "other")}},
 	"another attempt's unframed": {reply: reply{bytes: strings.ReplaceAll(unframed(span(4, 8)), "AT", "other")}},
 }
--- a/prover/scripted_answers_test.go
+++ b/prover/scripted_answers_test.go
@@ -158,6 +158,20 @@
 	"413 in an upload that is not read":    {path: "/book/", upload: 3 << 20, script: script{bytes: strings.Replace(withLength("no"), "200 OK", "413 x", 1), ending: keepUnread}, status: http.StatusRequestEntityTooLarge, body: "no"},
 	"short request, then end":              {path: "/book/", script: script{bytes: plainStart + "\r\nwhole"}, status: http.StatusOK, body: "whole"},
 	"short request, then reset":            {path: "/book/", script: script{bytes: plainStart + "\r\npart", ending: reset}},
+
+	"status 000":                     {path: "/book/", script: script{bytes: strings.Replace(withLength("hi"), "200", "000", 1)}},
+	"status 000 to a stream":         {path: "/chat/", script: script{bytes: strings.Replace(streamStart, "200", "000", 1) + "\r\n" + rig.Event(1, "hi")}},
+	"status 000 before another head": {path: "/book/", script: script{bytes: "HTTP/1.1 000 x\r\n\r\n" + withLength("hi")}},
+	"status 099 before another head": {path: "/book/", script: script{bytes: "HTTP/1.1 099 x\r\n\r\n" + withLength("hi")}},
+	"status 101 before another head": {path: "/book/", script: script{bytes: "HTTP/1.1 101 x\r\n\r\n" + withLength("hi")}},
+	"status 000 before a stream":     {path: "/chat/", script: script{bytes: "HTTP/1.1 000 x\r\n\r\n" + streamStart + "\r\n" + rig.Event(1, "hi")}},
+	"status 600":                     {path: "/book/", script: script{bytes: strings.Replace(withLength("hi"), "200", "600", 1)}},
+	"status 999":                     {path: "/book/", script: script{bytes: strings.Replace(withLength("hi"), "200", "999", 1)}},
+	"version 2.0":                    {path: "/book/", script: script{bytes: strings.Replace(withLength("hi"), "1.1", "2.0", 1)}},
+	"control byte in the reason":     {path: "/book/", script: script{bytes: strings.Replace(withLength("hi"), "OK", "O\x01K", 1)}},
+	"status 100":                     {path: "/book/", script: script{bytes: "HTTP/1.1 100 Continue\r\n\r\n" + withLength("hi")}, status: http.StatusOK, body: "hi"},
+	"status 103":                     {path: "/book/", script: script{bytes: "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + withLength("hi")}, status: http.StatusOK, body: "hi"},
+	"version 1.0":                    {path: "/book/", script: script{bytes: strings.Replace(withLength("hi"), "1.1", "1.0", 1)}, status: http.StatusOK, body: "hi"},
 }
 
 // TestScriptedAnswers sends requests through an entry process to servers whose answers are
