verifier, connector: refuse names of fields that hold a blank

What callers saw: an answer in whose head the name of a field held a blank came as an answer: with that line passed on, or, where it was the line of the length or of the chunks, with a body that was not the server's ("hi and more" for two bytes, or the marks of the chunks in it). The same with such a line in an interim head, in a failure, in the trailer of a whole answer and on streams. Cause: net/http accepts blanks in names, and keeps such a line under the name as it stands. It does not see the field that the server meant. Change: verifier.Conn checks the names of expected heads, interim ones included, and verifier.NewBody those of the trailer at the end of a body. A blank at the begin of a line continues the line before, as so far. Why it works: as for status lines, the bytes of every head are checked before net/http reads them; a name ends at the first colon, as it does there. A trailer comes after the body, so that the end of the body is an error then: a plain answer is refused, a stream is resumed or cut.

--- a/core/connector/send.go
+++ b/core/connector/send.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"bamboohill/core/verifier"
 )
 
 // Request is one request to a backend server.
@@ -209,7 +211,7 @@
 
 func (a *Answer) setHead(r *http.Response) {
 	a.Status, a.Header, a.Length, a.Framed = r.StatusCode, r.Header, r.ContentLength, isDelimited(r)
-	a.body, a.close = r.Body, r.Close
+	a.body, a.close = verifier.NewBody(r), r.Close
 	a.idle = keepAlive(r.Header)
 }
 
@@ -232,7 +234,8 @@
 
 // Read reads the body. It returns io.EOF only at the end of a complete body. The body of an
 // answer without a length that ends while the request is being written is complete if the
-// server ended its direction, and not if the connection was reset.
+// server ended its direction, and not if the connection was reset. The end of a body whose
+// trailer is broken is a *verifier.HeadError.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
 	if err == io.EOF {
--- a/core/verifier/doc.go
+++ b/core/verifier/doc.go
@@ -6,7 +6,10 @@
 // length and ends with its connection. A Conn reports the reset to reads too.
 //
 // The head of an answer is checked before net/http reads it, which accepts statuses below 100
-// as those of interim answers, and some heads that are none of HTTP/1.1 (RFC 9112).
+// as those of interim answers, blanks in the names of fields, and some heads that are none of
+// HTTP/1.1 (RFC 9112). A field whose name holds a blank is not the one that its sender meant:
+// with "Content-Length : 2" the answer has no length for net/http, and more bytes than its
+// server gave it. Names in trailers are checked by the reader that NewBody returns.
 //
 // # Usage
 //
@@ -15,5 +18,5 @@
 //	go c.Write(request)
 //	err = c.ExpectHead(nil)
 //	answer, err := http.ReadResponse(bufio.NewReader(c), nil) // a *HeadError if the head is broken
-//	body, err := io.ReadAll(answer.Body)                      // a *BrokenError if the connection broke early
+//	text, err := io.ReadAll(verifier.NewBody(answer))         // a *BrokenError if the connection broke early
 package verifier
--- a/core/verifier/head.go
+++ b/core/verifier/head.go
@@ -69,6 +69,21 @@
 		return err
 	case len(line) == 0:
 		h.begun, h.expected = false, h.interim
+		return nil
+	}
+	return checkField(line)
+}
+
+// checkField checks a line after the status line. Names with other bytes that no name holds,
+// and lines without a name, are left to net/http, which refuses them. The error is a
+// *HeadError.
+func checkField(line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		return nil // continues the line before, if there is one
+	}
+	name, _, _ := bytes.Cut(line, []byte{':'})
+	if bytes.IndexByte(name, ' ') >= 0 {
+		return newHeadError(line, "blank in a name")
 	}
 	return nil
 }
--- a/core/verifier/head_test.go
+++ b/core/verifier/head_test.go
@@ -39,6 +39,12 @@
 	"continued line":          {text: "HTTP/1.1 200 OK\r\nNote: a\r\n\tb c\r\n\r\n", sound: true},
 	"continued, with a colon": {text: "HTTP/1.1 200 OK\r\nNote: a\r\n b c: d\r\n\r\n", sound: true},
 
+	"blank beside the colon":       {text: "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n"},
+	"blank within a name":          {text: "HTTP/1.1 200 OK\r\nNote: a\r\nOther Note: a\r\n\r\n"},
+	"blank in the first name":      {text: "HTTP/1.1 200 OK\r\nOther Note: a\r\nNote: a\r\n\r\n"},
+	"blank in an interim head":     {text: "HTTP/1.1 103 x\r\nOther Note: a\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"},
+	"blank in a line without name": {text: "HTTP/1.1 200 OK\r\nOther Note\r\n\r\n"},
+
 	"status 000":                 {text: "HTTP/1.1 000 x\r\n\r\n"},
 	"status 099":                 {text: "HTTP/1.1 099 x\r\n\r\n"},
 	"status 000 after another":   {text: "HTTP/1.1 100 x\r\n\r\nHTTP/1.1 000 x\r\n\r\n"},
--- a/entry/internal/forwarder/broken_test.go
+++ b/entry/internal/forwarder/broken_test.go
@@ -78,6 +78,10 @@
 	"status 000 before a head":   {reply: reply{bytes: "HTTP/1.1 000 x\r\n\r\n" + complete(span(4, 8))}},
 	"status 101 before a head":   {reply: reply{bytes: "HTTP/1.1 101 x\r\n\r\n" + complete(span(4, 8))}},
 	"status 103 before a head":   {reply: reply{bytes: "HTTP/1.1 103 x\r\n\r\n" + complete(span(4, 8))}, rest: span(4, 8), whole: true},
+	"a blank in a name":          {reply: reply{bytes: strings.Replace(complete(span(4, 8)), "Response-Stamp", "Response Stamp", 1)}},
+	"a blank beside its framing": {reply: reply{bytes: streamHead + "Transfer-Encoding : chunked\r\n\r\n" + chunk(span(4, 8)) + chunk("")}},
+	"a blank in its trailer":     {reply: reply{bytes: chunked(span(4, 8)) + "0\r\nOther Note: a\r\n\r\n"}, rest: span(4, 8)},
+	"a sound trailer":            {reply: reply{bytes: chunked(span(4, 8)) + "0\r\nNote: a\r\n\r\n"}, rest: span(4, 8), whole: true},
 	"another attempt's":          {reply: reply{bytes: strings.ReplaceAll(complete(span(4, 8)), "AT", "other")}},
 	"another attempt's unframed": {reply: reply{bytes: strings.ReplaceAll(unframed(span(4, 8)), "AT", "other")}},
 }
--- a/prover/scripted_answers_test.go
+++ b/prover/scripted_answers_test.go
@@ -133,6 +133,11 @@
 	return plainStart + strings.Join(append(lines, ""), "\r\n") + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 }
 
+// chunks returns the body in one chunk, with the trailer lines given.
+func chunks(body string, trailer ...string) string {
+	return fmt.Sprintf("%x\r\n%s\r\n0\r\n%s\r\n", len(body), body, strings.Join(append(trailer, ""), "\r\n"))
+}
+
 // scriptedAnswer is an answer of a backend server to a request of a caller.
 type scriptedAnswer struct {
 	path   string
@@ -172,6 +177,22 @@
 	"status 100":                     {path: "/book/", script: script{bytes: "HTTP/1.1 100 Continue\r\n\r\n" + withLength("hi")}, status: http.StatusOK, body: "hi"},
 	"status 103":                     {path: "/book/", script: script{bytes: "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + withLength("hi")}, status: http.StatusOK, body: "hi"},
 	"version 1.0":                    {path: "/book/", script: script{bytes: strings.Replace(withLength("hi"), "1.1", "1.0", 1)}, status: http.StatusOK, body: "hi"},
+
+	"blank beside the colon of the length":  {path: "/book/", script: script{bytes: plainStart + "Content-Length : 2\r\n\r\nhi and more"}},
+	"blank in the name of the encoding":     {path: "/book/", script: script{bytes: plainStart + "Transfer Encoding: chunked\r\n\r\n" + chunks("hi")}},
+	"blank beside the encoding of a stream": {path: "/chat/", script: script{bytes: streamStart + "Transfer-Encoding : chunked\r\n\r\n" + chunks(rig.Event(1, "hi"))}},
+	"blank in another name":                 {path: "/book/", script: script{bytes: withLength("hi", "Other Note: a")}},
+	"blank in another name of a stream":     {path: "/chat/", script: script{bytes: streamStart + "Other Note: a\r\n\r\n" + rig.Event(1, "hi")}},
+	"blank in a name of an interim answer":  {path: "/book/", script: script{bytes: "HTTP/1.1 103 Early Hints\r\nOther Note: a\r\n\r\n" + withLength("hi")}},
+	"blank in the first name":               {path: "/book/", script: script{bytes: strings.Replace(withLength("hi"), "\r\n", "\r\nOther Note: a\r\n", 1)}},
+	"blank before the first name":           {path: "/book/", script: script{bytes: strings.Replace(withLength("hi"), "\r\n", "\r\n Note: a\r\n", 1)}},
+	"blank in a name of a trailer":          {path: "/book/", script: script{bytes: plainStart + "Transfer-Encoding: chunked\r\n\r\n" + chunks("hi", "Other Note: a")}},
+	"blank in a name of a stream's trailer": {path: "/chat/", script: script{bytes: streamStart + "Transfer-Encoding: chunked\r\n\r\n" + chunks(rig.Event(1, "hi"), "Other Note: a")}},
+	"blank in a name of a failure":          {path: "/book/", script: script{bytes: strings.Replace(withLength("no", "Other Note: a"), "200", "500", 1)}},
+	"control byte in a name":                {path: "/book/", script: script{bytes: withLength("hi", "Other\x01Note: a")}},
+	"control byte in a name of an interim":  {path: "/book/", script: script{bytes: "HTTP/1.1 103 x\r\nOther\x01Note: a\r\n\r\n" + withLength("hi")}},
+	"names of all kinds of signs":           {path: "/book/", script: script{bytes: withLength("hi", "!#$%&'*+-.^_`|~9aZ: a")}, status: http.StatusOK, body: "hi"},
+	"sound trailer":                         {path: "/book/", script: script{bytes: plainStart + "Transfer-Encoding: chunked\r\n\r\n" + chunks("hi", "Note: a")}, status: http.StatusOK, body: "hi"},
 }
 
 // TestScriptedAnswers sends requests through an entry process to servers whose answers are
