verifier, connector: refuse answers of HTTP/1.0 with a transfer coding

What callers saw: a head of HTTP/1.0 with Transfer-Encoding: chunked came as an answer whose body held the marks of the chunks, with and without a length, and as a whole stream. Cause: net/http ignores the field in answers of HTTP/1.0 and deletes it, so that nothing after it can tell. Change: verifier.Conn refuses the field in a head whose version is 1.0. Why it works: RFC 9112, section 6.1, takes the framing of such an answer for faulty; no body of it can be told from its marks. The line is seen before net/http deletes it.

--- a/core/connector/broken_test.go
+++ b/core/connector/broken_test.go
@@ -27,6 +27,8 @@
 	"blank in an interim head":    "HTTP/1.1 103 x\r\nOther Note: a\r\n\r\n" + text("mine", "yes", ""),
 	"blank in another's head":     text("ghost", "no", "Other Note: a\r\n") + text("mine", "yes", ""),
 	"blank after a sound name":    text("mine", "yes", "Note: a\r\nOther Note: a\r\n"),
+	"HTTP/1.0 in chunks":          "HTTP/1.0 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n",
+	"HTTP/1.0, length and chunks": "HTTP/1.0 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\nContent-Length: 13\r\n\r\n3\r\nyes\r\n0\r\n\r\n",
 	"blank in a trailer":          "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\nOther Note: a\r\n\r\n",
 }
 
--- a/core/verifier/doc.go
+++ b/core/verifier/doc.go
@@ -9,7 +9,8 @@
 // as those of interim answers, blanks in the names of fields, and some heads that are none of
 // HTTP/1.1 (RFC 9112). A field whose name holds a blank is not the one that its sender meant:
 // with "Content-Length : 2" the answer has no length for net/http, and more bytes than its
-// server gave it. Names in trailers are checked by the reader that NewBody returns.
+// server gave it. The same holds for chunks in an answer of HTTP/1.0, whose marks net/http
+// takes for a part of the body. Names in trailers are checked by the reader that NewBody returns.
 //
 // # Usage
 //
--- a/core/verifier/head.go
+++ b/core/verifier/head.go
@@ -32,6 +32,7 @@
 	expected bool   // the next byte belongs to a head
 	begun    bool   // the status line of the current head has been read
 	interim  bool   // another head follows the current one
+	chunks   bool   // the version of the current head knows chunks
 	partial  []byte // the beginning of the current line
 	err      error  // the first *HeadError
 }
@@ -64,26 +65,29 @@
 func (h *heads) checkLine(line []byte) error {
 	switch {
 	case !h.begun:
-		status, err := parseStatusLine(line)
-		h.begun, h.interim = true, status < http.StatusOK
+		s, err := parseStatusLine(line)
+		h.begun, h.interim, h.chunks = true, s.code < http.StatusOK, s.minor > 0
 		return err
 	case len(line) == 0:
 		h.begun, h.expected = false, h.interim
 		return nil
 	}
-	return checkField(line)
+	return h.checkField(line)
 }
 
 // checkField checks a line after the status line. Names with other bytes that no name holds,
-// and lines without a name, are left to net/http, which refuses them. The error is a
-// *HeadError.
-func checkField(line []byte) error {
+// and lines without a name, are left to net/http, which refuses them, as are codings other
+// than chunks. The error is a *HeadError.
+func (h *heads) checkField(line []byte) error {
 	if line[0] == ' ' || line[0] == '\t' {
 		return nil // continues the line before, if there is one
 	}
 	name, _, _ := bytes.Cut(line, []byte{':'})
-	if bytes.IndexByte(name, ' ') >= 0 {
+	switch {
+	case bytes.IndexByte(name, ' ') >= 0:
 		return newHeadError(line, "blank in a name")
+	case !h.chunks && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		return newHeadError(line, "transfer coding in an answer of HTTP/1.0")
 	}
 	return nil
 }
@@ -91,28 +95,37 @@
 // statusDigits is the number of digits of a status.
 const statusDigits = 3
 
-// parseStatusLine returns the status of a status line. More than one blank before the status,
+// status is the content of a status line.
+type status struct {
+	minor int // of the version, which is 1.x
+	code  int
+}
+
+// parseStatusLine reads a status line. More than one blank before the status,
 // and none after it, are allowed, as net/http does. The protocol is never changed, so that
 // an answer has no reason to say that. The error is a *HeadError.
-func parseStatusLine(line []byte) (int, error) {
+func parseStatusLine(line []byte) (status, error) {
 	version, rest, _ := bytes.Cut(line, []byte{' '})
 	if len(version) != len("HTTP/1.1") || !bytes.HasPrefix(version, []byte("HTTP/1.")) || !isDigit(version[len(version)-1]) {
-		return 0, newHeadError(line, "not a status line of HTTP/1.1")
+		return status{}, newHeadError(line, "not a status line of HTTP/1.1")
 	}
 	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
 	if len(code) != statusDigits || !isDigit(code[0]) || !isDigit(code[1]) || !isDigit(code[2]) {
-		return 0, newHeadError(line, "status is not a number of three digits")
+		return status{}, newHeadError(line, "status is not a number of three digits")
+	}
+	s := status{
+		minor: int(version[len(version)-1] - '0'),
+		code:  int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0'),
 	}
-	status := int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0')
 	switch {
-	case status < http.StatusContinue || status >= 600:
-		return 0, newHeadError(line, "status out of range")
-	case status == http.StatusSwitchingProtocols:
-		return 0, newHeadError(line, "change of protocol that was not asked for")
+	case s.code < http.StatusContinue || s.code >= 600:
+		return status{}, newHeadError(line, "status out of range")
+	case s.code == http.StatusSwitchingProtocols:
+		return status{}, newHeadError(line, "change of protocol that was not asked for")
 	case bytes.ContainsFunc(reason, isControl):
-		return 0, newHeadError(line, "control byte in the reason")
+		return status{}, newHeadError(line, "control byte in the reason")
 	}
-	return status, nil
+	return s, nil
 }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
--- a/core/verifier/head_test.go
+++ b/core/verifier/head_test.go
@@ -39,6 +39,13 @@
 	"continued line":          {text: "HTTP/1.1 200 OK\r\nNote: a\r\n\tb c\r\n\r\n", sound: true},
 	"continued, with a colon": {text: "HTTP/1.1 200 OK\r\nNote: a\r\n b c: d\r\n\r\n", sound: true},
 
+	"HTTP/1.1 in chunks":              {text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", sound: true},
+	"HTTP/1.0, a name that begins so": {text: "HTTP/1.0 200 OK\r\nTransfer-Encoding-Note: chunked\r\n\r\n", sound: true},
+	"HTTP/1.0, then 1.1 in chunks":    {text: "HTTP/1.0 100 x\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", sound: true},
+
+	"HTTP/1.0 in chunks":           {text: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"},
+	"HTTP/1.0 in chunks, length":   {text: "HTTP/1.0 200 OK\r\nContent-Length: 2\r\ntransfer-encoding: x\r\n\r\n"},
+	"HTTP/1.1, then 1.0 in them":   {text: "HTTP/1.1 100 x\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"},
 	"blank beside the colon":       {text: "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n"},
 	"blank within a name":          {text: "HTTP/1.1 200 OK\r\nNote: a\r\nOther Note: a\r\n\r\n"},
 	"blank in the first name":      {text: "HTTP/1.1 200 OK\r\nOther Note: a\r\nNote: a\r\n\r\n"},
--- a/entry/internal/forwarder/broken_test.go
+++ b/entry/internal/forwarder/broken_test.go
@@ -80,6 +80,8 @@
 	"status 103 before a head":   {reply: reply{bytes: "HTTP/1.1 103 x\r\n\r\n" + complete(span(4, 8))}, rest: span(4, 8), whole: true},
 	"a blank in a name":          {reply: reply{bytes: strings.Replace(complete(span(4, 8)), "Response-Stamp", "Response Stamp", 1)}},
 	"a blank beside its framing": {reply: reply{bytes: streamHead + "Transfer-Encoding : chunked\r\n\r\n" + chunk(span(4, 8)) + chunk("")}},
+	"chunks of HTTP/1.0":         {reply: reply{bytes: strings.Replace(complete(span(4, 8)), "1.1", "1.0", 1)}},
+	"HTTP/1.0":                   {reply: reply{bytes: strings.Replace(unframed(span(4, 8)), "1.1", "1.0", 1)}, rest: span(4, 8), whole: true},
 	"a blank in its trailer":     {reply: reply{bytes: chunked(span(4, 8)) + "0\r\nOther Note: a\r\n\r\n"}, rest: span(4, 8)},
 	"a sound trailer":            {reply: reply{bytes: chunked(span(4, 8)) + "0\r\nNote: a\r\n\r\n"}, rest: span(4, 8), whole: true},
 	"another attempt's":          {reply: reply{bytes: strings.ReplaceAll(complete(span(4, 8)), "AT", "other")}},
