scripter: the stand-in of TestScriptedAnswers and TestEarlyAnswer, as a package

What callers saw: nothing; the same stand-in is needed for the other places that read answers. Cause: two test files held a server that writes given bytes and ends the connection in a given way. Evidence: core/connector/early_test.go and prover/scripted_answers_test.go as they were. Change: core/scripter. No check or bound was changed; TestEarlyAnswer got one more ending, the server's own direction with the rest of the request read.

--- a/core/connector/early_test.go
+++ b/core/connector/early_test.go
@@ -1,71 +1,32 @@
 package connector_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
-	"net"
-	"net/http"
 	"syscall"
 	"testing"
 	"time"
 
 	"bamboohill/core/connector"
+	"bamboohill/core/scripter"
 
 	"github.com/matryer/is"
 )
 
-// endings are the ways in which a server ends a connection on which it has answered before
-// it has read the request.
-var endings = map[string]func(c *net.TCPConn, body io.Reader){
-	"reset": func(c *net.TCPConn, _ io.Reader) {
-		_ = c.SetLinger(0) // it fails only if the connection is closed
-		_ = c.Close()      // the error does not matter here
-	},
-	"close unread": func(c *net.TCPConn, _ io.Reader) { _ = c.Close() },
-	"read and close": func(c *net.TCPConn, body io.Reader) {
-		_, _ = io.Copy(io.Discard, body) // the test checks what the caller gets
-		_ = c.Close()
-	},
-	"end":  func(c *net.TCPConn, _ io.Reader) { _ = c.CloseWrite() },
-	"keep": func(*net.TCPConn, io.Reader) {},
-}
-
 // largeBody is the size of the body of a request that is written in the background.
 const largeBody = 4 << 20
 
-// serveEarly answers requests once their heads have been read, and ends the connections after
-// a delay. It returns its address. The connections are closed when the test ends.
-func serveEarly(t *testing.T, text string, delay time.Duration, end func(*net.TCPConn, io.Reader)) string {
+// serveEarly starts a server that answers requests once their heads have been read, and
+// returns its address.
+func serveEarly(t *testing.T, text string, delay time.Duration, ending scripter.Ending) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0") //nolint:noctx // it ends with the test
+	s, err := scripter.Start(scripter.Config{Answer: scripter.Fixed(text), Delay: delay, Ending: ending})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() }) // the error does not matter here
-	serve := func(c *net.TCPConn) {
-		r, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
-		}
-		if _, err := io.WriteString(c, text); err != nil {
-			return
-		}
-		time.Sleep(delay)
-		end(c, r.Body)
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { _ = c.Close() }) // it may be closed already
-			go serve(c.(*net.TCPConn))
-		}
-	}()
-	return l.Addr().String()
+	t.Cleanup(func() { _ = s.Close() }) // the error does not matter here
+	return s.Address()
 }
 
 // TestEarlyAnswer sends requests that a server answers before it has read them. An answer
@@ -76,33 +37,35 @@
 	framed := "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 4\r\n\r\npart"
 	chunked := "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n"
 	tests := map[string]struct {
-		text, end string
-		whole     bool
+		text  string
+		end   scripter.Ending
+		whole bool
 	}{
-		"reset":                   {text: unframed, end: "reset"},
-		"close unread":            {text: unframed, end: "close unread"},
-		"read and close":          {text: unframed, end: "read and close", whole: true},
-		"end":                     {text: unframed, end: "end", whole: true},
-		"length, reset":           {text: framed, end: "reset", whole: true},
-		"length, close unread":    {text: framed, end: "close unread", whole: true},
-		"length, keep":            {text: framed, end: "keep", whole: true},
-		"chunks, reset":           {text: chunked, end: "reset", whole: true},
-		"chunks, keep":            {text: chunked, end: "keep", whole: true},
-		"chunks without an end":   {text: chunked[:len(chunked)-5], end: "end"},
-		"length beyond the reset": {text: framed[:len(framed)-1], end: "reset"},
+		"reset":                   {text: unframed, end: scripter.Reset},
+		"close unread":            {text: unframed, end: scripter.CloseUnread},
+		"read and close":          {text: unframed, end: scripter.ReadThenClose, whole: true},
+		"end, read on":            {text: unframed, end: scripter.HalfClose, whole: true},
+		"end":                     {text: unframed, end: scripter.HalfCloseUnread, whole: true},
+		"length, reset":           {text: framed, end: scripter.Reset, whole: true},
+		"length, close unread":    {text: framed, end: scripter.CloseUnread, whole: true},
+		"length, keep":            {text: framed, end: scripter.KeepUnread, whole: true},
+		"chunks, reset":           {text: chunked, end: scripter.Reset, whole: true},
+		"chunks, keep":            {text: chunked, end: scripter.KeepUnread, whole: true},
+		"chunks without an end":   {text: chunked[:len(chunked)-5], end: scripter.HalfCloseUnread},
+		"length beyond the reset": {text: framed[:len(framed)-1], end: scripter.Reset},
 	}
 	for name, test := range tests {
 		for when, delay := range map[string]time.Duration{"at once": 0, "soon": time.Millisecond, "later": 20 * time.Millisecond} {
 			t.Run(name+"/"+when, func(t *testing.T) {
 				t.Parallel()
-				address := serveEarly(t, test.text, delay, endings[test.end])
+				address := serveEarly(t, test.text, delay, test.end)
 				c := connector.New(connector.Config{})
 				for range 8 {
 					r := request()
 					r.Body = make([]byte, largeBody)
 					body, err := exchange(c, address, r)
 					// A reset may come before the kernel has delivered the answer.
-					lost := test.end == "reset" && errors.Is(err, syscall.ECONNRESET)
+					lost := test.end == scripter.Reset && errors.Is(err, syscall.ECONNRESET)
 					if (err == nil) != test.whole && !lost {
 						t.Errorf("got %q, error %v, want whole %v", body, err, test.whole)
 					}
@@ -119,7 +82,7 @@
 // that the server reads no more, and that its connection is not used again.
 func TestEndOfUnreadRequest(t *testing.T) {
 	is := is.New(t)
-	address := serveEarly(t, "HTTP/1.1 200 OK\r\nId: mine\r\n\r\npart", 0, endings["end"])
+	address := serveEarly(t, "HTTP/1.1 200 OK\r\nId: mine\r\n\r\npart", 0, scripter.HalfCloseUnread)
 	c := connector.New(connector.Config{})
 	for n := range 3 {
 		written := make(chan int, 1)
--- /dev/null
+++ b/core/scripter/scripter.go
@@ -0,0 +1,113 @@
+// Package scripter is a stand-in of an HTTP/1.1 server that writes given bytes as answers, sound
+// or broken, as soon as it has read the head of a request.
+//
+// # Usage
+//
+//	s, err := scripter.Start(scripter.Config{Answer: scripter.Fixed("HTTP/1.1 000 x\r\n\r\n"), Ending: scripter.Reset})
+//	defer s.Close()
+//	response, err := http.Get("http://" + s.Address())
+package scripter
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Ending is how a server ends a connection after its answer.
+type Ending int
+
+// Endings of connections.
+const (
+	ReadThenClose   Ending = iota // reads the rest of the request, then closes
+	Reset                         // resets the connection
+	CloseUnread                   // closes with bytes of the request unread, after which the kernel resets the connection
+	HalfClose                     // closes its own direction and reads on until the client closes
+	HalfCloseUnread               // closes its own direction and reads no more
+	KeepUnread                    // keeps the connection and reads no more
+)
+
+// Config describes a Server.
+type Config struct {
+	Answer func(r *http.Request) string // bytes of the answer to a request; "" closes the connection
+	Ending Ending
+	Delay  time.Duration // between the answer and the ending
+}
+
+// Fixed returns an Answer of Config that is the same for all requests.
+func Fixed(text string) func(*http.Request) string {
+	return func(*http.Request) string { return text }
+}
+
+// Server answers one request on each connection. It is safe for concurrent use.
+type Server struct {
+	config   Config
+	listener net.Listener
+	closing  chan struct{}
+	close    func() error
+}
+
+// Start starts a server at a free port of the loopback interface. The errors are those of
+// listening.
+func Start(config Config) (*Server, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0") //nolint:noctx // it ends with Close
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{config: config, listener: l, closing: make(chan struct{})}
+	s.close = sync.OnceValue(func() error {
+		close(s.closing)
+		return l.Close()
+	})
+	go s.accept()
+	return s, nil
+}
+
+// Address returns the IP:PORT at which the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close stops listening and closes the connections that are kept unread.
+func (s *Server) Close() error { return s.close() }
+
+func (s *Server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(c.(*net.TCPConn))
+	}
+}
+
+// serve answers the request of one connection. Errors mean that the client has closed it,
+// which is for the client to tell.
+func (s *Server) serve(c *net.TCPConn) {
+	defer c.Close()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	text := s.config.Answer(r)
+	if _, err := io.WriteString(c, text); err != nil || text == "" {
+		return
+	}
+	time.Sleep(s.config.Delay)
+	switch s.config.Ending {
+	case ReadThenClose:
+		_, _ = io.Copy(io.Discard, r.Body)
+	case Reset:
+		_ = c.SetLinger(0)
+	case CloseUnread:
+	case HalfClose:
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+	case HalfCloseUnread:
+		_ = c.CloseWrite()
+		<-s.closing
+	case KeepUnread:
+		<-s.closing
+	}
+}
--- a/prover/scripted_answers_test.go
+++ b/prover/scripted_answers_test.go
@@ -1,34 +1,20 @@
 package prover
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"bamboohill/core/scripter"
 	"bamboohill/platform/rig"
 )
 
-// ending is how a scripted server ends the connection after its answer.
-type ending int
-
-const (
-	readThenClose   ending = iota // reads the rest of the request, then closes
-	reset                         // resets the connection while the request is being written
-	closeUnread                   // closes with the request unread, which makes the kernel reset the connection
-	halfClose                     // closes its own direction and reads on
-	halfCloseUnread               // closes its own direction and reads no more
-	keepUnread                    // keeps the connection and reads no more
-)
-
-// unread is the time for which a server keeps a connection that it does not read, longer than
-// an answer may take.
+// unread is less than the time for which a server keeps a connection that it does not read. No
+// answer may take as long.
 const unread = 2 * time.Second
 
 // settle is the time after which an answer has arrived before the connection ends.
@@ -37,86 +23,54 @@
 // script is the answer of a scripted server. AT stands for the id of the attempt.
 type script struct {
 	bytes  string
-	ending ending
+	ending scripter.Ending
 }
 
-// scriptedServer answers each request with one script as soon as it has read its head. It
-// counts the requests by attempt.
-type scriptedServer struct {
-	script script
+// arrivals counts the requests that reached a server, by attempt. It is safe for concurrent
+// use.
+type arrivals struct {
+	mu    sync.Mutex
+	count map[string]int
+}
+
+func (a *arrivals) add(attempt string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.count[attempt]++
+}
 
-	mu       sync.Mutex
-	arrivals map[string]int
+func (a *arrivals) of(attempt string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.count[attempt]
 }
 
-// startScripted starts a scripted server and registers it in the store.
-func startScripted(t *testing.T, store *rig.Store, service string, answer script) *scriptedServer {
+// startScripted starts a scripted server and registers it in the store. Orders and probes get
+// no answer.
+func startScripted(t *testing.T, store *rig.Store, service string, answer script) *arrivals {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0") //nolint:noctx // it ends with the test
+	arrived := &arrivals{count: map[string]int{}}
+	s, err := scripter.Start(scripter.Config{Ending: answer.ending, Delay: settle, Answer: func(r *http.Request) string {
+		attempt := r.Header.Get("Attempt-Id")
+		if attempt == "" {
+			return ""
+		}
+		arrived.add(attempt)
+		return strings.ReplaceAll(answer.bytes, "AT", attempt)
+	}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() }) // errors on closing don't affect the test
-	s := &scriptedServer{script: answer, arrivals: map[string]int{}}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c.(*net.TCPConn))
-		}
-	}()
+	t.Cleanup(func() { _ = s.Close() }) // errors on closing don't affect the test
 	row, err := json.Marshal(map[string]any{
-		"service": service, "address": l.Addr().String(), "zone": "north", "version": "v1", "slots": 16,
+		"service": service, "address": s.Address(), "zone": "north", "version": "v1", "slots": 16,
 		"state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": time.Now().UnixMilli(),
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	store.Put("servers", service+"-0", row)
-	return s
-}
-
-func (s *scriptedServer) serve(c *net.TCPConn) {
-	defer c.Close()
-	r, err := http.ReadRequest(bufio.NewReader(c))
-	if err != nil {
-		return
-	}
-	attempt := r.Header.Get("Attempt-Id")
-	if attempt == "" {
-		return // an order or a probe
-	}
-	s.mu.Lock()
-	s.arrivals[attempt]++
-	s.mu.Unlock()
-	if _, err := io.WriteString(c, strings.ReplaceAll(s.script.bytes, "AT", attempt)); err != nil {
-		return
-	}
-	time.Sleep(settle)
-	switch s.script.ending {
-	case readThenClose:
-		_, _ = io.Copy(io.Discard, r.Body) // the entry may have closed the connection
-	case reset:
-		_ = c.SetLinger(0) // it fails only if the connection is closed
-	case closeUnread:
-	case halfClose:
-		_ = c.CloseWrite()                 // it fails only if the connection is closed
-		_, _ = io.Copy(io.Discard, r.Body) // until the entry closes the connection
-	case halfCloseUnread:
-		_ = c.CloseWrite() // it fails only if the connection is closed
-		time.Sleep(unread)
-	case keepUnread:
-		time.Sleep(unread)
-	}
-}
-
-// arrived returns how often an attempt reached the server.
-func (s *scriptedServer) arrived(attempt string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.arrivals[attempt]
+	return arrived
 }
 
 // brokenRequests is the number of requests that are sent for each answer.
@@ -149,20 +103,20 @@
 
 // scriptedAnswers are broken answers, and sound ones that resemble them.
 var scriptedAnswers = map[string]scriptedAnswer{
-	"reset in an upload of 300 KiB":        {path: "/book/", upload: 300 << 10, script: script{bytes: plainStart + "\r\npart", ending: reset}},
-	"reset in an upload of 3 MiB":          {path: "/book/", upload: 3 << 20, script: script{bytes: plainStart + "\r\npart", ending: reset}},
-	"reset in an upload to a stream":       {path: "/chat/", upload: 3 << 20, script: script{bytes: streamStart + "\r\n" + rig.Event(1, "part"), ending: reset}},
-	"closed in an upload of 3 MiB":         {path: "/book/", upload: 3 << 20, script: script{bytes: plainStart + "\r\npart", ending: closeUnread}},
-	"failure reset in an upload":           {path: "/book/", upload: 3 << 20, script: script{bytes: strings.Replace(plainStart, "200 OK", "400 x", 1) + "\r\npart", ending: reset}},
+	"reset in an upload of 300 KiB":        {path: "/book/", upload: 300 << 10, script: script{bytes: plainStart + "\r\npart", ending: scripter.Reset}},
+	"reset in an upload of 3 MiB":          {path: "/book/", upload: 3 << 20, script: script{bytes: plainStart + "\r\npart", ending: scripter.Reset}},
+	"reset in an upload to a stream":       {path: "/chat/", upload: 3 << 20, script: script{bytes: streamStart + "\r\n" + rig.Event(1, "part"), ending: scripter.Reset}},
+	"closed in an upload of 3 MiB":         {path: "/book/", upload: 3 << 20, script: script{bytes: plainStart + "\r\npart", ending: scripter.CloseUnread}},
+	"failure reset in an upload":           {path: "/book/", upload: 3 << 20, script: script{bytes: strings.Replace(plainStart, "200 OK", "400 x", 1) + "\r\npart", ending: scripter.Reset}},
 	"whole upload, then end":               {path: "/book/", upload: 300 << 10, script: script{bytes: plainStart + "\r\nwhole"}, status: http.StatusOK, body: "whole"},
 	"whole upload to a stream, then end":   {path: "/chat/", upload: 300 << 10, script: script{bytes: streamStart + "\r\n" + rig.Event(1, "whole")}, status: http.StatusOK, body: rig.Event(1, "whole")},
-	"end of its own direction":             {path: "/book/", upload: 3 << 20, script: script{bytes: plainStart + "\r\nwhole", ending: halfClose}, status: http.StatusOK, body: "whole"},
-	"end of its own direction, unread":     {path: "/book/", upload: 3 << 20, script: script{bytes: plainStart + "\r\nwhole", ending: halfCloseUnread}, status: http.StatusOK, body: "whole"},
-	"length in an upload that is not read": {path: "/book/", upload: 3 << 20, script: script{bytes: withLength("whole"), ending: keepUnread}, status: http.StatusOK, body: "whole"},
-	"length in an upload that is reset":    {path: "/book/", upload: 3 << 20, script: script{bytes: withLength("whole"), ending: reset}, status: http.StatusOK, body: "whole"},
-	"413 in an upload that is not read":    {path: "/book/", upload: 3 << 20, script: script{bytes: strings.Replace(withLength("no"), "200 OK", "413 x", 1), ending: keepUnread}, status: http.StatusRequestEntityTooLarge, body: "no"},
+	"end of its own direction":             {path: "/book/", upload: 3 << 20, script: script{bytes: plainStart + "\r\nwhole", ending: scripter.HalfClose}, status: http.StatusOK, body: "whole"},
+	"end of its own direction, unread":     {path: "/book/", upload: 3 << 20, script: script{bytes: plainStart + "\r\nwhole", ending: scripter.HalfCloseUnread}, status: http.StatusOK, body: "whole"},
+	"length in an upload that is not read": {path: "/book/", upload: 3 << 20, script: script{bytes: withLength("whole"), ending: scripter.KeepUnread}, status: http.StatusOK, body: "whole"},
+	"length in an upload that is reset":    {path: "/book/", upload: 3 << 20, script: script{bytes: withLength("whole"), ending: scripter.Reset}, status: http.StatusOK, body: "whole"},
+	"413 in an upload that is not read":    {path: "/book/", upload: 3 << 20, script: script{bytes: strings.Replace(withLength("no"), "200 OK", "413 x", 1), ending: scripter.KeepUnread}, status: http.StatusRequestEntityTooLarge, body: "no"},
 	"short request, then end":              {path: "/book/", script: script{bytes: plainStart + "\r\nwhole"}, status: http.StatusOK, body: "whole"},
-	"short request, then reset":            {path: "/book/", script: script{bytes: plainStart + "\r\npart", ending: reset}},
+	"short request, then reset":            {path: "/book/", script: script{bytes: plainStart + "\r\npart", ending: scripter.Reset}},
 
 	"status 000":                     {path: "/book/", script: script{bytes: strings.Replace(withLength("hi"), "200", "000", 1)}},
 	"status 000 to a stream":         {path: "/chat/", script: script{bytes: strings.Replace(streamStart, "200", "000", 1) + "\r\n" + rig.Event(1, "hi")}},
@@ -230,11 +184,11 @@
 
 // check sends one request. It returns how often the request reached the server, at most once
 // counted, and whether an answer was delivered, as 0 or 1.
-func (a scriptedAnswer) check(t *testing.T, e *directEntry, s *scriptedServer) (arrived, delivered int) {
+func (a scriptedAnswer) check(t *testing.T, e *directEntry, s *arrivals) (arrived, delivered int) {
 	t.Helper()
 	attempt, sent := nextAttempt(), time.Now()
 	status, body, err := e.askAs(attempt, a.path+"x", keptKey, strings.Repeat("u", a.upload))
-	arrivals := s.arrived(attempt)
+	arrivals := s.of(attempt)
 	if took := time.Since(sent); took >= unread {
 		t.Errorf("%s took %v", attempt, took)
 	}
