verifier, sidecar: a sidecar does not take a broken answer for a whole one

What callers saw: on the product's own path, the same broken answers as through entries that call servers themselves: a part of an answer whose connection was reset in an upload, statuses 000 and 999, blanks in names, chunks of HTTP/1.0, with bodies that were not the server's. Cause: the sidecar calls its backend server with net/http, which has the same reader of heads, and whose writer and reader share a connection as those of the connector did. Change: verifier.Transport, an http.RoundTripper whose connections are verifier.Conn and which expects a head for each request; the sidecar's two transports are such ones. Why it works: each request of http.Transport has its connection when GotConn is called, before its first byte is written; the next bytes from the server are the heads of its answer.

--- a/core/connector/send.go
+++ b/core/connector/send.go
@@ -149,6 +149,9 @@
 		if err != nil && a.conn.limiter.left <= 0 {
 			return ErrHeadTooLong // instead of an error about a line that was cut
 		}
+		if broken := a.conn.Broken(); broken != nil {
+			return broken
+		}
 		if err != nil {
 			return err
 		}
--- a/core/scripter/scripter.go
+++ b/core/scripter/scripter.go
@@ -10,10 +10,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -24,10 +26,11 @@
 const (
 	ReadThenClose   Ending = iota // reads the rest of the request, then closes
 	Reset                         // resets the connection
-	CloseUnread                   // closes with bytes of the request unread, after which the kernel resets the connection
+	CloseUnread                   // closes once bytes of the request are unread, so that the kernel resets the connection
 	HalfClose                     // closes its own direction and reads on until the client closes
 	HalfCloseUnread               // closes its own direction and reads no more
 	KeepUnread                    // keeps the connection and reads no more
+	Continue                      // reads the rest of the request and answers the next one
 )
 
 // Config describes a Server.
@@ -42,7 +45,8 @@
 	return func(*http.Request) string { return text }
 }
 
-// Server answers one request on each connection. It is safe for concurrent use.
+// Server answers one request on each connection, or with Continue all of them. It is safe for
+// concurrent use.
 type Server struct {
 	config   Config
 	listener net.Listener
@@ -82,25 +86,36 @@
 	}
 }
 
-// serve answers the request of one connection. Errors mean that the client has closed it,
-// which is for the client to tell.
+// serve answers the requests of one connection.
 func (s *Server) serve(c *net.TCPConn) {
 	defer c.Close()
-	r, err := http.ReadRequest(bufio.NewReader(c))
+	reader := bufio.NewReader(c)
+	for s.answer(c, reader) {
+	}
+}
+
+// answer answers one request and reports whether the next one is answered too. Errors mean
+// that the client has closed the connection, which is for the client to tell.
+func (s *Server) answer(c *net.TCPConn, reader *bufio.Reader) bool {
+	r, err := http.ReadRequest(reader)
 	if err != nil {
-		return
+		return false
 	}
 	text := s.config.Answer(r)
 	if _, err := io.WriteString(c, text); err != nil || text == "" {
-		return
+		return false
 	}
 	time.Sleep(s.config.Delay)
 	switch s.config.Ending {
+	case Continue:
+		_, err := io.Copy(io.Discard, r.Body)
+		return err == nil
 	case ReadThenClose:
 		_, _ = io.Copy(io.Discard, r.Body)
 	case Reset:
 		_ = c.SetLinger(0)
 	case CloseUnread:
+		awaitBytes(c)
 	case HalfClose:
 		_ = c.CloseWrite()
 		_, _ = io.Copy(io.Discard, c)
@@ -110,4 +125,19 @@
 	case KeepUnread:
 		<-s.closing
 	}
+	return false
+}
+
+// awaitBytes waits until bytes can be read, and does not read them. Without them the kernel
+// would send an ordinary end.
+func awaitBytes(c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Read(func(fd uintptr) bool { // it fails only if the connection is closed
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return !errors.Is(err, syscall.EAGAIN)
+	})
 }
--- a/core/verifier/conn.go
+++ b/core/verifier/conn.go
@@ -80,18 +80,24 @@
 	return c.heads.scan(buffered)
 }
 
-// scan checks bytes that were read.
-func (c *Conn) scan(p []byte) error {
+// Broken returns the *HeadError of the expected head, or nil if its bytes are sound so far. A
+// reader of lines may have taken the bytes before the error for a line.
+func (c *Conn) Broken() error {
 	c.reading.Lock()
 	defer c.reading.Unlock()
-	return c.heads.scan(p)
+	return c.heads.err
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. The first byte of a read comes before a *HeadError, so that the
+// answer has begun for the reader: http.Transport sends some requests again that got no byte
+// of an answer.
 func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.Broken(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	if broken := c.scan(p[:n]); broken != nil {
-		return 0, broken
+		return min(1, n), broken
 	}
 	if errors.Is(err, io.EOF) {
 		err = c.end()
@@ -99,6 +105,13 @@
 	return n, err
 }
 
+// scan checks bytes that were read.
+func (c *Conn) scan(p []byte) error {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	return c.heads.scan(p)
+}
+
 // end returns what a read returns that has seen the end of the connection. A write in
 // progress may have taken the report of a reset without having returned yet. It is
 // interrupted, as the peer may read no more.
--- a/core/verifier/doc.go
+++ b/core/verifier/doc.go
@@ -14,6 +14,12 @@
 //
 // # Usage
 //
+// With the client of net/http:
+//
+//	c := &http.Client{Transport: verifier.NewTransport(&http.Transport{...})}
+//
+// With a connection of one's own:
+//
 //	raw, err := dialer.DialContext(ctx, "tcp", address)
 //	c := verifier.NewConn(raw)
 //	go c.Write(request)
--- a/sidecar/internal/server/fresh.go
+++ b/sidecar/internal/server/fresh.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"bamboohill/core/verifier"
 	"bamboohill/sidecar/internal/settings"
 )
 
@@ -14,7 +15,7 @@
 // their own. Answers of the backend server don't name their request, so that one which it
 // writes once more on a kept connection would be taken for the next.
 type transport struct {
-	kept, fresh *http.Transport
+	kept, fresh *verifier.Transport
 	isFresh     func(*http.Request) bool
 }
 
@@ -23,8 +24,8 @@
 // their own.
 func newTransport(kind string, idle time.Duration) transport {
 	return transport{
-		kept:  &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idle, MaxResponseHeaderBytes: maxHeadBytes},
-		fresh: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes},
+		kept:  verifier.NewTransport(&http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idle, MaxResponseHeaderBytes: maxHeadBytes}),
+		fresh: verifier.NewTransport(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}),
 		isFresh: func(q *http.Request) bool {
 			if kind == settings.KindModel {
 				return q.URL.Path == generatePath
