storer: a put whose answer breaks in its body has an unknown outcome

What callers saw: nothing known; found by the tests of broken answers. Cause: the client of the object store returned the error of reading the body as it was, while the package promises *UnknownOutcomeError for a call that may have taken effect. Evidence: an answer of four bytes with a length of eight: put and get returned "unexpected EOF". Change: the error is wrapped, as all others of the call. Result: TestCutAnswer, which failed before for put and get, passes.

--- a/core/storer/object.go
+++ b/core/storer/object.go
@@ -60,7 +60,11 @@
 	defer response.Body.Close()
 	switch response.StatusCode {
 	case http.StatusOK:
-		return io.ReadAll(response.Body)
+		content, err := io.ReadAll(response.Body)
+		if err != nil {
+			return nil, &UnknownOutcomeError{Cause: err}
+		}
+		return content, nil
 	case http.StatusNotFound:
 		return nil, &NotFoundError{Name: name}
 	case http.StatusServiceUnavailable:
