connector: tests of interim answers, other answers, trailers and lines that go on for long

What callers saw: nothing; all were refused already. Cause: a Conn held the space of its longest line for as long as the connection was kept. Change: it is released at the end of the heads. Result: TestUnboundedParts passes, also without this change.

--- a/core/connector/broken_test.go
+++ b/core/connector/broken_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"errors"
+	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 
 	"bamboohill/core/connector"
+	"bamboohill/core/scripter"
 	"bamboohill/core/verifier"
 
 	"github.com/matryer/is"
@@ -52,6 +56,37 @@
 	}
 }
 
+// TestUnboundedParts checks that interim answers, other answers, trailers and lines that go on
+// for long are errors, and that their requests are sent once.
+func TestUnboundedParts(t *testing.T) {
+	tests := map[string]struct{ begin, repeat string }{
+		"interim answers":             {repeat: "HTTP/1.1 103 x\r\nLink: a\r\n\r\n"},
+		"line of an interim answer":   {begin: "HTTP/1.1 103 x\r\nLink: ", repeat: "a"},
+		"answers to another request":  {repeat: text("ghost", "no", "")},
+		"trailer":                     {begin: "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", repeat: "Note: a\r\n"},
+		"line of a trailer":           {begin: "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nNote: ", repeat: "a"},
+		"begin of a chunk":            {begin: "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n4;", repeat: "a"},
+		"body of another's answer":    {begin: "HTTP/1.1 200 OK\r\nId: ghost\r\nTransfer-Encoding: chunked\r\n\r\n", repeat: "4\r\nbody\r\n"},
+		"continuation of a name line": {begin: "HTTP/1.1 200 OK\r\nId: mine\r\nNote: a\r\n", repeat: " b\r\n"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const sent = 8 << 20
+			var requests atomic.Int64
+			s, err := scripter.Start(scripter.Config{Answer: func(*http.Request) string {
+				requests.Add(1)
+				return test.begin + strings.Repeat(test.repeat, sent/len(test.repeat))
+			}})
+			is.NoErr(err)
+			defer s.Close()
+			_, err = exchange(connector.New(connector.Config{}), s.Address(), request())
+			is.True(err != nil)
+			is.Equal(requests.Load(), int64(1))
+		})
+	}
+}
+
 // TestRefusedNames checks that names which net/http refuses stay refused, and that sound names
 // and trailers are read.
 func TestRefusedNames(t *testing.T) {
--- a/core/verifier/head.go
+++ b/core/verifier/head.go
@@ -38,7 +38,7 @@
 }
 
 // expect begins with the heads of another answer.
-func (h *heads) expect() { *h = heads{expected: true, partial: h.partial[:0]} }
+func (h *heads) expect() { *h = heads{expected: true} }
 
 // scan checks the next bytes of a connection. The error is a *HeadError; it is returned for
 // all further bytes too.
@@ -58,6 +58,9 @@
 		}
 		p = rest
 	}
+	if !h.expected {
+		h.partial = nil // connections are kept for long
+	}
 	return h.err
 }
 
