verifier: a reset that a read has met is reported to later reads too

What callers saw: nothing known. A reader that goes on after an error could take the end that follows a reset for the end of the answer; bufio.Reader.ReadLine gives up an error beside a part of a line. Cause: as for writes, the kernel reports a reset to one call. Evidence: the second read after a reset returned the end of the connection. Change: a Conn keeps the error of a read, other than that of a deadline. Result: TestResetIsReportedAgain, which failed before ("not true: errors.Is(err, ECONNRESET)"), passes.

--- a/core/verifier/conn.go
+++ b/core/verifier/conn.go
@@ -37,8 +37,9 @@
 	writing sync.Mutex // held during a write
 	failed  error      // of the first write that failed; guarded by writing
 
-	reading sync.Mutex // guards heads, not the reads
+	reading sync.Mutex // guards what follows, not the reads
 	heads   heads
+	lost    error // of the first read that failed, other than by a deadline
 }
 
 // NewConn returns a Conn on an open connection.
@@ -90,26 +91,39 @@
 
 // Read implements net.Conn. The first byte of a read comes before a *HeadError, so that the
 // answer has begun for the reader: http.Transport sends some requests again that got no byte
-// of an answer.
+// of an answer. After an error other than that of a deadline, all further reads return it.
 func (c *Conn) Read(p []byte) (int, error) {
-	if err := c.Broken(); err != nil {
+	if err := c.readError(); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
-	if broken := c.scan(p[:n]); broken != nil {
-		return min(1, n), broken
-	}
 	if errors.Is(err, io.EOF) {
 		err = c.end()
 	}
-	return n, err
+	return c.examine(p[:n], err)
 }
 
-// scan checks bytes that were read.
-func (c *Conn) scan(p []byte) error {
+// readError returns the error of earlier reads.
+func (c *Conn) readError() error {
 	c.reading.Lock()
 	defer c.reading.Unlock()
-	return c.heads.scan(p)
+	if c.heads.err != nil {
+		return c.heads.err
+	}
+	return c.lost
+}
+
+// examine returns what a read returns that got bytes and an error.
+func (c *Conn) examine(p []byte, err error) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if broken := c.heads.scan(p); broken != nil {
+		return min(1, len(p)), broken
+	}
+	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.lost = err
+	}
+	return len(p), err
 }
 
 // end returns what a read returns that has seen the end of the connection. A write in
--- a/core/verifier/conn_test.go
+++ b/core/verifier/conn_test.go
@@ -139,3 +139,20 @@
 	_, err := near.Read(make([]byte, 1))
 	is.True(errors.Is(err, os.ErrDeadlineExceeded))
 }
+
+// TestResetIsReportedAgain checks that a reset that a read has met is not followed by an end.
+func TestResetIsReportedAgain(t *testing.T) {
+	is := is.New(t)
+	near, far := pair(t)
+	_, err := io.WriteString(far, "part")
+	is.NoErr(err)
+	is.NoErr(far.SetLinger(0))
+	is.NoErr(far.Close())
+	text, err := io.ReadAll(near)
+	is.Equal(string(text), "part")
+	is.True(errors.Is(err, syscall.ECONNRESET))
+	for range 3 {
+		_, err = near.Read(make([]byte, 1))
+		is.True(errors.Is(err, syscall.ECONNRESET))
+	}
+}
--- a/core/verifier/head.go
+++ b/core/verifier/head.go
@@ -95,8 +95,12 @@
 	return nil
 }
 
-// statusDigits is the number of digits of a status.
-const statusDigits = 3
+// Statuses of HTTP (RFC 9110, section 15).
+const (
+	statusDigits = 3
+	minStatus    = 100
+	maxStatus    = 599
+)
 
 // status is the content of a status line.
 type status struct {
@@ -104,9 +108,9 @@
 	code  int
 }
 
-// parseStatusLine reads a status line. More than one blank before the status,
-// and none after it, are allowed, as net/http does. The protocol is never changed, so that
-// an answer has no reason to say that. The error is a *HeadError.
+// parseStatusLine reads a status line. More than one blank before the status, and none after
+// it, are accepted, as by net/http. 101 is refused, as no request asks for another protocol.
+// The error is a *HeadError.
 func parseStatusLine(line []byte) (status, error) {
 	version, rest, _ := bytes.Cut(line, []byte{' '})
 	if len(version) != len("HTTP/1.1") || !bytes.HasPrefix(version, []byte("HTTP/1.")) || !isDigit(version[len(version)-1]) {
@@ -121,10 +125,10 @@
 		code:  int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0'),
 	}
 	switch {
-	case s.code < http.StatusContinue || s.code >= 600:
+	case s.code < minStatus || s.code > maxStatus:
 		return status{}, newHeadError(line, "status out of range")
 	case s.code == http.StatusSwitchingProtocols:
-		return status{}, newHeadError(line, "change of protocol that was not asked for")
+		return status{}, newHeadError(line, "change of the protocol")
 	case bytes.ContainsFunc(reason, isControl):
 		return status{}, newHeadError(line, "control byte in the reason")
 	}
