scripter: one table of cases for the clients of net/http

What callers saw: nothing. Change: scripter.Cases returns both with what a client must make of them. No answer, check or bound was changed.

--- a/core/certifier/broken_test.go
+++ b/core/certifier/broken_test.go
@@ -15,25 +15,23 @@
 // TestBrokenAnswersOfPeer checks that no broken answer of another process is taken for one.
 func TestBrokenAnswersOfPeer(t *testing.T) {
 	const bytesSent = 16 << 20 // beyond the kernel's buffers of a connection
-	for whole, configs := range map[bool]map[string]scripter.Config{false: scripter.Broken("body"), true: scripter.Sound("body")} {
-		for name, config := range configs {
-			t.Run(name, func(t *testing.T) {
-				is := is.New(t)
-				s, err := scripter.Start(config)
+	for name, test := range scripter.Cases("body") {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, err := scripter.Start(test.Config)
+			is.NoErr(err)
+			defer s.Close()
+			p := certifier.NewPeer(nil)
+			for range 5 {
+				q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, p.URL(s.Address()), bytes.NewReader(make([]byte, bytesSent)))
 				is.NoErr(err)
-				defer s.Close()
-				p := certifier.NewPeer(nil)
-				for range 5 {
-					q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, p.URL(s.Address()), bytes.NewReader(make([]byte, bytesSent)))
-					is.NoErr(err)
-					text, err := body(p.Client.Do(q))
-					if (err == nil) != whole || err == nil && text != "body" {
-						t.Errorf("got %q, error %v, want whole %v", text, err, whole)
-					}
+				text, err := body(p.Client.Do(q))
+				if (err == nil) != test.Whole || err == nil && text != "body" {
+					t.Errorf("got %q, error %v, want whole %v", text, err, test.Whole)
 				}
-				is.True(p.Bytes() > 0)
-			})
-		}
+			}
+			is.True(p.Bytes() > 0)
+		})
 	}
 }
 
--- a/core/scripter/answers.go
+++ b/core/scripter/cases.go
@@ -20,9 +20,28 @@
 // framed returns the framing and the body of an answer with a length.
 func framed(body string) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body) }
 
-// Sound returns servers, by what is special about their answers, that answer any request with
-// 200 and a body.
-func Sound(body string) map[string]Config {
+// Case is a server for tests of clients, which answers requests at once.
+type Case struct {
+	Config
+	Whole bool // its answers must be taken for whole ones, and others must not
+}
+
+// Cases returns servers, by what is special about their answers. Whole answers have the status
+// 200 and the given body, and broken ones resemble them. Where a connection is reset, a client can
+// take the answer for whole only while it writes a request that the kernel's buffers of a
+// connection don't hold.
+func Cases(body string) map[string]Case {
+	cases := map[string]Case{}
+	for name, config := range sound(body) {
+		cases[name] = Case{Config: config, Whole: true}
+	}
+	for name, config := range broken(body) {
+		cases[name] = Case{Config: config}
+	}
+	return cases
+}
+
+func sound(body string) map[string]Config {
 	const early, last = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", success + "Connection: close\r\n"
 	return map[string]Config{
 		"no length, ended unread": {Answer: Fixed(success + "\r\n" + body), Ending: HalfCloseUnread},
@@ -35,10 +54,7 @@
 	}
 }
 
-// Broken returns servers whose answers resemble those of Sound and must not be taken for
-// answers. The connections of some are reset only if a request is being written, beyond what
-// the kernel's buffers of a connection hold.
-func Broken(body string) map[string]Config {
+func broken(body string) map[string]Config {
 	withStatus := func(line string) Config {
 		return Config{Answer: Fixed(strings.Replace(success, "HTTP/1.1 200 OK", line, 1) + framed(body))}
 	}
--- a/core/storer/broken_test.go
+++ b/core/storer/broken_test.go
@@ -16,28 +16,26 @@
 
 // TestBrokenAnswers checks that a write whose answer is broken has an unknown outcome.
 func TestBrokenAnswers(t *testing.T) {
-	for whole, configs := range map[bool]map[string]scripter.Config{false: scripter.Broken("{}"), true: scripter.Sound("{}")} {
-		for name, config := range configs {
-			t.Run(name, func(t *testing.T) {
-				is := is.New(t)
-				s, err := scripter.Start(config)
-				is.NoErr(err)
-				defer s.Close()
-				place := storer.Config{Address: s.Address(), Timeout: 2 * time.Second}
-				table, objects := storer.NewTable(place), storer.NewObjects(place)
-				data := make([]byte, writtenBytes)
-				_, err = objects.Get(t.Context(), "name")
-				is.Equal(err == nil, whole)
-				for range 5 {
-					committed := table.Commit(t.Context(), storer.Txn{Puts: []storer.Put{{Key: "key", Value: data}}})
-					for what, err := range map[string]error{"commit": committed, "put": objects.Put(t.Context(), "name", data)} {
-						var unknown *storer.UnknownOutcomeError
-						if (err == nil) != whole || err != nil && !errors.As(err, &unknown) {
-							t.Errorf("%s: error %v, want whole %v", what, err, whole)
-						}
+	for name, test := range scripter.Cases("{}") {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, err := scripter.Start(test.Config)
+			is.NoErr(err)
+			defer s.Close()
+			place := storer.Config{Address: s.Address(), Timeout: 2 * time.Second}
+			table, objects := storer.NewTable(place), storer.NewObjects(place)
+			data := make([]byte, writtenBytes)
+			_, err = objects.Get(t.Context(), "name")
+			is.Equal(err == nil, test.Whole)
+			for range 5 {
+				committed := table.Commit(t.Context(), storer.Txn{Puts: []storer.Put{{Key: "key", Value: data}}})
+				for what, err := range map[string]error{"commit": committed, "put": objects.Put(t.Context(), "name", data)} {
+					var unknown *storer.UnknownOutcomeError
+					if (err == nil) != test.Whole || err != nil && !errors.As(err, &unknown) {
+						t.Errorf("%s: error %v, want whole %v", what, err, test.Whole)
 					}
 				}
-			})
-		}
+			}
+		})
 	}
 }
--- a/entry/internal/exchanger/broken_test.go
+++ b/entry/internal/exchanger/broken_test.go
@@ -25,19 +25,17 @@
 
 // TestBrokenAnswersOfPeer checks that a state whose transfer is broken is not taken over.
 func TestBrokenAnswersOfPeer(t *testing.T) {
-	for whole, configs := range map[bool]map[string]scripter.Config{false: scripter.Broken("body"), true: scripter.Sound("body")} {
-		for name, config := range configs {
-			t.Run(name, func(t *testing.T) {
-				t.Parallel()
-				is := is.New(t)
-				s, err := scripter.Start(config)
-				is.NoErr(err)
-				defer s.Close()
-				e, err := New(Config{State: state{}, Datagrams: netip.MustParseAddrPort("127.0.0.1:0")})
-				is.NoErr(err)
-				defer e.socket.Close()
-				is.Equal(e.fetch(t.Context(), s.Address()) == nil, whole)
-			})
-		}
+	for name, test := range scripter.Cases("body") {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s, err := scripter.Start(test.Config)
+			is.NoErr(err)
+			defer s.Close()
+			e, err := New(Config{State: state{}, Datagrams: netip.MustParseAddrPort("127.0.0.1:0")})
+			is.NoErr(err)
+			defer e.socket.Close()
+			is.Equal(e.fetch(t.Context(), s.Address()) == nil, test.Whole)
+		})
 	}
 }
--- a/sidecar/internal/server/broken_test.go
+++ b/sidecar/internal/server/broken_test.go
@@ -24,9 +24,9 @@
 // No broken answer may be taken for a whole one, on either kind of connections.
 func TestBrokenAnswers(t *testing.T) {
 	const tries = 10
-	eachAnswer(t, func(t *testing.T, config scripter.Config, whole bool) {
+	eachAnswer(t, func(t *testing.T, test scripter.Case) {
 		for kind, method := range map[string]string{"kept connection": http.MethodGet, "own connection": http.MethodPost} {
-			s, err := scripter.Start(config)
+			s, err := scripter.Start(test.Config)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -34,8 +34,8 @@
 			client := newClient(newTransport(settings.KindService, time.Second))
 			for n := range tries {
 				body, err := call(client, method, "http://"+s.Address()+"/book")
-				if (err == nil) != whole || err == nil && body != "body" {
-					t.Errorf("%s, try %d: got %q, error %v, want whole %v", kind, n, body, err, whole)
+				if (err == nil) != test.Whole || err == nil && body != "body" {
+					t.Errorf("%s, try %d: got %q, error %v, want whole %v", kind, n, body, err, test.Whole)
 				}
 			}
 		}
@@ -45,22 +45,22 @@
 // TestBrokenCallIsUnknown checks that a call whose answer is broken is sent once and ends as one
 // that may have run, and that one with a whole answer ends as answered.
 func TestBrokenCallIsUnknown(t *testing.T) {
-	eachAnswer(t, func(t *testing.T, config scripter.Config, whole bool) {
+	eachAnswer(t, func(t *testing.T, test scripter.Case) {
 		is := is.New(t)
 		var calls atomic.Int64
-		answer := config.Answer
-		config.Answer = func(r *http.Request) string {
+		answer := test.Answer
+		test.Answer = func(r *http.Request) string {
 			calls.Add(1)
 			return answer(r)
 		}
-		s, err := scripter.Start(config)
+		s, err := scripter.Start(test.Config)
 		is.NoErr(err)
 		defer s.Close()
 		r := runner.New(runner.Config{Service: s.Address(), Client: newClient(newTransport(settings.KindService, time.Second))})
 		frames := framer.NewWriter(framer.WriterConfig{Sink: &bytes.Buffer{}})
 		p := &wire.Proposal{Method: http.MethodPost, Path: "/book", Key: "k"}
 		refused := r.RunPlain(t.Context(), p, make([]byte, uploadBytes), frames, func() *wire.Report { return nil })
-		is.Equal(refused == nil, whole)
+		is.Equal(refused == nil, test.Whole)
 		if refused != nil {
 			is.Equal(refused.GetOutcome(), wire.Outcome_OUTCOME_UNKNOWN)
 		}
@@ -69,12 +69,10 @@
 }
 
 // eachAnswer calls a test with each broken and each sound answer.
-func eachAnswer(t *testing.T, test func(t *testing.T, config scripter.Config, whole bool)) {
+func eachAnswer(t *testing.T, check func(t *testing.T, test scripter.Case)) {
 	t.Helper()
-	for whole, configs := range map[bool]map[string]scripter.Config{false: scripter.Broken("body"), true: scripter.Sound("body")} {
-		for name, config := range configs {
-			t.Run(name, func(t *testing.T) { test(t, config, whole) })
-		}
+	for name, test := range scripter.Cases("body") {
+		t.Run(name, func(t *testing.T) { check(t, test) })
 	}
 }
 
