review: a stream whose engine is killed is delivered as complete

An answer without a length ends with its channel, and the kernel of a killed engine ends it in order; the entry takes that for the end of the stream.

--- /dev/null
+++ b/review/standin-3/crash.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+func init() {
+	cases["crash"] = crash
+	cases["engine"] = func() []string { streamForever(); return nil }
+}
+
+// events of each stream, and the time between two.
+const (
+	crashEvents = 40
+	crashGap    = 25 * time.Millisecond
+)
+
+// streamForever is a model engine in a process of its own. Its answers have neither a length
+// nor chunks and end with their channel. It prints its address.
+func streamForever() {
+	address := os.Getenv("ENGINE_ADDRESS")
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		cannotRun(err.Error())
+	}
+	fmt.Println(l.Addr())
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			r, err := http.ReadRequest(bufio.NewReader(c))
+			if err != nil {
+				return
+			}
+			body, _ := io.ReadAll(r.Body)
+			attempt, id := r.Header.Get("Attempt-Id"), os.Getenv("ENGINE_ID")
+			if other := r.Header.Get("Expect-Instance"); other != "" && other != id {
+				fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", attempt, id)
+				return
+			}
+			last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Stamp: %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", attempt, id)
+			for n := last + 1; n <= crashEvents; n++ {
+				if _, err := io.WriteString(c, event(n, string(body))); err != nil {
+					return
+				}
+				time.Sleep(crashGap)
+			}
+		}()
+	}
+}
+
+// child is an engine in a process of its own.
+type child struct {
+	id, zone, address string
+	command           *exec.Cmd
+}
+
+func (k *child) start(s *store) {
+	k.command = exec.Command(os.Args[0], "engine")
+	k.command.Env = append(os.Environ(), "ENGINE_ID="+k.id, "ENGINE_ADDRESS="+k.address)
+	k.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, _ := k.command.StdoutPipe()
+	if err := k.command.Start(); err != nil {
+		cannotRun(err.Error())
+	}
+	line, _ := bufio.NewReader(out).ReadString('\n')
+	k.address = strings.TrimSpace(line)
+	k.register(s, time.Now(), 1)
+}
+
+func (k *child) register(s *store, born time.Time, sequence int) {
+	text, _ := json.Marshal(map[string]any{"service": "pool", "address": k.address, "zone": k.zone, "version": "v1", "slots": 16, "state": "ready", "coldRemainingMs": 0, "sequence": sequence, "born": born.UnixMilli()})
+	s.put("servers", k.id, text)
+}
+
+// crash kills one of six model engines every five seconds and starts it again two seconds
+// later. Clients check whether a stream that ended as complete has its last piece.
+func crash() []string {
+	s := newStore()
+	s.put("op", "config", desired(1))
+	zones := []string{"nadi", "lautoka", "sigatoka"}
+	var engines []*child
+	for n := range 6 {
+		k := &child{id: fmt.Sprintf("i-%d", n), zone: zones[n%3], address: "127.0.0.1:0"}
+		k.start(s)
+		engines = append(engines, k)
+	}
+	defer func() {
+		for _, k := range engines {
+			k.command.Process.Kill()
+			k.command.Wait()
+		}
+	}()
+	startEngine(s, "b-0", "bookings", zones[0], 6, 30*time.Millisecond)
+	entries := newEntries(s, 3, zones)
+	running = entries
+	for _, e := range entries {
+		e.start()
+	}
+	for _, e := range entries {
+		e.awaitReady()
+	}
+	var mu sync.Mutex
+	var results []result
+	bodies := map[string]string{}
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	for n := range 24 {
+		wait.Go(func() {
+			random := rand.New(rand.NewPCG(*seed, uint64(100+n)))
+			c := newClient()
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Duration(50+random.IntN(200)) * time.Millisecond):
+				}
+				q := request{method: "POST", path: "/chat/x", key: "key-one", body: fmt.Sprint(random.Uint64()), kind: "stream", limit: 10 * time.Second}
+				q.header = map[string]string{"Token-Usage": "2000,1800", "Model": "m", "Prompt-Prefix": fmt.Sprintf("a%d:40,%x:1960", random.IntN(5), random.Uint64())}
+				x := c.ask(entries[n%len(entries)], q)
+				mu.Lock()
+				results = append(results, x)
+				bodies[x.attempt] = q.body
+				mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(3 * time.Second)
+	for n := range 6 {
+		k := engines[n]
+		if trouble {
+			k.command.Process.Kill()
+			k.command.Wait()
+			journal.note("%s has been killed", k.id)
+		}
+		time.Sleep(2 * time.Second)
+		if trouble {
+			k.start(s)
+			journal.note("%s has started again", k.id)
+		}
+		time.Sleep(3 * time.Second)
+	}
+	close(stop)
+	wait.Wait()
+	var broken []string
+	counts := map[string]int{}
+	for _, x := range results {
+		pieces := strings.Count(x.body, "\n\n")
+		journal.note("sent %.3f %s: %d, %d pieces, ended as complete %v", since(x.sent), x.attempt, x.status, pieces, x.whole)
+		counts[fmt.Sprintf("%d complete %v all pieces %v", x.status, x.whole, pieces == crashEvents)]++
+		if x.status == 200 && x.whole && pieces < crashEvents {
+			broken = append(broken, fmt.Sprintf("ORDER: the stream of %s, sent at %.3f, ended as complete after piece %d of %d", x.attempt, since(x.sent), pieces, crashEvents))
+		}
+	}
+	journal.note("%v", counts)
+	fmt.Println(counts)
+	return broken
+}
