--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -310,6 +310,9 @@
 	}
 	for n := last + 1; n <= e.events; n++ {
 		ev := event(n, body)
+		if f == "wrong id" && n == last+7 {
+			ev = "id: 3" + ev[len("id: 7"):]
+		}
 		if f == "torn" && n == last+3 {
 			io.WriteString(c, open(ev[:len(ev)/2]))
 			return reset()
--- /dev/null
+++ b/review/standin-3/pieces.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"regexp"
+	"sync"
+	"time"
+)
+
+func init() { cases["pieces"] = pieces }
+
+// shares of the servers that hand out wrong bytes, and of their answers, as kinds names them
+// for garble: share .5, x .02.
+const spoiledStreams = 0.02
+
+// pieces lets one of three engines of the plain service, and one of four model engines, hand
+// out wrong bytes: in two of a hundred answers one byte in the name of the field Response-Stamp
+// is wrong, so that the answer comes without the engine's MAC.
+func pieces() []string {
+	s := newStore()
+	s.put("op", "config", desired(1))
+	zones := []string{"nadi", "lautoka", "sigatoka"}
+	var faulty []*engine
+	for n := range 4 {
+		e := startEngine(s, fmt.Sprintf("i-%d", n), "pool", zones[n%3], 16, 20*time.Millisecond)
+		if n < 2 {
+			faulty = append(faulty, e)
+		}
+	}
+	for n := range 3 {
+		startEngine(s, fmt.Sprintf("b-%d", n), "bookings", zones[n], 6, 30*time.Millisecond)
+	}
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(*seed, 5))
+	spoiled := map[string]string{}
+	if trouble {
+		for _, e := range faulty {
+			e.fault = func(r *http.Request) string {
+				mu.Lock()
+				defer mu.Unlock()
+				if random.Float64() >= spoiledStreams {
+					return ""
+				}
+				id := r.Header.Get("Attempt-Id")
+				spoiled[id] = e.id
+				journal.note("%s hands out a wrong byte in the head of its answer to %s", e.id, id)
+				return "wrong id"
+			}
+		}
+	}
+	entries := newEntries(s, 3, zones)
+	running = entries
+	for _, e := range entries {
+		e.start()
+	}
+	for _, e := range entries {
+		e.awaitReady()
+	}
+	var results []result
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	for n := range 30 {
+		wait.Go(func() {
+			random := rand.New(rand.NewPCG(*seed, uint64(100+n)))
+			c := newClient()
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Duration(150+random.IntN(200)) * time.Millisecond):
+				}
+				q := request{method: "POST", path: "/book/x", key: "key-one", body: "seat", kind: "unsafe", limit: 3 * time.Second}
+				switch n / 3 % 3 {
+				case 1:
+					q.path, q.kind = "/read/x", "safe"
+				case 2:
+					q.path, q.kind, q.limit = "/chat/x", "stream", 6*time.Second
+					q.header = map[string]string{"Token-Usage": "2000,500", "Model": "m", "Prompt-Prefix": fmt.Sprintf("a%d:40,%x:1960", random.IntN(5), random.Uint64())}
+				}
+				x := c.ask(entries[n%len(entries)], q)
+				mu.Lock()
+				results = append(results, x)
+				mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(25 * time.Second)
+	close(stop)
+	wait.Wait()
+	var broken []string
+	counts := map[string]int{}
+	for _, x := range results {
+		ids := regexp.MustCompile(`id: (\d+)`).FindAllStringSubmatch(x.body, -1)
+		seen := map[string]bool{}
+		twice := ""
+		for _, id := range ids {
+			if seen[id[1]] {
+				twice = id[1]
+			}
+			seen[id[1]] = true
+		}
+		counts[fmt.Sprintf("%s %d twice %v", x.kind, x.status, twice != "")]++
+		if x.status == 200 && x.whole && twice != "" {
+			broken = append(broken, "ORDER: "+x.attempt+" got piece twice: "+twice)
+		}
+	}
+	fmt.Println(counts, len(spoiled))
+	return broken
+}
