--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -76,6 +77,30 @@
 	s.changed = make(chan struct{})
 }
 
+// state is the state of a store at one moment.
+type state struct {
+	rows    map[string]row
+	version int64
+}
+
+func (s *store) copy() state {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return state{rows: maps.Clone(s.rows), version: s.version}
+}
+
+// restore makes the store come back from a copy, as if what was written since had never been.
+// Its versions are given out again.
+func (s *store) restore(from state) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.version = maps.Clone(from.rows), from.version
+	s.era++
+	s.fault = ""
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *store) newer(table string, version int64, deleted bool) []row {
 	all := []row{}
 	for _, r := range s.rows {
@@ -145,7 +170,12 @@
 	for over := false; ; {
 		s.mu.Lock()
 		rows, version, changed, fault := s.newer(r.FormValue("table"), after, true), s.version, s.changed, s.fault
+		w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 		s.mu.Unlock()
+		if after > version { // of before the store came back
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if fault != "" {
 			panic(http.ErrAbortHandler)
 		}
