--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -6,6 +6,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"runtime"
+	"syscall"
 	"time"
 )
 
@@ -22,9 +25,9 @@
 var cases = map[string]func() []string{}
 
 func main() {
+	flag.BoolVar(&trouble, "trouble", true, "whether the disruption is played")
 	flag.StringVar(&program, "entry", "target/entry", "the project's program")
 	flag.Parse()
-	trouble = os.Getenv("TROUBLE") != "0"
 	run, found := cases[flag.Arg(0)]
 	if !found {
 		cannotRun("no such case")
@@ -33,6 +36,7 @@
 		run()
 		return
 	}
+	go endOnSignal()
 	broken := run()
 	cleanUp()
 	for _, b := range broken {
@@ -49,14 +53,34 @@
 	fmt.Println("held")
 }
 
+// children are the processes of engines.
+var children []*child
+
 var running []*entry
 
+// The thread that starts processes must live as long as they do (Pdeathsig).
+func init() { runtime.LockOSThread() }
+
+// endOnSignal ends all processes if this one is told to end.
+func endOnSignal() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, os.Interrupt)
+	<-told
+	cannotRun("told to end")
+}
+
 func cleanUp() {
 	for _, e := range running {
 		if e.command != nil && !e.hasEnded() {
 			e.kill()
 		}
 	}
+	for _, k := range children {
+		if k.command != nil && k.command.Process != nil {
+			k.command.Process.Kill()
+			k.command.Wait()
+		}
+	}
 	if temporary != "" {
 		os.RemoveAll(temporary)
 	}
